--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every target runs from a clean checkout with Go and make alone.
+GO      ?= go
+BIN     := bin
+TOOL    := $(GO) tool -modfile=tools/go.mod
+SOURCES := $(shell git ls-files -co --exclude-standard '*.go')
+
+.PHONY: build test fmt-check lint unit generate
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: fmt-check lint unit
+
+fmt-check:
+	@bad=$$(gofmt -l $(SOURCES)); test -z "$$bad" || { echo "not gofmt-clean: $$bad"; exit 1; }
+
+lint:
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+
+unit:
+	$(GO) test ./...
+
+# Needs buf and its plugins, which tools/go.mod pins. The generated code is committed.
+generate:
+	$(GO) build -modfile=tools/go.mod -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" $(BIN)/tools/buf generate
--- /dev/null
+++ b/cmd/ryecourse/main.go
@@ -0,0 +1,4 @@
+// Command ryecourse is the query tier's only binary.
+package main
+
+func main() {}
