Document the interfaces between packages and processes

Cause: several people build side by side; they need fixed seams. Ruled out: seams agreed on at integration time. Measured: nothing runs on it yet. Conclusion: work can be split by package.

--- /dev/null
+++ b/internal/core/scatter/api.go
@@ -0,0 +1,143 @@
+// Package scatter runs one query over the shards of a service.
+//
+// Query is a state machine without I/O, goroutines or clock reads. Its owner,
+// the goroutine that serves the caller, feeds it results and timers and carries
+// out the actions that it returns.
+package scatter
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// Target is a replica that a Picker has reserved for one attempt.
+type Target struct {
+	// Upstream is the catalog's ID.
+	Upstream string
+	// Address is host:port.
+	Address string
+}
+
+// Picker reserves replicas. routing.Router is the product's Picker.
+type Picker interface {
+	// Pick reserves a replica of the shard, other than those in tried. It
+	// returns false when none can take a request now.
+	Pick(now time.Time, service string, shard int, tried []string) (Target, bool)
+	// Done ends a reservation with what became of its attempt.
+	Done(now time.Time, service string, shard int, t Target, r Report)
+}
+
+// Report is what an attempt tells about its replica.
+type Report struct {
+	// Outcome classifies the end of the attempt.
+	Outcome Outcome
+	// Latency is the time from the reservation to the end.
+	Latency time.Duration
+	// Instance is the upstream's incarnation, where it gives one.
+	Instance string
+	// Cold tells whether the upstream says that it is cold.
+	Cold bool
+	// Load is the upstream's running requests over its slots; negative: unknown.
+	Load float64
+	// RetryAfter is the upstream's own wish after it shed.
+	RetryAfter time.Duration
+}
+
+// Outcome classifies the end of an attempt.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	// OutcomeAnswered is a complete answer that matches its attempt.
+	OutcomeAnswered Outcome = iota
+	// OutcomeSnapshotMissing is an upstream's word that it lacks the snapshot.
+	OutcomeSnapshotMissing
+	// OutcomeShed is an upstream's refusal for lack of capacity.
+	OutcomeShed
+	// OutcomeDraining is an upstream's refusal because it leaves.
+	OutcomeDraining
+	// OutcomeMismatch is an answer that belongs to another attempt, or is short.
+	OutcomeMismatch
+	// OutcomeConnectFailed is a connection that could not be opened.
+	OutcomeConnectFailed
+	// OutcomeConnectionLost is a connection that failed in mid-request.
+	OutcomeConnectionLost
+	// OutcomeFailed is any other error answer of the upstream.
+	OutcomeFailed
+	// OutcomeCanceled is an attempt that this side gave up.
+	OutcomeCanceled
+)
+
+// Attempt is one request to one replica.
+type Attempt struct {
+	// ID is unique within the query.
+	ID int
+	// Shard is the shard number.
+	Shard int
+	// Snapshot is what the replica must answer from. Empty means any.
+	Snapshot string
+	// Target is the replica, reserved until the attempt ends.
+	Target Target
+	// Deadline ends the attempt.
+	Deadline time.Time
+	// Hedge tells whether another attempt for the shard is running.
+	Hedge bool
+}
+
+// SnapshotInfo names an index snapshot and the size of its shard map.
+type SnapshotInfo struct {
+	ID     string
+	Shards int
+}
+
+// Result is the end of an attempt, as its executor saw it.
+type Result struct {
+	Attempt int
+	Report  Report
+	// Verdict says whether the replica may have run the attempt.
+	Verdict verdict.Verdict
+	// Snapshot is what the answer was made from.
+	Snapshot SnapshotInfo
+	// Held lists the snapshots of a replica that lacks the wanted one.
+	Held []SnapshotInfo
+	// Body is the upstream's JSON. The query keeps it.
+	Body []byte
+}
+
+// Action is what the owner of a query carries out.
+type Action interface{ action() }
+
+// Send starts an attempt.
+type Send struct{ Attempt Attempt }
+
+// Cancel gives up an attempt. Its end is still reported by a Result.
+type Cancel struct{ Attempt int }
+
+// Finish ends the query. Exactly one of Answer and Refusal is set. Attempts
+// that are still running have been canceled by earlier actions.
+type Finish struct {
+	Answer  *Answer
+	Refusal *verdict.Refusal
+}
+
+func (Send) action()   {}
+func (Cancel) action() {}
+func (Finish) action() {}
+
+// Answer is a complete or partial answer from one snapshot.
+type Answer struct {
+	Snapshot SnapshotInfo
+	// Parts holds one body for each shard that answered, in shard order.
+	Parts []Part
+	// Missing lists the shards without an answer, in order.
+	Missing []int
+	// Attempts and Hedges count upstream requests.
+	Attempts, Hedges int
+}
+
+// Part is one shard's answer.
+type Part struct {
+	Shard int
+	Body  []byte
+}
