--- /dev/null
+++ b/internal/core/invariant/panic_off.go
@@ -0,0 +1,5 @@
+//go:build !invariants
+
+package invariant
+
+const panics = false
