Build a catalog from a folder of files

The catalog existed as a model only. Files are parsed strictly (repeated names, unknown fields, types, ranges, sizes, trailing data), each mistake in one run with file and field, and merged in the order of their names.

Ruled out: later files overriding any field, because two operators who choose one customer name would merge two tenants unseen; whole-folder rejection, because one broken file would hold up a key's withdrawal. What clashes between files has no effect, item by item, by a rule that needs no history, so that the result depends on the folder alone.

--- /dev/null
+++ b/internal/core/catalog/canonical.go
@@ -0,0 +1,84 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+)
+
+// folder is the canonical form of a catalog: one file that gives the same
+// catalog again.
+type folder struct {
+	Customers map[string]*customerSpec `json:"customers"`
+	Services  map[string]*serviceSpec  `json:"services"`
+	Zones     map[string]*zoneSpec     `json:"zones"`
+}
+
+// Merged returns the catalog's content as canonical JSON: members in the order
+// of their names, lists of hashes and services sorted. Catalogs of equal
+// content give equal bytes. The version is not part of it.
+func (c *Catalog) Merged() ([]byte, error) {
+	return json.Marshal(c.folder())
+}
+
+func (c *Catalog) folder() *folder {
+	f := &folder{
+		Customers: make(map[string]*customerSpec, len(c.Customers)),
+		Services:  make(map[string]*serviceSpec, len(c.Services)),
+		Zones:     make(map[string]*zoneSpec, len(c.Zones)),
+	}
+	for name, customer := range c.Customers {
+		f.Customers[name] = &customerSpec{
+			KeyHashes: customer.KeyHashes,
+			Rate:      &customer.Rate,
+			Burst:     &customer.Burst,
+			Services:  customer.Services,
+		}
+	}
+	for name, service := range c.Services {
+		f.Services[name] = service.spec()
+	}
+	for name, zone := range c.Zones {
+		f.Zones[name] = &zoneSpec{Out: &zone.Out}
+	}
+	return f
+}
+
+func (s *Service) spec() *serviceSpec {
+	deadline := inMilliseconds(s.Deadline)
+	connectCost := inMilliseconds(s.ConnectCost)
+	spec := &serviceSpec{
+		Slots:         &s.Slots,
+		Connections:   &s.Connections,
+		ConnectCostMS: &connectCost,
+		DeadlineMS:    &deadline,
+		Idempotent:    s.Idempotent,
+		Open:          s.Open,
+		SingleShard:   s.SingleShard,
+		Snapshots:     s.Snapshots,
+		ColdPermits:   &s.ColdPermits,
+		Shards:        make([][]replicaSpec, len(s.Shards)),
+	}
+	for i, shard := range s.Shards {
+		spec.Shards[i] = make([]replicaSpec, len(shard.Replicas))
+		for j, u := range shard.Replicas {
+			spec.Shards[i][j] = replicaSpec(u)
+		}
+	}
+	return spec
+}
+
+func inMilliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// digest returns the hexadecimal SHA-256 of the canonical content.
+func digest(c *Catalog) string {
+	canonical, err := c.Merged()
+	if err != nil {
+		panic(err) // Every number was read from JSON, so it is finite.
+	}
+	sum := sha256.Sum256(canonical)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/core/catalog/decode.go
@@ -0,0 +1,150 @@
+package catalog
+
+import "fmt"
+
+// fragment reads the root object of a file.
+func (r *reader) fragment(root *node) *fragment {
+	f := &fragment{
+		file:      r.file,
+		customers: make(map[string]*customerSpec),
+		services:  make(map[string]*serviceSpec),
+		zones:     make(map[string]*zoneSpec),
+		upstreams: make(map[string]*upstreamSpec),
+	}
+	r.object(root, "", []field{
+		{"customers", func(n *node, path string) { section(r, n, path, f.customers, r.customer) }},
+		{"services", func(n *node, path string) { section(r, n, path, f.services, r.service) }},
+		{"zones", func(n *node, path string) { section(r, n, path, f.zones, r.zone) }},
+		{"upstreams", func(n *node, path string) { section(r, n, path, f.upstreams, r.upstream) }},
+	})
+	return f
+}
+
+// section reads the named objects of one kind.
+func section[T any](r *reader, n *node, path string, into map[string]*T, read func(*node, string) *T) {
+	r.each(n, path, func(name string, value *node, path string) {
+		if !namePattern.MatchString(name) {
+			r.add(path, nameRule)
+		}
+		if spec := readChecked(r, value, path, read); spec != nil {
+			into[name] = spec
+		}
+	})
+}
+
+// readChecked reads one object and checks its values. A value of the wrong
+// type is reported once, by its type.
+func readChecked[T any](r *reader, n *node, path string, read func(*node, string) *T) *T {
+	if !r.expect(n, kindObject, path) {
+		return nil
+	}
+	before := len(r.problems)
+	spec := read(n, path)
+	r.validate(spec, path, r.problems[before:])
+	return spec
+}
+
+func (r *reader) customer(n *node, path string) *customerSpec {
+	c := &customerSpec{}
+	r.object(n, path, []field{
+		{"key_hashes", r.strings(&c.KeyHashes)},
+		{"rate", r.float(&c.Rate)},
+		{"burst", r.float(&c.Burst)},
+		{"services", r.strings(&c.Services)},
+	})
+	if len(n.members) == 0 {
+		r.add(path, "sets nothing; give rate and burst, or key_hashes")
+	}
+	return c
+}
+
+func (r *reader) service(n *node, path string) *serviceSpec {
+	s := &serviceSpec{}
+	r.object(n, path, []field{
+		{"shards", func(n *node, path string) { s.Shards = r.shards(n, path) }},
+		{"slots", r.int(&s.Slots)},
+		{"connections", r.int(&s.Connections)},
+		{"connect_cost_ms", r.float(&s.ConnectCostMS)},
+		{"deadline_ms", r.float(&s.DeadlineMS)},
+		{"idempotent", r.bool(&s.Idempotent)},
+		{"open", r.bool(&s.Open)},
+		{"single_shard", r.bool(&s.SingleShard)},
+		{"snapshots", r.bool(&s.Snapshots)},
+		{"cold_permits", r.int(&s.ColdPermits)},
+	})
+	return s
+}
+
+func (r *reader) shards(n *node, path string) [][]replicaSpec {
+	var shards [][]replicaSpec
+	r.items(n, path, func(shard *node, path string) {
+		replicas := make([]replicaSpec, 0, len(shard.items))
+		r.items(shard, path, func(item *node, path string) {
+			replicas = append(replicas, r.replica(item, path))
+		})
+		shards = append(shards, replicas)
+	})
+	return shards
+}
+
+func (r *reader) replica(n *node, path string) replicaSpec {
+	var u replicaSpec
+	r.object(n, path, []field{
+		{"id", r.string(&u.ID)},
+		{"address", r.string(&u.Address)},
+		{"zone", r.string(&u.Zone)},
+		{"draining", r.bool(&u.Draining)},
+	})
+	return u
+}
+
+func (r *reader) zone(n *node, path string) *zoneSpec {
+	z := &zoneSpec{}
+	r.object(n, path, []field{{"out", r.boolPtr(&z.Out)}})
+	return z
+}
+
+func (r *reader) upstream(n *node, path string) *upstreamSpec {
+	u := &upstreamSpec{}
+	r.object(n, path, []field{{"draining", r.boolPtr(&u.Draining)}})
+	return u
+}
+
+// checkRepeats reports what the file gives twice although it must be unique.
+func (r *reader) checkRepeats(f *fragment) {
+	seen := newClaims()
+	for _, name := range sortedKeys(f.customers) {
+		for i, hash := range f.customers[name].KeyHashes {
+			path := fmt.Sprintf("customers.%s.key_hashes[%d]", name, i)
+			r.claim(seen.keys, hash, path, "this key hash is also listed at %s")
+		}
+	}
+	for _, name := range sortedKeys(f.services) {
+		f.services[name].eachReplica(func(shard, replica int, u replicaSpec) {
+			path := replicaPath(name, shard, replica)
+			r.claim(seen.ids, u.ID, path+".id", "this upstream id is also used at %s")
+			r.claim(seen.addresses, canonicalAddress(u.Address), path+".address", "this address is also used at %s")
+		})
+	}
+}
+
+func (r *reader) claim(owners map[string]string, value, path, message string) {
+	owner, taken := owners[value]
+	if taken {
+		r.add(path, fmt.Sprintf(message, owner))
+		return
+	}
+	owners[value] = path
+}
+
+func (s *serviceSpec) eachReplica(f func(shard, replica int, u replicaSpec)) {
+	for i, shard := range s.Shards {
+		for j, u := range shard {
+			f(i, j, u)
+		}
+	}
+}
+
+func replicaPath(service string, shard, replica int) string {
+	return fmt.Sprintf("services.%s.shards[%d][%d]", service, shard, replica)
+}
--- /dev/null
+++ b/internal/core/catalog/diff.go
@@ -0,0 +1,212 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// hashPrefix is the number of digits of a key's hash that are ever shown.
+const hashPrefix = 8
+
+// Change is one difference between two catalogs.
+type Change struct {
+	// Kind is "customer", "service", "upstream" or "zone".
+	Kind string `json:"kind"`
+	// Name is the object's name or id.
+	Name string `json:"name"`
+	// Field is the field that differs. It is empty when the object was added
+	// or removed.
+	Field string `json:"field,omitempty"`
+	// From and To are the values as JSON. From is empty for what was added, To
+	// for what was removed. Hashes of keys are cut to a short prefix.
+	From string `json:"from,omitempty"`
+	To   string `json:"to,omitempty"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	subject := c.Kind + " " + c.Name
+	switch {
+	case c.Field != "" && c.From == "":
+		return fmt.Sprintf("~ %s: %s added %s", subject, c.Field, c.To)
+	case c.Field != "" && c.To == "":
+		return fmt.Sprintf("~ %s: %s removed %s", subject, c.Field, c.From)
+	case c.Field != "":
+		return fmt.Sprintf("~ %s: %s %s -> %s", subject, c.Field, c.From, c.To)
+	case c.From == "":
+		return fmt.Sprintf("+ %s %s", subject, c.To)
+	}
+	return fmt.Sprintf("- %s %s", subject, c.From)
+}
+
+// Diff returns the changes that lead from a to b, ordered by kind, name and
+// field. A nil catalog counts as empty.
+func Diff(a, b *Catalog) []Change {
+	if a == nil {
+		a = &Catalog{}
+	}
+	if b == nil {
+		b = &Catalog{}
+	}
+	var out []Change
+	out = append(out, diffObjects("customer", a.Customers, b.Customers, customerFields)...)
+	out = append(out, diffObjects("service", a.Services, b.Services, serviceFields)...)
+	out = append(out, diffObjects("upstream", upstreams(a), upstreams(b), upstreamFields)...)
+	out = append(out, diffObjects("zone", a.Zones, b.Zones, zoneFields)...)
+	return out
+}
+
+// fieldValue is one field of an object for comparison. A set's members are
+// compared one by one; secret ones are shown by a prefix.
+type fieldValue struct {
+	name   string
+	value  any
+	set    []string
+	secret bool
+}
+
+func (f fieldValue) show(member string) string {
+	if f.secret {
+		member = member[:hashPrefix]
+	}
+	return encode(member)
+}
+
+func (f fieldValue) shown() any {
+	if f.value != nil {
+		return f.value
+	}
+	members := make([]json.RawMessage, len(f.set))
+	for i, member := range f.set {
+		members[i] = json.RawMessage(f.show(member))
+	}
+	return members
+}
+
+func diffObjects[T any](kind string, a, b map[string]T, fields func(T) []fieldValue) []Change {
+	names := make(map[string]bool, len(a)+len(b))
+	for name := range a {
+		names[name] = true
+	}
+	for name := range b {
+		names[name] = true
+	}
+	var out []Change
+	for _, name := range sortedKeys(names) {
+		before, hadBefore := a[name]
+		after, hasAfter := b[name]
+		switch {
+		case !hadBefore:
+			out = append(out, Change{Kind: kind, Name: name, To: summary(fields(after))})
+		case !hasAfter:
+			out = append(out, Change{Kind: kind, Name: name, From: summary(fields(before))})
+		default:
+			out = append(out, diffFields(kind, name, fields(before), fields(after))...)
+		}
+	}
+	return out
+}
+
+func diffFields(kind, name string, a, b []fieldValue) []Change {
+	var out []Change
+	for i := range a {
+		if a[i].value == nil {
+			out = append(out, diffSet(kind, name, a[i], b[i])...)
+			continue
+		}
+		from, to := encode(a[i].value), encode(b[i].value)
+		if from != to {
+			out = append(out, Change{Kind: kind, Name: name, Field: a[i].name, From: from, To: to})
+		}
+	}
+	return out
+}
+
+func diffSet(kind, name string, a, b fieldValue) []Change {
+	var out []Change
+	for _, member := range a.set {
+		if !slices.Contains(b.set, member) {
+			out = append(out, Change{Kind: kind, Name: name, Field: a.name, From: a.show(member)})
+		}
+	}
+	for _, member := range b.set {
+		if !slices.Contains(a.set, member) {
+			out = append(out, Change{Kind: kind, Name: name, Field: a.name, To: a.show(member)})
+		}
+	}
+	return out
+}
+
+func summary(fields []fieldValue) string {
+	out := make(map[string]any, len(fields))
+	for _, f := range fields {
+		out[f.name] = f.shown()
+	}
+	return encode(out)
+}
+
+func encode(v any) string {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // Only numbers, strings and booleans are passed.
+	}
+	return string(out)
+}
+
+func customerFields(c *Customer) []fieldValue {
+	return []fieldValue{
+		{name: "key_hashes", set: c.KeyHashes, secret: true},
+		{name: "rate", value: c.Rate},
+		{name: "burst", value: c.Burst},
+		{name: "services", set: c.Services},
+	}
+}
+
+func serviceFields(s *Service) []fieldValue {
+	return []fieldValue{
+		{name: "shards", value: len(s.Shards)},
+		{name: "slots", value: s.Slots},
+		{name: "connections", value: s.Connections},
+		{name: "connect_cost_ms", value: inMilliseconds(s.ConnectCost)},
+		{name: "deadline_ms", value: inMilliseconds(s.Deadline)},
+		{name: "idempotent", value: s.Idempotent},
+		{name: "open", value: s.Open},
+		{name: "single_shard", value: s.SingleShard},
+		{name: "snapshots", value: s.Snapshots},
+		{name: "cold_permits", value: s.ColdPermits},
+	}
+}
+
+// placedUpstream is an upstream with the place that a change may move it from.
+type placedUpstream struct {
+	Upstream
+	service string
+	shard   int
+}
+
+func upstreams(c *Catalog) map[string]placedUpstream {
+	out := make(map[string]placedUpstream)
+	for name, s := range c.Services {
+		for i, shard := range s.Shards {
+			for _, u := range shard.Replicas {
+				out[u.ID] = placedUpstream{Upstream: u, service: name, shard: i}
+			}
+		}
+	}
+	return out
+}
+
+func upstreamFields(u placedUpstream) []fieldValue {
+	return []fieldValue{
+		{name: "service", value: u.service},
+		{name: "shard", value: u.shard},
+		{name: "address", value: u.Address},
+		{name: "zone", value: u.Zone},
+		{name: "draining", value: u.Draining},
+	}
+}
+
+func zoneFields(z *Zone) []fieldValue {
+	return []fieldValue{{name: "out", value: z.Out}}
+}
--- a/internal/core/catalog/model.go
+++ b/internal/core/catalog/model.go
@@ -20,7 +20,8 @@
 	Customers map[string]*Customer
 	Services  map[string]*Service
 	Zones     map[string]*Zone
-	// keyOwner maps the hash of a key to the customer's name.
+	// keyOwner maps the hash of a key to the customer's name. A hash that two
+	// customers list belongs to the customer of the first file.
 	keyOwner map[string]string
 }
 
@@ -40,7 +41,7 @@
 // Service is a set of shards with a common policy.
 type Service struct {
 	Name string
-	// Shards are indexed by shard number.
+	// Shards are indexed by shard number. There is at least one.
 	Shards []Shard
 	// Slots is the number of requests that one upstream runs at a time.
 	Slots int
@@ -66,6 +67,8 @@
 
 // Shard is one partition of a service's index.
 type Shard struct {
+	// Replicas may be empty when each of them repeats an upstream of another
+	// file. The shard then counts as missing.
 	Replicas []Upstream
 }
 
@@ -73,7 +76,7 @@
 type Upstream struct {
 	// ID is unique within the catalog.
 	ID string
-	// Address is host:port.
+	// Address is IP:port.
 	Address string
 	// Zone is the availability zone's name.
 	Zone string
--- /dev/null
+++ b/internal/core/catalog/problem.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Effect says what a mistake keeps out of the catalog.
+type Effect uint8
+
+// The effects of a mistake.
+const (
+	// HoldsFile means that the file is wrong in itself: nothing of this
+	// content is in force.
+	HoldsFile Effect = iota
+	// HoldsItem means that the named item clashes with another file or refers
+	// to something unknown. Only this item has no effect.
+	HoldsItem
+)
+
+// Problem is one mistake in the configuration.
+type Problem struct {
+	// File is the name of the file that has to be changed.
+	File string `json:"file"`
+	// Field is the path within the file, such as "customers.acme.rate". It is
+	// empty when the mistake concerns the whole file.
+	Field string `json:"field,omitempty"`
+	// Message says what is wrong and what is allowed.
+	Message string `json:"message"`
+	// Effect says what the mistake keeps out of the catalog.
+	Effect Effect `json:"-"`
+}
+
+// Error returns the problem as one line.
+func (p Problem) Error() string {
+	if p.Field == "" {
+		return fmt.Sprintf("%s: %s", p.File, p.Message)
+	}
+	return fmt.Sprintf("%s: %s: %s", p.File, p.Field, p.Message)
+}
+
+// sortProblems orders problems by file, keeping the order within a file.
+func sortProblems(ps []Problem) {
+	slices.SortStableFunc(ps, func(a, b Problem) int {
+		return cmp.Compare(a.File, b.File)
+	})
+}
--- /dev/null
+++ b/internal/core/catalog/reader.go
@@ -0,0 +1,147 @@
+package catalog
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// reader turns the JSON tree of one file into typed values and collects every
+// mistake on the way.
+type reader struct {
+	file     string
+	problems []Problem
+}
+
+func (r *reader) add(field, message string) {
+	r.problems = append(r.problems, Problem{File: r.file, Field: field, Message: message})
+}
+
+// field is one permitted member of an object.
+type field struct {
+	name string
+	read func(n *node, path string)
+}
+
+func (r *reader) expect(n *node, want kind, path string) bool {
+	if n.kind == want {
+		return true
+	}
+	r.add(path, fmt.Sprintf("must be %v, not %v", want, n.kind))
+	return false
+}
+
+// object reads the permitted members of n and reports the others.
+func (r *reader) object(n *node, path string, fields []field) {
+	r.each(n, path, func(name string, value *node, path string) {
+		for _, f := range fields {
+			if f.name == name {
+				f.read(value, path)
+				return
+			}
+		}
+		r.add(path, "unknown field; allowed are "+fieldNames(fields))
+	})
+}
+
+// each calls f for every member of n whose name isn't repeated.
+func (r *reader) each(n *node, path string, f func(name string, value *node, path string)) {
+	if !r.expect(n, kindObject, path) {
+		return
+	}
+	for _, m := range n.members {
+		child := join(path, m.name)
+		if m.repeated {
+			r.add(child, "given more than once in this file")
+			continue
+		}
+		f(m.name, m.value, child)
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func fieldNames(fields []field) string {
+	names := make([]string, len(fields))
+	for i, f := range fields {
+		names[i] = f.name
+	}
+	return strings.Join(names, ", ")
+}
+
+func (r *reader) items(n *node, path string, f func(item *node, path string)) {
+	if !r.expect(n, kindArray, path) {
+		return
+	}
+	for i, item := range n.items {
+		f(item, path+"["+strconv.Itoa(i)+"]")
+	}
+}
+
+func (r *reader) bool(into *bool) func(*node, string) {
+	return func(n *node, path string) {
+		if r.expect(n, kindBool, path) {
+			*into = n.boolean
+		}
+	}
+}
+
+func (r *reader) boolPtr(into **bool) func(*node, string) {
+	return func(n *node, path string) {
+		if r.expect(n, kindBool, path) {
+			*into = &n.boolean
+		}
+	}
+}
+
+func (r *reader) string(into *string) func(*node, string) {
+	return func(n *node, path string) {
+		if r.expect(n, kindString, path) {
+			*into = n.text
+		}
+	}
+}
+
+func (r *reader) strings(into *[]string) func(*node, string) {
+	return func(n *node, path string) {
+		*into = make([]string, 0, len(n.items))
+		r.items(n, path, func(item *node, path string) {
+			var s string
+			r.string(&s)(item, path)
+			*into = append(*into, s)
+		})
+	}
+}
+
+func (r *reader) float(into **float64) func(*node, string) {
+	return func(n *node, path string) {
+		if !r.expect(n, kindNumber, path) {
+			return
+		}
+		v, err := strconv.ParseFloat(n.text, 64)
+		if err != nil {
+			r.add(path, "the number is too large")
+			return
+		}
+		*into = &v
+	}
+}
+
+func (r *reader) int(into **int) func(*node, string) {
+	return func(n *node, path string) {
+		if !r.expect(n, kindNumber, path) {
+			return
+		}
+		v, err := strconv.Atoi(n.text)
+		if err != nil {
+			r.add(path, "must be a whole number")
+			return
+		}
+		*into = &v
+	}
+}
