--- /dev/null
+++ b/internal/core/keys/detect.go
@@ -0,0 +1,116 @@
+package keys
+
+import (
+	"bytes"
+	"strconv"
+)
+
+const (
+	// minLeak is the number of characters after the prefix from which text
+	// counts as a key. Half a key is refused too.
+	minLeak = secretLength / 2
+	// minRaw is the length from which the request's own key is searched for.
+	// Anything shorter isn't a key and would match ordinary text.
+	minRaw = 16
+	// maxDecodings bounds how often text that was escaped repeatedly is decoded.
+	maxDecodings = 3
+)
+
+// Carries tells whether data holds key, or anything shaped like a key. Data is
+// a path, a query string, a header's value or a body. Letter case is ignored,
+// and percent escapes (RFC 3986) and JSON escapes (RFC 8259) are decoded, also
+// when escaped up to three times. Encodings that change every character, such
+// as base64 or compression, are not seen through.
+//
+// It allocates only when data holds an escape or an upper-case letter.
+func Carries(data []byte, key string) bool {
+	raw := bytes.ToLower([]byte(key))
+	if len(raw) < minRaw {
+		raw = nil
+	}
+	for range maxDecodings {
+		if carriesPlain(data, raw) {
+			return true
+		}
+		decoded := unescape(data)
+		if len(decoded) == len(data) {
+			return false
+		}
+		data = decoded
+	}
+	return carriesPlain(data, raw)
+}
+
+func carriesPlain(data, raw []byte) bool {
+	lower := data
+	if hasUpper(data) {
+		lower = bytes.ToLower(data)
+	}
+	if raw != nil && bytes.Contains(lower, raw) {
+		return true
+	}
+	return carriesShape(lower)
+}
+
+func hasUpper(data []byte) bool {
+	for _, c := range data {
+		if 'A' <= c && c <= 'Z' {
+			return true
+		}
+	}
+	return false
+}
+
+// carriesShape tells whether data holds the prefix and at least minLeak
+// characters of the alphabet after it.
+func carriesShape(data []byte) bool {
+	for {
+		at := bytes.Index(data, []byte(Prefix))
+		if at < 0 {
+			return false
+		}
+		data = data[at+len(Prefix):]
+		n := 0
+		for n < len(data) && n < minLeak && isSecret(data[n]) {
+			n++
+		}
+		if n == minLeak {
+			return true
+		}
+	}
+}
+
+// unescape decodes %XX and \u00XX once. Text without either is returned as it
+// is. The result is shorter whenever anything was decoded.
+func unescape(data []byte) []byte {
+	if bytes.IndexByte(data, '%') < 0 && !bytes.Contains(data, []byte(`\u`)) {
+		return data
+	}
+	out := make([]byte, 0, len(data))
+	for i := 0; i < len(data); {
+		c, n := decodeOne(data[i:])
+		out = append(out, c)
+		i += n
+	}
+	return out
+}
+
+// decodeOne returns the first character of data and how many bytes stand for it.
+func decodeOne(data []byte) (byte, int) {
+	if data[0] == '%' && len(data) >= 3 {
+		if c, ok := hexByte(data[1:3]); ok {
+			return c, 3
+		}
+	}
+	if len(data) >= 6 && data[0] == '\\' && data[1] == 'u' && data[2] == '0' && data[3] == '0' {
+		if c, ok := hexByte(data[4:6]); ok {
+			return c, 6
+		}
+	}
+	return data[0], 1
+}
+
+func hexByte(digits []byte) (byte, bool) {
+	v, err := strconv.ParseUint(string(digits), 16, 8)
+	return byte(v), err == nil
+}
