--- /dev/null
+++ b/internal/cli/configcmd/configcmd.go
@@ -0,0 +1,223 @@
+// Package configcmd offers the commands that check, merge and compare folders
+// of operators' configuration before they are published.
+//
+// The commands only read. Results go to standard output, remarks to standard
+// error. The exit code is 0 when no mistake was found, 1 when there are
+// mistakes and 2 when the command was used wrongly or a folder can't be read.
+package configcmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+const (
+	exitProblems = 1
+	exitUsage    = 2
+)
+
+const exitCodes = `
+
+Exit codes: 0 no mistakes, 1 mistakes found, 2 wrong usage or unreadable folder.`
+
+// New returns the "config" command with its subcommands.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:     "config",
+		Usage:    "check, merge and compare folders of configuration files",
+		Commands: []*cli.Command{newCheck(), newMerge(), newDiff()},
+	}
+}
+
+func newCheck() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "find every mistake in a folder",
+		ArgsUsage: "DIR",
+		Description: `Prints one line for each mistake: file, field, what is wrong.
+
+Examples:
+  ryecourse config check ./configuration
+  ryecourse config check --json ./configuration | jq .problems` + exitCodes,
+		Flags:        []cli.Flag{jsonFlag("print one JSON object with ok, digest, files and problems")},
+		OnUsageError: usageError,
+		Action:       check,
+	}
+}
+
+func newMerge() *cli.Command {
+	return &cli.Command{
+		Name:      "merge",
+		Usage:     "print what a folder amounts to",
+		ArgsUsage: "DIR",
+		Description: `Prints the merged configuration as one JSON object. What has a mistake is left
+out, as a daemon would leave it out; the mistakes go to standard error.
+
+Examples:
+  ryecourse config merge ./configuration
+  ryecourse config merge --json ./configuration | sha256sum   # the digest` + exitCodes,
+		Flags:        []cli.Flag{jsonFlag("print the canonical form, in one line without a line feed")},
+		OnUsageError: usageError,
+		Action:       merge,
+	}
+}
+
+func newDiff() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "print what changes between two folders",
+		ArgsUsage: "OLD-DIR NEW-DIR",
+		Description: `Prints one line for each change, name by name: "+" added, "-" removed, "~"
+changed. Hashes of keys are cut short. Mistakes go to standard error.
+
+Examples:
+  ryecourse config diff ./published ./edited
+  ryecourse config diff --json ./published ./edited | jq -r '.[].name'` + exitCodes,
+		Flags:        []cli.Flag{jsonFlag("print a JSON array of changes")},
+		OnUsageError: usageError,
+		Action:       diff,
+	}
+}
+
+func jsonFlag(usage string) cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: usage}
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return cli.Exit(err.Error(), exitUsage)
+}
+
+// readArguments reads the folders that the command was given.
+func readArguments(cmd *cli.Command) ([][]catalog.Published, error) {
+	want := 1
+	if cmd.Name == "diff" {
+		want = 2
+	}
+	if cmd.Args().Len() != want {
+		return nil, cli.Exit(fmt.Sprintf("usage: %s %s", cmd.FullName(), cmd.ArgsUsage), exitUsage)
+	}
+	var folders [][]catalog.Published
+	for _, dir := range cmd.Args().Slice() {
+		files, err := ReadFolder(dir)
+		if err != nil {
+			return nil, cli.Exit(err.Error(), exitUsage)
+		}
+		folders = append(folders, files)
+	}
+	return folders, nil
+}
+
+// report is the JSON form of what check found.
+type report struct {
+	OK       bool              `json:"ok"`
+	Digest   string            `json:"digest"`
+	Files    int               `json:"files"`
+	Problems []catalog.Problem `json:"problems"`
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	folders, err := readArguments(cmd)
+	if err != nil {
+		return err
+	}
+	c, problems := catalog.Build(0, folders[0])
+	out, remarks := writers(cmd)
+	if cmd.Bool("json") {
+		r := report{OK: len(problems) == 0, Digest: c.Digest, Files: len(folders[0]), Problems: problems}
+		if r.Problems == nil {
+			r.Problems = []catalog.Problem{}
+		}
+		if err := json.NewEncoder(out).Encode(r); err != nil {
+			return err
+		}
+		return outcome(problems)
+	}
+	printProblems(out, problems)
+	fmt.Fprintf(remarks, "%d files, %d mistakes, digest %s\n", len(folders[0]), len(problems), c.Digest)
+	return outcome(problems)
+}
+
+func merge(_ context.Context, cmd *cli.Command) error {
+	folders, err := readArguments(cmd)
+	if err != nil {
+		return err
+	}
+	c, problems := catalog.Build(0, folders[0])
+	out, remarks := writers(cmd)
+	printProblems(remarks, problems)
+	merged, err := c.Merged()
+	if err != nil {
+		return err
+	}
+	if !cmd.Bool("json") {
+		merged = indented(merged)
+	}
+	if _, err := out.Write(merged); err != nil {
+		return err
+	}
+	return outcome(problems)
+}
+
+func indented(merged []byte) []byte {
+	var b bytes.Buffer
+	if err := json.Indent(&b, merged, "", "  "); err != nil {
+		panic(err) // Merged returns valid JSON.
+	}
+	b.WriteByte('\n')
+	return b.Bytes()
+}
+
+func diff(_ context.Context, cmd *cli.Command) error {
+	folders, err := readArguments(cmd)
+	if err != nil {
+		return err
+	}
+	before, problemsBefore := catalog.Build(0, folders[0])
+	after, problemsAfter := catalog.Build(0, folders[1])
+	out, remarks := writers(cmd)
+	printProblems(remarks, problemsBefore)
+	printProblems(remarks, problemsAfter)
+	if err := printChanges(out, cmd.Bool("json"), catalog.Diff(before, after)); err != nil {
+		return err
+	}
+	return outcome(append(problemsBefore, problemsAfter...))
+}
+
+func printChanges(out io.Writer, asJSON bool, changes []catalog.Change) error {
+	if asJSON {
+		if changes == nil {
+			changes = []catalog.Change{}
+		}
+		return json.NewEncoder(out).Encode(changes)
+	}
+	for _, change := range changes {
+		fmt.Fprintln(out, change)
+	}
+	return nil
+}
+
+func printProblems(out io.Writer, problems []catalog.Problem) {
+	for _, p := range problems {
+		fmt.Fprintln(out, p.Error())
+	}
+}
+
+// outcome gives the exit code without a further message.
+func outcome(problems []catalog.Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	return cli.Exit("", exitProblems)
+}
+
+func writers(cmd *cli.Command) (out, remarks io.Writer) {
+	root := cmd.Root()
+	return root.Writer, root.ErrWriter
+}
