Accept configuration file by file

The Acceptor decides on offered versions of the folder. Ways weighed: whole-folder acceptance (one broken file holds up a key's withdrawal and a zone's state; TestWholeFolderHoldsUpWithdrawal), last good content for every kind of mistake (two daemons that saw different versions can't agree on clashes between files without a vote), and the choice: the last right content for files wrong in themselves, told between daemons, and a rule without history for clashes. The catalog is then a function of the newest version plus, for broken files, the latest right state that any daemon knows, and states of one file are totally ordered.

Tests: 100 random histories over three daemons against an oracle that keeps the whole history, with lagging replicas, restarts, deletions and broken files.

--- /dev/null
+++ b/internal/core/catalog/accept_test.go
@@ -0,0 +1,156 @@
+package catalog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"ryecourse.example/ryecourse/internal/core/invariant"
+)
+
+func TestAcceptorAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		draw := func() []byte {
+			if rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+				return nil
+			}
+			return []byte(drawContent(t))
+		}
+		if err := exercise(policy{}, 40, choose, draw); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if v := invariant.Violations(); len(v) > 0 {
+		t.Fatalf("violated: %v", v)
+	}
+}
+
+// TestNaivePolicies takes one mechanism away at a time and requires that the
+// oracle notices.
+func TestNaivePolicies(t *testing.T) {
+	contents := []string{
+		`{"zones":{"a":{"out":false}}}`,
+		`{"zones":{"b":{}},"customers":{"c":{"rate":1,"burst":1}}}`,
+		`{"zones":`,
+	}
+	tests := map[string]policy{
+		"older versions are taken":            {forget: true},
+		"earlier contents are not passed on":  {newestOnly: true},
+		"absences of files are not passed on": {noAbsence: true},
+	}
+	for name, p := range tests {
+		const runs = 100
+		failed := 0
+		for seed := range uint64(runs) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			draw := func() []byte {
+				if rng.IntN(3) == 0 {
+					return nil
+				}
+				return []byte(contents[rng.IntN(len(contents))])
+			}
+			if exercise(p, 60, rng.IntN, draw) != nil {
+				failed++
+			}
+		}
+		t.Logf("%s: %d of %d runs differ from the oracle", name, failed, runs)
+		if failed == 0 {
+			t.Errorf("%s: the oracle noticed nothing", name)
+		}
+	}
+}
+
+// TestWholeFolderHoldsUpWithdrawal shows the alternative that was ruled out: if
+// only folders without any mistake were accepted, one broken file would keep a
+// withdrawn key working.
+func TestWholeFolderHoldsUpWithdrawal(t *testing.T) {
+	hash := strings.Repeat("a", 64)
+	h := newHistory()
+	h.publish("10.json", []byte(`{"customers":{"c":{"rate":1,"burst":1}}}`))
+	h.publish("20.json", []byte(`{"customers":{"c":{"key_hashes":["`+hash+`"]}}}`))
+	h.publish("30.json", []byte(`{`))
+	h.publish("20.json", nil)
+
+	var wholeFolder *Catalog
+	a := NewAcceptor()
+	for _, v := range h.versions {
+		o := v.offer()
+		a.Offer(o)
+		if c, problems := Build(v.version, o.Files); len(problems) == 0 {
+			wholeFolder = c
+		}
+	}
+	if wholeFolder.CustomerByKeyHash(hash) == nil {
+		t.Error("whole-folder acceptance withdrew the key: this comparison proves nothing")
+	}
+	if a.Catalog().CustomerByKeyHash(hash) != nil {
+		t.Error("the withdrawn key still works")
+	}
+}
+
+// TestAccept runs the tables. "publish" writes files (an empty one deletes),
+// "read" and "pull" offer a version to a daemon.
+func TestAccept(t *testing.T) {
+	datadriven.Walk(t, "testdata/accept", func(t *testing.T, path string) {
+		h := newHistory()
+		daemons := make(map[string]*Acceptor)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "publish" {
+				for _, p := range parseFolder(t, d.Input) {
+					content := p.Content
+					if strings.TrimSpace(string(content)) == "deleted" {
+						content = nil
+					}
+					h.publish(p.Name, content)
+				}
+				return fmt.Sprintf("version %d\n", h.newest().version)
+			}
+			name := d.CmdArgs[0].Key
+			if daemons[name] == nil {
+				daemons[name] = NewAcceptor()
+			}
+			switch d.Cmd {
+			case "read":
+				v := len(h.versions) - 1
+				d.MaybeScanArgs(t, "version", &v)
+				o := h.versions[v].offer()
+				if d.HasArg("no-contents") {
+					o.Files = nil
+				}
+				return renderDecision(daemons[name].Offer(o))
+			case "pull":
+				from := d.CmdArgs[1].Key
+				set := daemons[from].Files()
+				return renderDecision(daemons[name].Offer(Offer{
+					Version: set.Version, All: set.All, Files: set.Lacking(daemons[name].Files().Have()),
+					Source: Source{Kind: FromPeer, Peer: from},
+				}))
+			}
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func renderDecision(d Decision) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%v version %d from %v\n", d.Outcome, d.Version, d.Source)
+	for _, id := range d.Missing {
+		fmt.Fprintf(&out, "missing %s at %d\n", id.Name, id.Revision)
+	}
+	for _, f := range d.Files {
+		fmt.Fprintf(&out, "file %s: %d -> %d, published %d, held %v\n", f.Name, f.From, f.To, f.Published, f.Held())
+	}
+	for _, p := range d.Problems {
+		fmt.Fprintf(&out, "problem %s\n", p.Error())
+	}
+	for _, c := range d.Changes {
+		fmt.Fprintln(&out, c)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/internal/core/catalog/fileset.go
@@ -0,0 +1,80 @@
+package catalog
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FileSet is the accepted files of one version, in the form in which daemons
+// pass them on. It is immutable.
+type FileSet struct {
+	// Version is the folder revision.
+	Version uint64
+	// Digest identifies the revisions and the states in force. Daemons with the
+	// same version and digest have the same catalog.
+	Digest string
+	// All names every file with its newest revision, ordered by name.
+	All []FileRevision
+	// Contents holds the newest content of each file and, for files whose newest
+	// content is wrong in itself, the state before it. See Offer.
+	Contents []Published
+}
+
+func newFileSet(version uint64, entries map[string]*entry) *FileSet {
+	s := &FileSet{Version: version}
+	for _, name := range sortedKeys(entries) {
+		e := entries[name]
+		s.All = append(s.All, e.newest.published.ID())
+		s.Contents = append(s.Contents, e.newest.published)
+		if e.before != nil {
+			s.Contents = append(s.Contents, e.before.asPublished(name))
+		}
+	}
+	s.Digest = s.digest()
+	return s
+}
+
+func (s *earlier) asPublished(name string) Published {
+	if s.content != nil {
+		return s.content.published
+	}
+	return Published{Name: name, Revision: s.asOf}
+}
+
+func (s *FileSet) digest() string {
+	h := xxhash.New()
+	var number [8]byte
+	for _, p := range s.Contents {
+		// Names have no line feed, so that the parts can't run together.
+		_, _ = h.WriteString(p.Name + "\n")
+		binary.LittleEndian.PutUint64(number[:], p.Revision)
+		_, _ = h.Write(number[:])
+	}
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// Have lists the contents that the set holds.
+func (s *FileSet) Have() []FileRevision {
+	out := make([]FileRevision, len(s.Contents))
+	for i, p := range s.Contents {
+		out[i] = p.ID()
+	}
+	return out
+}
+
+// Lacking returns the contents that are not among have.
+func (s *FileSet) Lacking(have []FileRevision) []Published {
+	known := make(map[FileRevision]bool, len(have))
+	for _, id := range have {
+		known[id] = true
+	}
+	var out []Published
+	for _, p := range s.Contents {
+		if !known[p.ID()] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/catalog/history_test.go
@@ -0,0 +1,202 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// folderVersion is one version of the folder in the service's history.
+type folderVersion struct {
+	version uint64
+	files   map[string]Published
+}
+
+// history is the stand-in of the configuration service: every version that was
+// ever published.
+type history struct {
+	versions []folderVersion
+}
+
+func newHistory() *history {
+	return &history{versions: []folderVersion{{}}}
+}
+
+func (h *history) newest() folderVersion { return h.versions[len(h.versions)-1] }
+
+// publish writes one file; a nil content deletes it.
+func (h *history) publish(name string, content []byte) {
+	last := h.newest()
+	next := folderVersion{version: last.version + 1, files: maps.Clone(last.files)}
+	if next.files == nil {
+		next.files = make(map[string]Published)
+	}
+	if content == nil {
+		delete(next.files, name)
+	} else {
+		next.files[name] = Published{Name: name, Revision: next.version, Content: content}
+	}
+	h.versions = append(h.versions, next)
+}
+
+func (v folderVersion) offer() Offer {
+	o := Offer{Version: v.version}
+	for _, name := range slices.Sorted(maps.Keys(v.files)) {
+		o.All = append(o.All, v.files[name].ID())
+		o.Files = append(o.Files, v.files[name])
+	}
+	return o
+}
+
+// model is the oracle for one daemon: the set of versions that it knows of, by
+// itself or through peers.
+type model struct {
+	known map[uint64]bool
+}
+
+func newModel() *model { return &model{known: make(map[uint64]bool)} }
+
+func (m *model) version() uint64 {
+	var v uint64
+	for known := range m.known {
+		v = max(v, known)
+	}
+	return v
+}
+
+// inForce returns the files in force: those of the newest known version, and in
+// place of each wrong one what the newest known version held in which the file
+// was right or absent.
+func (m *model) inForce(h *history) []Published {
+	known := slices.Sorted(maps.Keys(m.known))
+	if len(known) == 0 {
+		return nil
+	}
+	var out []Published
+	for _, name := range slices.Sorted(maps.Keys(h.versions[m.version()].files)) {
+		for _, v := range slices.Backward(known) {
+			p, present := h.versions[v].files[name]
+			if !present {
+				break
+			}
+			if _, problems := parseFile(name, p.Content); len(problems) == 0 {
+				out = append(out, p)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// daemon is an Acceptor beside its oracle.
+type daemon struct {
+	acceptor *Acceptor
+	model    *model
+}
+
+func newDaemon() *daemon { return &daemon{acceptor: NewAcceptor(), model: newModel()} }
+
+// policy is what the tests take away, one mechanism at a time.
+type policy struct {
+	// forget keeps nothing from before the offer.
+	forget bool
+	// newestOnly passes no earlier contents on to peers.
+	newestOnly bool
+	// noAbsence passes no absences on to peers.
+	noAbsence bool
+}
+
+func (p policy) receive(d *daemon, o Offer) {
+	if p.forget {
+		d.acceptor = NewAcceptor()
+	}
+	o.Files = slices.DeleteFunc(slices.Clone(o.Files), func(f Published) bool {
+		if p.noAbsence && len(f.Content) == 0 {
+			return true
+		}
+		return p.newestOnly && !slices.Contains(o.All, f.ID())
+	})
+	d.acceptor.Offer(o)
+}
+
+func (p policy) read(d *daemon, v folderVersion) {
+	p.receive(d, v.offer())
+	if len(v.files) > 0 && v.version >= d.model.version() {
+		d.model.known[v.version] = true
+	}
+}
+
+func (p policy) pull(d, from *daemon) {
+	set := from.acceptor.Files()
+	p.receive(d, Offer{Version: set.Version, All: set.All, Files: set.Lacking(d.acceptor.Files().Have()), Source: Source{Kind: FromPeer}})
+	if from.model.version() >= d.model.version() {
+		maps.Copy(d.model.known, from.model.known)
+	}
+}
+
+// check compares the daemon with its oracle.
+func (d *daemon) check(h *history) error {
+	if d.acceptor.Version() != d.model.version() {
+		return fmt.Errorf("version %d in force, want %d", d.acceptor.Version(), d.model.version())
+	}
+	if d.acceptor.Catalog() == nil {
+		return nil
+	}
+	want, _ := Build(d.model.version(), d.model.inForce(h))
+	if got := d.acceptor.Catalog(); got.Digest != want.Digest {
+		return fmt.Errorf("version %d has another content than expected: %v", got.Version, Diff(want, got))
+	}
+	return nil
+}
+
+// exercise runs one random history over three daemons and returns the first
+// difference from the oracle. Choose returns a number below n.
+func exercise(p policy, steps int, choose func(n int) int, draw func() []byte) error {
+	h := newHistory()
+	daemons := []*daemon{newDaemon(), newDaemon(), newDaemon()}
+	for range steps {
+		d := daemons[choose(len(daemons))]
+		switch choose(8) {
+		case 0, 1, 2:
+			h.publish(fmt.Sprintf("%02d.json", choose(4)), draw())
+		case 3, 4:
+			p.read(d, h.newest())
+		case 5:
+			// A replica of the service that lags.
+			p.read(d, h.versions[choose(len(h.versions))])
+		case 6:
+			p.pull(d, daemons[choose(len(daemons))])
+		case 7:
+			if choose(4) == 0 {
+				*d = *newDaemon()
+			}
+		}
+		if err := d.check(h); err != nil {
+			return err
+		}
+	}
+	return converge(p, h, daemons)
+}
+
+// converge lets every daemon exchange with every other and a new one join, and
+// requires one catalog.
+func converge(p policy, h *history, daemons []*daemon) error {
+	daemons = append(daemons, newDaemon())
+	p.read(daemons[len(daemons)-1], h.newest())
+	for range 2 {
+		for _, d := range daemons {
+			for _, from := range daemons {
+				p.pull(d, from)
+			}
+		}
+	}
+	for _, d := range daemons {
+		if err := d.check(h); err != nil {
+			return err
+		}
+		if d.acceptor.Files().Digest != daemons[0].acceptor.Files().Digest {
+			return fmt.Errorf("daemons hold different files after an exchange")
+		}
+	}
+	return nil
+}
--- a/internal/core/catalog/problem.go
+++ b/internal/core/catalog/problem.go
@@ -21,8 +21,9 @@
 
 // Problem is one mistake in the configuration.
 type Problem struct {
-	// File is the name of the file that has to be changed.
-	File string `json:"file"`
+	// File is the name of the file that has to be changed. It is empty when the
+	// mistake concerns the whole folder.
+	File string `json:"file,omitempty"`
 	// Field is the path within the file, such as "customers.acme.rate". It is
 	// empty when the mistake concerns the whole file.
 	Field string `json:"field,omitempty"`
@@ -34,7 +35,10 @@
 
 // Error returns the problem as one line.
 func (p Problem) Error() string {
-	if p.Field == "" {
+	switch {
+	case p.File == "":
+		return p.Message
+	case p.Field == "":
 		return fmt.Sprintf("%s: %s", p.File, p.Message)
 	}
 	return fmt.Sprintf("%s: %s: %s", p.File, p.Field, p.Message)
