--- /dev/null
+++ b/internal/core/spread/failure_test.go
@@ -0,0 +1,167 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// TestReplacedDuringStaleSpell replaces every VM in turn while the service is
+// stuck at an older version. No daemon may serve that version.
+func TestReplacedDuringStaleSpell(t *testing.T) {
+	outdated := 0
+	for seed := range uint64(10) {
+		f := smallFleet(seed)
+		f.peerLag = 150 * time.Millisecond
+		f.clock.run(settle, nil)
+		f.platform.publish("20-b.json", customerFile("b", 1))
+		old := f.platform.version()
+		newest := f.platform.publish("20-b.json", customerFile("b", 2))
+		f.clock.run(target, f.agree)
+		f.platform.frozen = old
+		for _, n := range f.nodes {
+			f.stop(n)
+			f.clock.run(time.Second, nil)
+			f.start(n)
+			f.clock.run(target, func() bool { return n.ready })
+			if !n.ready || n.served < newest {
+				t.Errorf("seed %d: %s ready %v serves version %d, want %d", seed, n.vm.ID, n.ready, n.served, newest)
+			}
+			if n.first < newest {
+				outdated++
+			}
+		}
+	}
+	// A daemon that served the first version it had would fail this test.
+	if outdated == 0 {
+		t.Error("no daemon heard the older version first: this test proves nothing")
+	}
+}
+
+// TestRestartDuringOutage restarts all daemons while the platform is down.
+func TestRestartDuringOutage(t *testing.T) {
+	f := smallFleet(3)
+	f.clock.run(settle, nil)
+	f.platform.down = true
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.clock.run(time.Minute, nil)
+	for _, n := range f.nodes {
+		if n.ready {
+			t.Errorf("%s serves without a configuration", n.vm.ID)
+		}
+	}
+	f.platform.down = false
+	if !f.clock.run(target, f.agree) {
+		t.Fatal(f.describe())
+	}
+}
+
+// TestOutageStopsNothing keeps the platform down while daemons restart one by
+// one; they have seeds.
+func TestOutageStopsNothing(t *testing.T) {
+	f := smallFleet(4)
+	f.clock.run(settle, nil)
+	f.seeds = []membership.VM{{PeerAddress: "vm-0000:1"}, {PeerAddress: "vm-0005:1"}}
+	f.platform.down = true
+	for _, n := range f.nodes {
+		f.start(n)
+		if !f.clock.run(target, f.agree) {
+			t.Fatalf("%s isn't ready: %s", n.vm.ID, f.describe())
+		}
+	}
+}
+
+// TestSilentReaders cuts a zone off from the others while both of its readers
+// are dead but listed. The third daemon must read by itself.
+func TestSilentReaders(t *testing.T) {
+	run := func(tamper func(*Spread)) bool {
+		f := newFleet(5, 2, 8)
+		f.platform.publish("10-a.json", customerFile("a", 1))
+		f.clock.run(settle, nil)
+		f.tamper = tamper
+		f.cut = func(a, b string) bool { return a != b && b != "platform" }
+		for _, n := range f.nodes {
+			if n.vm.Zone == "z00" && n.spread.Reader() {
+				f.stop(n)
+			}
+		}
+		f.platform.publish("20-b.json", customerFile("b", 1))
+		return f.clock.run(30*time.Second, f.agree)
+	}
+	if !run(nil) {
+		t.Error("the daemons without readers didn't learn of the change")
+	}
+	never := func(s *Spread) { s.service.fallbackAt = time.Unix(1<<40, 0) }
+	if run(never) {
+		t.Error("they learnt without falling back: this test proves nothing")
+	}
+}
+
+// TestPause suspends a daemon. After it wakes up it must not be ready before it
+// has the change that it slept through.
+func TestPause(t *testing.T) {
+	for seed := range uint64(10) {
+		f := smallFleet(seed)
+		f.clock.run(settle, nil)
+		n := f.nodes[int(seed)%len(f.nodes)]
+		n.paused = true
+		f.platform.publish("20-b.json", customerFile("b", 1))
+		f.clock.run(30*time.Second, nil)
+		n.paused = false
+		if !f.clock.run(time.Second, func() bool { return !n.ready }) {
+			t.Fatalf("seed %d: still ready after a pause", seed)
+		}
+		if !f.clock.run(2*recheckWait, func() bool { return n.ready }) {
+			t.Fatalf("seed %d: not ready again", seed)
+		}
+		if n.version != f.platform.version() {
+			t.Fatalf("seed %d: ready with version %d", seed, n.version)
+		}
+	}
+}
+
+// TestGossipIsNeeded shows that the convergence tests fail without exchanges.
+func TestGossipIsNeeded(t *testing.T) {
+	f := newFleet(6, 3, 9)
+	f.platform.publish("10-a.json", customerFile("a", 1))
+	f.clock.run(settle, f.agree)
+	f.mute = true
+	f.platform.publish("20-b.json", customerFile("b", 1))
+	if f.clock.run(target, f.agree) {
+		t.Fatal("all daemons agree without exchanging: the tests prove nothing")
+	}
+}
+
+// TestOtherRelease answers pulls like a peer whose release judges a file
+// differently: same version, another digest, nothing new. It must not be asked
+// again and again.
+func TestOtherRelease(t *testing.T) {
+	self := membership.VM{ID: "a", Zone: "z", PeerAddress: "a:1"}
+	other := membership.VM{ID: "b", Zone: "z", PeerAddress: "b:1"}
+	s := New(Settings{Self: self}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	s.Tick(now)
+	s.OnList(now, &membership.List{Revision: 1, VMs: []membership.VM{self, other}})
+	all := []catalog.FileRevision{{Name: "a.json", Revision: 1}}
+	files := []catalog.Published{{Name: "a.json", Revision: 1, Content: []byte(customerFile("a", 1))}}
+	s.OnFiles(now, other.ID, 1, all, files)
+	pulls := 0
+	for range 20 {
+		now = now.Add(TickInterval)
+		d := Digest{Version: 1, Digest: "another", ListRevision: 1, ListAge: 0}
+		for _, a := range s.OnPeerDigest(now, other.ID, d, nil, true) {
+			if _, ok := a.(PullFiles); ok {
+				pulls++
+				s.OnFiles(now, other.ID, 1, all, nil)
+			}
+		}
+	}
+	if pulls != 1 {
+		t.Fatalf("%d pulls, want 1", pulls)
+	}
+}
--- /dev/null
+++ b/internal/core/spread/fleet_test.go
@@ -0,0 +1,319 @@
+package spread
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// node is one daemon of the test fleet.
+type node struct {
+	vm      membership.VM
+	spread  *Spread
+	up      bool
+	paused  bool
+	ready   bool
+	version uint64
+	// first is the first version accepted, and served the version in force when
+	// the daemon became ready.
+	first, served uint64
+	// life tells a restarted daemon's events from its predecessor's.
+	life int
+	// sent counts the messages that this daemon began or answered, and bytes
+	// estimates their size.
+	sent  int
+	bytes int
+}
+
+// fleet is a set of daemons on a virtual clock with a network between them.
+type fleet struct {
+	clock    *clock
+	rng      *rand.Rand
+	platform *platform
+	nodes    []*node
+	// byAddress finds a daemon by its peer address.
+	byAddress map[string]*node
+	// peerLag is added to the delay of requests between daemons.
+	peerLag time.Duration
+	seeds   []membership.VM
+	latency time.Duration
+	// loss and repeats are the shares of messages that are lost or repeated.
+	loss, repeats float64
+	// cut tells whether two zones can't reach each other.
+	cut func(a, b string) bool
+	// mute stops all messages between daemons.
+	mute bool
+	// tamper changes a daemon's state after each event, for naive policies.
+	tamper func(*Spread)
+	fault  error
+}
+
+func newFleet(seed uint64, zones, size int) *fleet {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	c := newClock()
+	f := &fleet{
+		clock: c, rng: rng, platform: newPlatform(c, rng), byAddress: make(map[string]*node),
+		latency: time.Millisecond,
+		cut:     func(string, string) bool { return false },
+	}
+	for i := range size {
+		f.add(fmt.Sprintf("vm-%04d", i), fmt.Sprintf("z%02d", i%zones))
+	}
+	f.publishList()
+	return f
+}
+
+func (f *fleet) add(id, zone string) *node {
+	n := &node{vm: membership.VM{ID: id, Zone: zone, PeerAddress: id + ":1"}}
+	f.nodes = append(f.nodes, n)
+	f.byAddress[n.vm.PeerAddress] = n
+	f.start(n)
+	return n
+}
+
+func (f *fleet) publishList() {
+	var vms []membership.VM
+	for _, n := range f.nodes {
+		vms = append(vms, n.vm)
+	}
+	f.platform.setList(vms)
+}
+
+// start starts a daemon that knows nothing.
+func (f *fleet) start(n *node) {
+	n.spread = New(Settings{Self: n.vm, Seeds: f.seeds}, rand.New(rand.NewPCG(f.rng.Uint64(), 3)))
+	n.up, n.ready, n.version, n.first = true, false, 0, 0
+	n.life++
+	life := n.life
+	var tick func()
+	tick = func() {
+		if n.life != life || !n.up {
+			return
+		}
+		if !n.paused {
+			f.carryOut(n, n.spread.Tick(f.clock.now))
+		}
+		f.clock.after(TickInterval, tick)
+	}
+	f.clock.after(time.Duration(f.rng.Int64N(int64(TickInterval))), tick)
+}
+
+func (f *fleet) stop(n *node) { n.up = false; n.life++ }
+
+// deliver runs do at node n after the network's delay, if n still lives. It
+// may be lost or repeated.
+func (f *fleet) deliver(n *node, do func() []Action) {
+	copies := 1
+	if f.rng.Float64() < f.loss {
+		copies = 0
+	} else if f.rng.Float64() < f.repeats {
+		copies = 2
+	}
+	for range copies {
+		life := n.life
+		var arrive func()
+		arrive = func() {
+			switch {
+			case n.life != life || !n.up:
+			case n.paused:
+				f.clock.after(TickInterval, arrive)
+			default:
+				f.carryOut(n, do())
+			}
+		}
+		f.clock.after(f.delay(), arrive)
+	}
+}
+
+// deliverLate is deliver after peerLag.
+func (f *fleet) deliverLate(n *node, do func() []Action) {
+	f.clock.after(f.peerLag, func() { f.deliver(n, do) })
+}
+
+// delay is exponential, so that messages overtake each other.
+func (f *fleet) delay() time.Duration {
+	return time.Duration(float64(f.latency) * f.rng.ExpFloat64())
+}
+
+func (f *fleet) find(vm membership.VM) *node {
+	return f.byAddress[vm.PeerAddress]
+}
+
+func (f *fleet) reachable(a, b *node) bool {
+	return b != nil && b.up && !f.mute && !f.cut(a.vm.Zone, b.vm.Zone)
+}
+
+func (f *fleet) platformReachable(n *node) bool {
+	return !f.platform.down && !f.cut(n.vm.Zone, "platform")
+}
+
+func (f *fleet) carryOut(n *node, list []Action) {
+	if f.tamper != nil {
+		f.tamper(n.spread)
+	}
+	for _, a := range list {
+		switch a := a.(type) {
+		case WatchConfig:
+			f.watchConfig(n, a)
+		case WatchList:
+			f.watchList(n, a)
+		case FetchFile:
+			f.fetchFile(n, a)
+		case Exchange:
+			f.exchange(n, a)
+		case PullFiles:
+			f.pullFiles(n, a)
+		case Accept:
+			if a.Decision.Version < n.version {
+				f.fault = fmt.Errorf("%s went from version %d to %d", n.vm.ID, n.version, a.Decision.Version)
+			}
+			n.version = a.Decision.Version
+			n.first = cmp.Or(n.first, n.version)
+		case Ready:
+			n.ready = true
+			n.served = n.version
+		case NotReady:
+			n.ready = false
+		}
+	}
+}
+
+func (f *fleet) watchConfig(n *node, a WatchConfig) {
+	f.clock.after(f.delay(), func() {
+		if !f.platformReachable(n) {
+			f.deliver(n, func() []Action { return n.spread.OnServiceError(f.clock.now, ReadConfig) })
+			return
+		}
+		f.platform.watchFolder(a.Since, a.Wait, func(version uint64, all []catalog.FileRevision, changed bool) {
+			f.deliver(n, func() []Action {
+				if !changed {
+					return n.spread.OnFolderUnchanged(f.clock.now)
+				}
+				return n.spread.OnFolder(f.clock.now, version, all)
+			})
+		})
+	})
+}
+
+func (f *fleet) watchList(n *node, a WatchList) {
+	f.clock.after(f.delay(), func() {
+		if !f.platformReachable(n) {
+			f.deliver(n, func() []Action { return n.spread.OnServiceError(f.clock.now, ReadList) })
+			return
+		}
+		f.platform.watchList(a.Since, a.Wait, func(list *membership.List) {
+			f.deliver(n, func() []Action {
+				if list == nil {
+					return n.spread.OnListUnchanged(f.clock.now)
+				}
+				return n.spread.OnList(f.clock.now, list)
+			})
+		})
+	})
+}
+
+func (f *fleet) fetchFile(n *node, a FetchFile) {
+	f.clock.after(f.delay(), func() {
+		if !f.platformReachable(n) {
+			f.deliver(n, func() []Action { return n.spread.OnFileError(f.clock.now, a.Name, false) })
+			return
+		}
+		p, ok := f.platform.file(a.Name)
+		f.deliver(n, func() []Action {
+			if !ok {
+				return n.spread.OnFileError(f.clock.now, a.Name, true)
+			}
+			return n.spread.OnFile(f.clock.now, p)
+		})
+	})
+}
+
+// digestBytes and nameBytes estimate the size of an exchange and of one file's
+// name with its revision on the wire, headers included.
+const (
+	digestBytes = 300
+	nameBytes   = 32
+	vmBytes     = 50
+)
+
+func (n *node) send(bytes int) {
+	n.sent++
+	n.bytes += bytes
+}
+
+func (f *fleet) exchange(n *node, a Exchange) {
+	to := f.find(a.Peer)
+	n.send(digestBytes)
+	if !f.reachable(n, to) {
+		f.deliver(n, func() []Action { return n.spread.OnPeerError(f.clock.now, a.Peer.ID) })
+		return
+	}
+	f.deliverLate(to, func() []Action {
+		out := to.spread.OnPeerDigest(f.clock.now, n.vm.ID, a.Digest, nil, false)
+		answer := to.spread.Digest(f.clock.now)
+		var list *membership.List
+		to.send(digestBytes)
+		if answer.ListRevision > a.Digest.ListRevision {
+			list = to.spread.List()
+			to.bytes += vmBytes * len(list.VMs)
+		}
+		f.deliver(n, func() []Action {
+			return n.spread.OnPeerDigest(f.clock.now, a.Peer.ID, answer, list, true)
+		})
+		return out
+	})
+}
+
+func (f *fleet) pullFiles(n *node, a PullFiles) {
+	to := f.find(a.Peer)
+	n.send(digestBytes + nameBytes*len(a.Have))
+	if !f.reachable(n, to) {
+		f.deliver(n, func() []Action { return n.spread.OnPeerError(f.clock.now, a.Peer.ID) })
+		return
+	}
+	f.deliverLate(to, func() []Action {
+		set := to.spread.Files()
+		files := set.Lacking(a.Have)
+		to.send(digestBytes + nameBytes*len(set.All))
+		for _, p := range files {
+			to.bytes += len(p.Content)
+		}
+		f.deliver(n, func() []Action {
+			return n.spread.OnFiles(f.clock.now, a.Peer.ID, set.Version, set.All, files)
+		})
+		return nil
+	})
+}
+
+// converged tells whether every daemon that is up has the version.
+func (f *fleet) converged(version uint64) bool {
+	for _, n := range f.nodes {
+		if n.up && n.version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// agree tells whether every daemon that is up has the platform's newest
+// version, the same files and is ready.
+func (f *fleet) agree() bool {
+	var digest string
+	for _, n := range f.nodes {
+		if !n.up {
+			continue
+		}
+		d := n.spread.Digest(f.clock.now)
+		if digest == "" {
+			digest = d.Digest
+		}
+		if !n.ready || d.Version != f.platform.version() || d.Digest != digest {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/spread/gossip.go
@@ -0,0 +1,308 @@
+package spread
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+const (
+	// exchangeInterval separates the regular exchanges of one daemon.
+	exchangeInterval = 500 * time.Millisecond
+	// exchangeTimeout bounds the time for a peer's answer.
+	exchangeTimeout = time.Second
+	// maxPeerBackoff bounds the pause before a silent neighbour is tried again.
+	maxPeerBackoff = 2 * time.Second
+	// randomEvery is how often a regular exchange goes to a random daemon
+	// instead of a neighbour, and outsideEvery how often that one is of another
+	// zone. They heal what the neighbours of differing lists can't.
+	randomEvery  = 4
+	outsideEvery = 4
+	// maxPeers bounds the peers whose state is remembered beyond the neighbours.
+	maxPeers = 64
+)
+
+// peer is what a daemon remembers of another.
+type peer struct {
+	vm       membership.VM
+	inFlight bool
+	expires  time.Time
+	failures int
+	retryAt  time.Time
+	known    Digest
+	// tell says that the peer hasn't heard of the newest state yet.
+	tell bool
+}
+
+// gossip is the state of the exchanges with peers.
+type gossip struct {
+	peers map[string]*peer
+	// next is when the next regular exchange is due, and turn counts them.
+	next time.Time
+	turn int
+	// heardAt is when any peer was last heard.
+	heardAt time.Time
+	// pulls holds the pulls in flight by peer, and pullAt is when the next may
+	// begin.
+	pulls  map[string]pullState
+	pullAt time.Time
+	// ahead holds peers that have something this daemon lacks.
+	ahead map[string]Digest
+	// fruitless holds digests of peers that had nothing new although they
+	// differ, which can be when peers run another release.
+	fruitless map[string]bool
+	// fresh says that the neighbours are to be told of something.
+	fresh bool
+}
+
+func newGossip() gossip {
+	return gossip{
+		peers:     make(map[string]*peer),
+		pulls:     make(map[string]pullState),
+		ahead:     make(map[string]Digest),
+		fruitless: make(map[string]bool),
+	}
+}
+
+// news notes that the daemon holds something new.
+func (g *gossip) news() {
+	g.fresh = true
+	clear(g.fruitless)
+}
+
+// reset forgets what was in flight.
+func (g *gossip) reset(now time.Time) {
+	g.next = now
+	g.pullAt = now
+	clear(g.pulls)
+	clear(g.ahead)
+	for _, p := range g.peers {
+		p.inFlight = false
+		p.failures = 0
+		p.retryAt = time.Time{}
+	}
+}
+
+// keep forgets the peers that the list doesn't hold.
+func (g *gossip) keep(t topology) {
+	for id := range g.peers {
+		if _, listed := t.byID[id]; !listed {
+			delete(g.peers, id)
+			delete(g.ahead, id)
+		}
+	}
+}
+
+func (s *Spread) peer(vm membership.VM) *peer {
+	p := s.gossip.peers[vm.ID]
+	if p == nil {
+		if len(s.gossip.peers) >= maxPeers+len(s.topology.neighbours) {
+			s.forgetStrangers()
+		}
+		p = &peer{}
+		s.gossip.peers[vm.ID] = p
+	}
+	p.vm = vm
+	return p
+}
+
+// forgetStrangers drops the idle peers that are no neighbours.
+func (s *Spread) forgetStrangers() {
+	neighbour := make(map[string]bool)
+	for _, vm := range s.topology.neighbours {
+		neighbour[vm.ID] = true
+	}
+	for id, p := range s.gossip.peers {
+		if !neighbour[id] && !p.inFlight {
+			delete(s.gossip.peers, id)
+		}
+	}
+}
+
+// exchange begins the regular exchange when it is due, and those with
+// neighbours that are to be told of something.
+func (s *Spread) exchange(now time.Time, out *actions) {
+	s.tellNeighbours(now, out)
+	if now.Before(s.gossip.next) {
+		return
+	}
+	s.gossip.next = now.Add(s.jitter(exchangeInterval))
+	if s.phase.kind != serving {
+		s.askMany(now, out)
+		return
+	}
+	if vm, ok := s.nextPartner(); ok {
+		s.startExchange(now, s.peer(vm), out)
+	}
+}
+
+// askMany asks enough peers at once to finish the phase soon: neighbours first.
+func (s *Spread) askMany(now time.Time, out *actions) {
+	n := 0
+	for _, vm := range s.topology.neighbours {
+		if n < startAnswers && !s.phase.answered[vm.ID] && s.startExchange(now, s.peer(vm), out) {
+			n++
+		}
+	}
+	for range startAnswers {
+		vm, ok := s.randomPeer()
+		if ok && n < startAnswers && s.startExchange(now, s.peer(vm), out) {
+			n++
+		}
+	}
+}
+
+func (s *Spread) nextPartner() (membership.VM, bool) {
+	s.gossip.turn++
+	n := len(s.topology.neighbours)
+	if n == 0 || s.gossip.turn%randomEvery == 0 {
+		return s.randomPeer()
+	}
+	return s.topology.neighbours[s.rng.IntN(n)], true
+}
+
+func (s *Spread) randomPeer() (membership.VM, bool) {
+	from := s.topology.zone
+	if len(from) == 0 || len(s.topology.others) > 0 && s.rng.IntN(outsideEvery) == 0 {
+		from = s.topology.others
+	}
+	if len(from) == 0 {
+		return membership.VM{}, false
+	}
+	return from[s.rng.IntN(len(from))], true
+}
+
+// startExchange sends the digest to p unless p is busy or to be left alone.
+func (s *Spread) startExchange(now time.Time, p *peer, out *actions) bool {
+	if p.inFlight || now.Before(p.retryAt) {
+		return false
+	}
+	p.inFlight = true
+	p.tell = false
+	p.expires = now.Add(exchangeTimeout)
+	s.counts.Exchanges++
+	out.add(Exchange{Peer: p.vm, Digest: s.Digest(now)})
+	return true
+}
+
+// tellNeighbours sends news to the neighbours that aren't known to have it.
+func (s *Spread) tellNeighbours(now time.Time, out *actions) {
+	own := s.Digest(now)
+	for _, vm := range s.topology.neighbours {
+		p := s.peer(vm)
+		if s.gossip.fresh {
+			p.tell = true
+		}
+		if p.tell && !p.known.behind(own) {
+			p.tell = false
+		}
+		if p.tell {
+			s.startExchange(now, p, out)
+		}
+	}
+	s.gossip.fresh = false
+}
+
+// behind tells whether the daemon that d stands for lacks something that other
+// has.
+func (d Digest) behind(other Digest) bool {
+	return d.ListRevision < other.ListRevision || d.configBehind(other)
+}
+
+func (d Digest) configBehind(other Digest) bool {
+	if d.Version != other.Version {
+		return d.Version < other.Version
+	}
+	return d.Digest != other.Digest
+}
+
+// OnPeerDigest reports a peer's digest: the answer to an Exchange, or what came
+// with the peer's own. List is the peer's VM list when it is newer than the one
+// that was sent, else nil.
+func (s *Spread) OnPeerDigest(now time.Time, id string, d Digest, list *membership.List, answer bool) []Action {
+	out := &actions{}
+	s.gossip.heardAt = now
+	if answer {
+		s.answered(id)
+	}
+	if list != nil {
+		s.adoptList(list, out)
+	}
+	s.confirmList(now, d)
+	if vm, listed := s.topology.byID[id]; listed {
+		s.notePeer(now, s.peer(vm), d, out)
+	}
+	s.afterEvent(now, out)
+	return out.list
+}
+
+func (s *Spread) answered(id string) {
+	if p := s.gossip.peers[id]; p != nil {
+		p.inFlight = false
+		p.failures = 0
+		p.retryAt = time.Time{}
+	}
+	if s.phase.kind != serving && s.phase.answered != nil {
+		s.phase.answered[id] = true
+	}
+}
+
+// confirmList takes over a younger confirmation of the list in force.
+func (s *Spread) confirmList(now time.Time, d Digest) {
+	if s.list == nil || d.ListAge == UnknownAge || d.ListRevision != s.list.Revision {
+		return
+	}
+	if at := now.Add(-d.ListAge); at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+}
+
+func (s *Spread) notePeer(now time.Time, p *peer, d Digest, out *actions) {
+	p.known = d
+	own := s.Digest(now)
+	if d.Version > 0 && own.configBehind(d) && !s.gossip.fruitless[d.Digest] {
+		if len(s.gossip.ahead) < maxAhead {
+			s.gossip.ahead[p.vm.ID] = d
+		}
+	} else {
+		delete(s.gossip.ahead, p.vm.ID)
+	}
+	if own.ListRevision < d.ListRevision {
+		s.startExchange(now, p, out) // The answer will carry the list.
+	}
+}
+
+// OnPeerError reports that a peer didn't answer an Exchange or a pull.
+func (s *Spread) OnPeerError(now time.Time, id string) []Action {
+	s.endPull(id)
+	if p := s.gossip.peers[id]; p != nil {
+		s.peerFailed(now, p)
+	}
+	out := &actions{}
+	s.pull(now, out)
+	return out.list
+}
+
+func (s *Spread) peerFailed(now time.Time, p *peer) {
+	p.inFlight = false
+	p.tell = true
+	p.retryAt = now.Add(s.jitter(min(minBackoff<<min(p.failures, 8), maxPeerBackoff)))
+	p.failures++
+}
+
+func (s *Spread) expirePeers(now time.Time) {
+	for id, pull := range s.gossip.pulls {
+		if !now.Before(pull.expires) {
+			s.endPull(id)
+		}
+	}
+	// In a fixed order, so that equal seeds give equal runs.
+	for _, id := range slices.Sorted(maps.Keys(s.gossip.peers)) {
+		p := s.gossip.peers[id]
+		if p.inFlight && !now.Before(p.expires) {
+			s.peerFailed(now, p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/spread/load_test.go
@@ -0,0 +1,145 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// readsBound is what the readers of the given zones may read in one second by
+// their own limits, with a few reads by the others.
+func readsBound(zones int) int {
+	perSecond := int(time.Second / watchGap)
+	return zones * (readersPerZone*(2*perSecond+fetchRate) + 4)
+}
+
+// largeFleet starts all daemons at once. They know three seeds.
+func largeFleet(seed uint64, zones, size int) *fleet {
+	f := newFleet(seed, zones, 0)
+	for _, i := range []int{0, 1, 2} {
+		f.seeds = append(f.seeds, membership.VM{PeerAddress: fmt.Sprintf("vm-%04d:1", i)})
+	}
+	for i := range size {
+		f.add(fmt.Sprintf("vm-%04d", i), fmt.Sprintf("z%02d", i%zones))
+	}
+	f.publishList()
+	f.platform.publish("10-a.json", customerFile("a", 1))
+	return f
+}
+
+// TestReadsDontGrow counts the reads of the platform in the worst second while
+// all daemons start at once, run, lose the platform, restart, and find it again.
+func TestReadsDontGrow(t *testing.T) {
+	const zones = 4
+	run := func(size int, tamper func(*Spread)) int {
+		f := largeFleet(7, zones, size)
+		f.tamper = tamper
+		f.clock.run(20*time.Second, nil)
+		f.platform.down = true
+		f.clock.run(20*time.Second, nil)
+		f.platform.down = false
+		f.clock.run(20*time.Second, nil)
+		if !f.agree() {
+			t.Errorf("%d daemons don't agree", size)
+		}
+		return f.platform.mostPerSecond()
+	}
+	bound := readsBound(zones)
+	for _, size := range []int{12, 60, 240} {
+		most := run(size, nil)
+		t.Logf("%d daemons: at most %d reads a second, bound %d", size, most, bound)
+		if most > bound {
+			t.Errorf("%d daemons read %d times in a second, bound %d", size, most, bound)
+		}
+	}
+	everyone := func(s *Spread) { s.topology.readers = []string{s.self.ID} }
+	if most := run(240, everyone); most <= bound {
+		t.Errorf("if every daemon reads, they read %d times in a second: this test proves nothing", most)
+	}
+}
+
+// TestSameSeedSameRun requires that a run depends on its seed alone.
+func TestSameSeedSameRun(t *testing.T) {
+	run := func() string {
+		f := largeFleet(8, 3, 30)
+		f.loss, f.repeats = 0.2, 0.2
+		f.clock.run(10*time.Second, nil)
+		out := fmt.Sprint(f.platform.reads)
+		for _, n := range f.nodes {
+			out += fmt.Sprint(n.spread.Counts(), n.sent)
+		}
+		return out
+	}
+	if a, b := run(), run(); a != b {
+		t.Fatalf("two runs of one seed differ:\n%s\n%s", a, b)
+	}
+}
+
+// BenchmarkSpread reports, for a change of one file, the time until all daemons
+// have it, and the messages and bytes that each daemon sends, in the rest and
+// for the change.
+func BenchmarkSpread(b *testing.B) {
+	for _, c := range []struct{ zones, size int }{{4, 10}, {4, 100}, {20, 1000}, {20, 2100}} {
+		b.Run(fmt.Sprintf("daemons=%d", c.size), func(b *testing.B) {
+			for b.Loop() {
+				measure(b, c.zones, c.size)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, zones, size int) {
+	const rest = 10 * time.Second
+	f := largeFleet(9, zones, size)
+	f.latency = 2 * time.Millisecond
+	f.clock.run(settle, nil)
+	b.ReportMetric(float64(f.platform.mostPerSecond()), "reads/s-start")
+
+	before := f.total()
+	reads := f.platform.reads
+	f.clock.run(rest, nil)
+	idle := f.total().minus(before)
+	b.ReportMetric(float64(f.platform.reads-reads)/rest.Seconds(), "reads/s")
+	b.ReportMetric(float64(idle.sent)/float64(size)/rest.Seconds(), "msgs/daemon/s")
+	b.ReportMetric(float64(idle.bytes)/float64(size)/rest.Seconds(), "B/daemon/s")
+
+	before = f.total()
+	at := f.clock.now
+	version := f.platform.publish("20-b.json", customerFile("b", 1))
+	if !f.clock.run(time.Minute, func() bool { return f.converged(version) }) {
+		b.Fatal("not in force everywhere")
+	}
+	b.ReportMetric(float64(f.clock.now.Sub(at).Milliseconds()), "ms-to-all")
+	f.clock.run(rest-f.clock.now.Sub(at), nil)
+	change := f.total().minus(before).minus(idle)
+	b.ReportMetric(float64(change.sent)/float64(size), "msgs/daemon/change")
+	b.ReportMetric(float64(change.bytes)/float64(size), "B/daemon/change")
+	b.ReportMetric(float64(change.most), "msgs/busiest/change")
+}
+
+// traffic is what daemons sent.
+type traffic struct {
+	sent, bytes, most int
+	each              map[*node]int
+}
+
+func (f *fleet) total() traffic {
+	t := traffic{each: make(map[*node]int)}
+	for _, n := range f.nodes {
+		t.sent += n.sent
+		t.bytes += n.bytes
+		t.each[n] = n.sent
+	}
+	return t
+}
+
+func (t traffic) minus(before traffic) traffic {
+	out := traffic{sent: t.sent - before.sent, bytes: t.bytes - before.bytes, each: make(map[*node]int)}
+	for n, sent := range t.each {
+		out.each[n] = sent - before.each[n]
+		out.most = max(out.most, out.each[n])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/spread/main_test.go
@@ -0,0 +1,19 @@
+package spread
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the
+// same verdict. Flags of the command line still win.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/core/spread/phase.go
@@ -0,0 +1,95 @@
+package spread
+
+import "time"
+
+const (
+	// startWait bounds how long a new daemon asks before it serves.
+	startWait = 3 * time.Second
+	// recheckWait bounds how long a daemon asks after a pause.
+	recheckWait = time.Second
+	// pauseLimit is the gap between ticks from which a daemon counts as paused.
+	pauseLimit = 2 * time.Second
+	// startAnswers is how many peers a new daemon hears before it serves.
+	startAnswers = 3
+)
+
+type phaseKind uint8
+
+const (
+	starting phaseKind = iota
+	checking
+	serving
+)
+
+// phase tells whether the daemon may serve. A new daemon asks several peers,
+// since the service alone may be stale. After a pause one answer is enough.
+type phase struct {
+	kind phaseKind
+	// until is when the daemon serves with what it has. It is zero before the
+	// first tick.
+	until time.Time
+	// answered holds the peers that answered since the phase began, and service
+	// tells whether the configuration service did.
+	answered map[string]bool
+	service  bool
+}
+
+func (p *phase) begin(kind phaseKind, until time.Time) {
+	*p = phase{kind: kind, until: until, answered: make(map[string]bool)}
+}
+
+func (s *Spread) detectPause(now time.Time, out *actions) {
+	gap := now.Sub(s.lastTick)
+	first := s.lastTick.IsZero()
+	s.lastTick = now
+	switch {
+	case first:
+		s.startAt = now
+		s.phase.begin(starting, now.Add(startWait))
+	case gap >= pauseLimit:
+		s.counts.Pauses++
+		s.recheck(now, gap, out)
+	}
+}
+
+// recheck begins the check after a pause. Answers to what was asked before the
+// pause are not waited for.
+func (s *Spread) recheck(now time.Time, gap time.Duration, out *actions) {
+	s.service.reset(now)
+	s.gossip.reset(now)
+	if s.phase.kind == serving {
+		out.add(NotReady{Gap: gap})
+	}
+	if s.phase.kind != starting {
+		s.phase.begin(checking, now.Add(recheckWait))
+	}
+}
+
+func (s *Spread) advancePhase(now time.Time, out *actions) {
+	if s.phase.kind == serving || s.acceptor.Catalog() == nil || s.pulling() {
+		return
+	}
+	confirmed := s.confirmed()
+	if !confirmed && now.Before(s.phase.until) {
+		return
+	}
+	s.phase.kind = serving
+	out.add(Ready{Confirmed: confirmed})
+}
+
+// pulling tells whether a peer is known to hold something newer that can
+// still be had within the phase.
+func (s *Spread) pulling() bool {
+	return len(s.gossip.ahead) > 0 && s.lastTick.Before(s.phase.until)
+}
+
+func (s *Spread) confirmed() bool {
+	if s.phase.kind == checking {
+		return s.phase.service || len(s.phase.answered) > 0
+	}
+	peers := len(s.topology.zone) + len(s.topology.others)
+	if peers == 0 {
+		return s.list != nil && s.phase.service
+	}
+	return len(s.phase.answered) >= min(startAnswers, peers)
+}
--- /dev/null
+++ b/internal/core/spread/platform_test.go
@@ -0,0 +1,171 @@
+package spread
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// folderVersion is one version of the folder.
+type folderVersion struct {
+	at    time.Time
+	files map[string]catalog.Published
+}
+
+// platform stands in for the configuration service and the VM list. Its
+// replicas lag behind by fixed times.
+type platform struct {
+	clock    *clock
+	rng      *rand.Rand
+	versions []folderVersion
+	list     *membership.List
+	lags     []time.Duration
+	down     bool
+	// frozen is the version that every replica is stuck at, if any.
+	frozen uint64
+	// waiting holds the watches that wait for a newer state.
+	waiting []func()
+	reads   int
+	// perSecond counts the reads of each second.
+	perSecond map[int64]int
+}
+
+func newPlatform(c *clock, rng *rand.Rand) *platform {
+	return &platform{
+		clock: c, rng: rng, lags: []time.Duration{0},
+		versions:  []folderVersion{{files: map[string]catalog.Published{}}},
+		perSecond: make(map[int64]int),
+	}
+}
+
+func (p *platform) version() uint64 { return uint64(len(p.versions) - 1) }
+
+// publish writes one file and returns the new version.
+func (p *platform) publish(name, content string) uint64 {
+	files := maps.Clone(p.versions[len(p.versions)-1].files)
+	version := p.version() + 1
+	files[name] = catalog.Published{Name: name, Revision: version, Content: []byte(content)}
+	p.versions = append(p.versions, folderVersion{at: p.clock.now, files: files})
+	p.wake()
+	return version
+}
+
+func (p *platform) setList(vms []membership.VM) {
+	revision := uint64(1)
+	if p.list != nil {
+		revision = p.list.Revision + 1
+	}
+	p.list = &membership.List{Revision: revision, VMs: slices.Clone(vms)}
+	p.wake()
+}
+
+// wake lets every waiting watch look again, as soon as its replica may have
+// the news.
+func (p *platform) wake() {
+	waiting := p.waiting
+	p.waiting = nil
+	for _, look := range waiting {
+		p.clock.after(0, look)
+	}
+}
+
+func (p *platform) count() {
+	p.reads++
+	p.perSecond[p.clock.now.Unix()]++
+}
+
+// mostPerSecond returns the most reads in any second.
+func (p *platform) mostPerSecond() int {
+	most := 0
+	for _, n := range p.perSecond {
+		most = max(most, n)
+	}
+	return most
+}
+
+// seen returns the version that a replica with the given lag has.
+func (p *platform) seen(lag time.Duration) uint64 {
+	for v := len(p.versions) - 1; v > 0; v-- {
+		if p.frozen > 0 && uint64(v) > p.frozen {
+			continue
+		}
+		if !p.versions[v].at.Add(lag).After(p.clock.now) {
+			return uint64(v)
+		}
+	}
+	return 0
+}
+
+func (p *platform) pickLag() time.Duration { return p.lags[p.rng.IntN(len(p.lags))] }
+
+// watchFolder answers a watch: with a version above since, or false when the
+// wait has passed.
+func (p *platform) watchFolder(since uint64, wait time.Duration, answer func(version uint64, all []catalog.FileRevision, changed bool)) {
+	p.count()
+	lag := p.pickLag()
+	end := p.clock.now.Add(wait)
+	var look func()
+	look = func() {
+		v := p.seen(lag)
+		switch {
+		case v > since:
+			var all []catalog.FileRevision
+			for _, name := range slices.Sorted(maps.Keys(p.versions[v].files)) {
+				all = append(all, p.versions[v].files[name].ID())
+			}
+			answer(v, all, true)
+		case !p.clock.now.Before(end):
+			answer(0, nil, false)
+		default:
+			p.waiting = append(p.waiting, func() { p.clock.after(lag, look) })
+			p.clock.after(end.Sub(p.clock.now), look)
+		}
+	}
+	answered := false
+	reply := answer
+	answer = func(version uint64, all []catalog.FileRevision, changed bool) {
+		if !answered {
+			answered = true
+			reply(version, all, changed)
+		}
+	}
+	look()
+}
+
+func (p *platform) watchList(since uint64, wait time.Duration, answer func(list *membership.List)) {
+	p.count()
+	if p.list.Revision > since {
+		answer(p.list)
+		return
+	}
+	end := p.clock.now.Add(wait)
+	answered := false
+	look := func() {
+		if answered || p.list.Revision <= since && p.clock.now.Before(end) {
+			return
+		}
+		answered = true
+		if p.list.Revision <= since {
+			answer(nil)
+			return
+		}
+		answer(p.list)
+	}
+	p.waiting = append(p.waiting, look)
+	p.clock.after(wait, look)
+}
+
+func (p *platform) file(name string) (catalog.Published, bool) {
+	p.count()
+	f, ok := p.versions[p.seen(p.pickLag())].files[name]
+	return f, ok
+}
+
+func customerFile(name string, rate int) string {
+	return fmt.Sprintf(`{"customers":{"%s":{"rate":%d,"burst":1}}}`, name, rate)
+}
--- /dev/null
+++ b/internal/core/spread/pull.go
@@ -0,0 +1,102 @@
+package spread
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+const (
+	// pullTimeout bounds the time for a peer's answer.
+	pullTimeout = 1500 * time.Millisecond
+	// pullHedge is the time after which another peer is asked for the same
+	// files, and maxPulls bounds how many are asked at a time.
+	pullHedge = 300 * time.Millisecond
+	maxPulls  = 3
+	// maxAhead bounds the peers remembered as holding something newer.
+	maxAhead = 8
+	// maxFruitless bounds the digests remembered as holding nothing new.
+	maxFruitless = 64
+)
+
+// pullState is one pull in flight.
+type pullState struct {
+	digest  Digest
+	expires time.Time
+}
+
+// pull asks one of the peers that are ahead for files. A peer that takes long
+// is not waited for.
+func (s *Spread) pull(now time.Time, out *actions) {
+	g := &s.gossip
+	if len(g.pulls) >= maxPulls || len(g.pulls) > 0 && now.Before(g.pullAt) {
+		return
+	}
+	id, d, ok := s.bestAhead(now)
+	if !ok {
+		return
+	}
+	g.pulls[id] = pullState{digest: d, expires: now.Add(pullTimeout)}
+	g.pullAt = now.Add(pullHedge)
+	s.counts.Pulls++
+	out.add(PullFiles{Peer: s.topology.byID[id], Have: s.acceptor.Files().Have()})
+}
+
+// bestAhead returns the peer with the newest version that isn't being asked,
+// and drops those that are no longer ahead.
+func (s *Spread) bestAhead(now time.Time) (string, Digest, bool) {
+	own := s.Digest(now)
+	best := ""
+	for id, d := range s.gossip.ahead {
+		_, listed := s.topology.byID[id]
+		if !listed || !own.configBehind(d) || s.gossip.fruitless[d.Digest] {
+			delete(s.gossip.ahead, id)
+			continue
+		}
+		if _, asked := s.gossip.pulls[id]; asked {
+			continue
+		}
+		b := s.gossip.ahead[best]
+		if best == "" || d.Version > b.Version || d.Version == b.Version && id < best {
+			best = id
+		}
+	}
+	return best, s.gossip.ahead[best], best != ""
+}
+
+// OnFiles reports a peer's answer to PullFiles.
+func (s *Spread) OnFiles(now time.Time, id string, version uint64, all []catalog.FileRevision, files []catalog.Published) []Action {
+	out := &actions{}
+	s.gossip.heardAt = now
+	decision := s.offer(catalog.Offer{
+		Version: version, All: all, Files: files,
+		Source: catalog.Source{Kind: catalog.FromPeer, Peer: id},
+	}, out)
+	if pull, asked := s.gossip.pulls[id]; asked {
+		s.endPull(id)
+		s.noteFruitless(pull.digest, decision)
+	}
+	s.afterEvent(now, out)
+	return out.list
+}
+
+// noteFruitless remembers a digest that differs although the peer had nothing
+// new under the version in force. A newer version is worth another try.
+func (s *Spread) noteFruitless(d Digest, decision catalog.Decision) {
+	if decision.Outcome == catalog.Accepted || d.Version > s.acceptor.Version() {
+		return
+	}
+	if len(s.gossip.fruitless) >= maxFruitless {
+		clear(s.gossip.fruitless)
+	}
+	s.gossip.fruitless[d.Digest] = true
+}
+
+// endPull ends a pull in flight. The next exchange tells whether the peer is
+// still ahead.
+func (s *Spread) endPull(id string) {
+	if _, asked := s.gossip.pulls[id]; asked {
+		delete(s.gossip.pulls, id)
+		delete(s.gossip.ahead, id)
+	}
+}
--- /dev/null
+++ b/internal/core/spread/service.go
@@ -0,0 +1,257 @@
+package spread
+
+import (
+	"math"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+const (
+	// watchWait is how long a reader's watch waits for news.
+	watchWait = 2 * time.Second
+	// watchTimeout is added to the wait before a watch counts as lost.
+	watchTimeout = time.Second
+	// watchGap separates two watches, so that quick changes are read together.
+	watchGap = 250 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after failed reads.
+	minBackoff = 250 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// bootstrapSpread is the time over which new daemons that know seeds spread
+	// their first read of the list, and bootstrapDoublings how often the share
+	// that reads doubles within it.
+	bootstrapSpread    = 2 * time.Second
+	bootstrapDoublings = 8
+
+	// fallbackAfter is the age of the last confirmed read from which a daemon
+	// that is no reader reads by itself.
+	fallbackAfter = 6 * time.Second
+	// minFallbackInterval separates the fallback reads of one daemon.
+	minFallbackInterval = 4 * time.Second
+	// zoneShare is multiplied by the daemons of the zone, so that the fallback
+	// reads of a zone stay below one in this time, however large it is.
+	zoneShare = time.Second
+	// fleetShare does the same for daemons that hear no peer, over the fleet.
+	fleetShare = 20 * time.Millisecond
+	// isolatedAfter is the silence of all peers from which a daemon counts
+	// itself as isolated.
+	isolatedAfter = 5 * time.Second
+)
+
+// call is one kind of read that is repeated.
+type call struct {
+	inFlight bool
+	expires  time.Time
+	next     time.Time
+	failures int
+}
+
+func (c *call) due(now time.Time) bool { return !c.inFlight && !now.Before(c.next) }
+
+func (c *call) start(now time.Time, wait time.Duration) {
+	c.inFlight = true
+	c.expires = now.Add(wait + watchTimeout)
+}
+
+func (c *call) succeeded(now time.Time) {
+	c.inFlight = false
+	c.failures = 0
+	c.next = now.Add(watchGap)
+}
+
+func (c *call) failed(now time.Time, jitter func(time.Duration) time.Duration) {
+	c.inFlight = false
+	backoff := min(minBackoff<<min(c.failures, 8), maxBackoff)
+	c.failures++
+	c.next = now.Add(jitter(backoff))
+}
+
+// service is the state of the reads of the platform.
+type service struct {
+	config, list call
+	// fallbackAt is when a daemon that is no reader may read next.
+	fallbackAt time.Time
+	gather     *gather
+	budget     budget
+}
+
+// reset forgets the reads in flight, and reads again at once.
+func (s *service) reset(now time.Time) {
+	s.config = call{next: now}
+	s.list = call{next: now}
+	s.gather = nil
+}
+
+// jitter returns a time between half of d and d.
+func (s *Spread) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
+}
+
+func (s *Spread) readService(now time.Time, out *actions) {
+	switch {
+	case s.list == nil:
+		s.bootstrap(now, out)
+	case s.Reader():
+		s.watchConfig(now, watchWait, out)
+		s.watchList(now, watchWait, out)
+	default:
+		s.fallBack(now, out)
+	}
+}
+
+// bootstrap reads the list, which tells who the readers are. A daemon that is
+// itself a seed reads at once, the others ask the seeds first. So that not all
+// of a large fleet read when all start at once, the time of their first read
+// has a density that grows exponentially: few read early, and the others mostly
+// hear before their turn (Nonnenmacher and Biersack, "Scalable feedback for
+// large groups", 1999).
+func (s *Spread) bootstrap(now time.Time, out *actions) {
+	if s.service.list.next.IsZero() {
+		s.service.list.next = now
+		if len(s.topology.byID) > 0 && !s.isSeed {
+			turn := 1 + math.Log2(1-s.rng.Float64())/bootstrapDoublings
+			s.service.list.next = now.Add(time.Duration(max(turn, 0) * float64(bootstrapSpread)))
+		}
+	}
+	s.watchList(now, 0, out)
+}
+
+func (s *Spread) watchConfig(now time.Time, wait time.Duration, out *actions) {
+	c := &s.service.config
+	if !c.due(now) || s.service.gather != nil {
+		return
+	}
+	c.start(now, wait)
+	s.counts.Reads++
+	out.add(WatchConfig{Since: s.acceptor.Version(), Wait: wait})
+}
+
+func (s *Spread) watchList(now time.Time, wait time.Duration, out *actions) {
+	c := &s.service.list
+	if !c.due(now) {
+		return
+	}
+	c.start(now, wait)
+	s.counts.Reads++
+	var since uint64
+	if s.list != nil {
+		since = s.list.Revision
+	}
+	out.add(WatchList{Since: since, Wait: wait})
+}
+
+// fallBack reads when no reader seems to. Its rate is set so that the reads of
+// all daemons together don't grow with their number.
+func (s *Spread) fallBack(now time.Time, out *actions) {
+	heard := s.confirmedAt
+	if heard.IsZero() {
+		heard = s.startAt
+	}
+	if now.Sub(heard) < fallbackAfter {
+		s.service.fallbackAt = time.Time{}
+		return
+	}
+	if s.service.fallbackAt.IsZero() {
+		s.service.fallbackAt = now.Add(time.Duration(s.rng.Int64N(int64(s.fallbackInterval(now)))))
+	}
+	if now.Before(s.service.fallbackAt) {
+		return
+	}
+	s.service.fallbackAt = now.Add(s.jitter(2 * s.fallbackInterval(now)))
+	s.counts.Fallbacks++
+	s.watchConfig(now, 0, out)
+	s.watchList(now, 0, out)
+}
+
+// fallbackInterval returns the mean time between fallback reads.
+func (s *Spread) fallbackInterval(now time.Time) time.Duration {
+	zone := time.Duration(len(s.topology.zone) + 1)
+	fleet := zone + time.Duration(len(s.topology.others))
+	if now.Sub(s.gossip.heardAt) > isolatedAfter {
+		return max(minFallbackInterval, fleet*fleetShare)
+	}
+	return max(minFallbackInterval, zone*zoneShare)
+}
+
+// OnFolder reports a folder version that the service gave: every name with its
+// revision.
+func (s *Spread) OnFolder(now time.Time, version uint64, all []catalog.FileRevision) []Action {
+	out := &actions{}
+	s.service.config.succeeded(now)
+	s.phase.service = true
+	s.gatherFolder(now, version, all, out)
+	s.fetchFiles(now, out)
+	s.afterEvent(now, out)
+	return out.list
+}
+
+// OnFolderUnchanged reports that the service has no newer version.
+func (s *Spread) OnFolderUnchanged(now time.Time) []Action {
+	out := &actions{}
+	s.service.config.succeeded(now)
+	s.phase.service = true
+	s.afterEvent(now, out)
+	return out.list
+}
+
+// OnList reports a VM list that the platform gave. The list must not change
+// afterwards.
+func (s *Spread) OnList(now time.Time, list *membership.List) []Action {
+	out := &actions{}
+	s.service.list.succeeded(now)
+	s.adoptList(list, out)
+	if s.list != nil && list.Revision == s.list.Revision {
+		s.confirmedAt = now
+	}
+	s.afterEvent(now, out)
+	return out.list
+}
+
+// OnListUnchanged reports that the platform has no newer list.
+func (s *Spread) OnListUnchanged(now time.Time) []Action {
+	s.service.list.succeeded(now)
+	if s.list != nil {
+		s.confirmedAt = now
+	}
+	out := &actions{}
+	s.afterEvent(now, out)
+	return out.list
+}
+
+// Read names a repeated read of the platform.
+type Read uint8
+
+// The repeated reads.
+const (
+	ReadConfig Read = iota
+	ReadList
+)
+
+// OnServiceError reports that a watch failed or timed out.
+func (s *Spread) OnServiceError(now time.Time, read Read) []Action {
+	if read == ReadList {
+		s.service.list.failed(now, s.jitter)
+	} else {
+		s.service.config.failed(now, s.jitter)
+	}
+	return nil
+}
+
+// expire drops what was never reported.
+func (s *Spread) expire(now time.Time) {
+	for _, c := range []*call{&s.service.config, &s.service.list} {
+		if c.inFlight && !now.Before(c.expires) {
+			c.failed(now, s.jitter)
+		}
+	}
+	s.expireGather(now)
+	s.expirePeers(now)
+}
+
+// afterEvent does what an event may have made possible before the next tick.
+func (s *Spread) afterEvent(now time.Time, out *actions) {
+	s.tellNeighbours(now, out)
+	s.pull(now, out)
+	s.advancePhase(now, out)
+}
--- /dev/null
+++ b/internal/core/spread/spread.go
@@ -0,0 +1,192 @@
+// Package spread decides how one daemon learns of new configuration and of new
+// VM lists, and how it passes them on.
+//
+// A few daemons of each availability zone, its readers, watch the platform.
+// All daemons exchange digests of what they hold with a bounded set of peers
+// and pull what they lack from whoever has it. The reads of the platform
+// depend on the number of zones and not on the number of daemons.
+//
+// A Spread is a state machine without I/O: events and the time go in, actions
+// come out. It is owned by the control goroutine, which carries the actions
+// out and reports their results as further events. Each read and exchange has
+// a timeout of its own here, so that a lost report does no lasting harm.
+package spread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/invariant"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// TickInterval is how often Tick should be called.
+const TickInterval = 100 * time.Millisecond
+
+// maxActions bounds the actions of one tick, besides one for each neighbour.
+const maxActions = 2 + fetchesInFlight + 2*startAnswers + 4
+
+// Settings are what a daemon knows of itself.
+type Settings struct {
+	// Self is the daemon's own VM.
+	Self membership.VM
+	// Seeds are peers to ask before a VM list is known. Seeds without an ID are
+	// known by their address. All daemons may have the same ones: a daemon that
+	// finds its own address among them knows that the others ask it.
+	Seeds []membership.VM
+}
+
+// Spread is the state of one daemon.
+type Spread struct {
+	self     membership.VM
+	isSeed   bool
+	rng      *rand.Rand
+	acceptor *catalog.Acceptor
+
+	list *membership.List
+	// confirmedAt is when some reader last heard from the platform that list is
+	// the newest. It is zero when that is unknown.
+	confirmedAt time.Time
+	topology    topology
+
+	phase    phase
+	lastTick time.Time
+	startAt  time.Time
+
+	service service
+	gossip  gossip
+	counts  Counts
+}
+
+// Counts holds what the metrics page shows. Each only grows.
+type Counts struct {
+	// Reads of the platform, waiting watches included.
+	Reads uint64
+	// Exchanges and Pulls that this daemon began.
+	Exchanges, Pulls uint64
+	// OlderLists were ignored.
+	OlderLists uint64
+	// OlderFiles are contents of a file below the revision that was asked for.
+	OlderFiles uint64
+	// Fallbacks are reads by a daemon that is no reader.
+	Fallbacks uint64
+	// Pauses are gaps between ticks after which the daemon checked its state.
+	Pauses uint64
+}
+
+// New returns the state of a daemon that knows nothing yet. Rng must not be
+// shared.
+func New(settings Settings, rng *rand.Rand) *Spread {
+	s := &Spread{
+		self:     settings.Self,
+		rng:      rng,
+		acceptor: catalog.NewAcceptor(),
+		gossip:   newGossip(),
+	}
+	s.topology = newTopology(s.self, &membership.List{VMs: s.otherSeeds(settings.Seeds)})
+	s.topology.readers = nil
+	s.isSeed = slices.ContainsFunc(settings.Seeds, s.isSelf)
+	return s
+}
+
+func (s *Spread) isSelf(vm membership.VM) bool { return vm.PeerAddress == s.self.PeerAddress }
+
+// otherSeeds returns the seeds without the daemon itself.
+func (s *Spread) otherSeeds(vms []membership.VM) []membership.VM {
+	var out []membership.VM
+	for _, vm := range vms {
+		if s.isSelf(vm) {
+			continue
+		}
+		if vm.ID == "" {
+			vm.ID = vm.PeerAddress
+		}
+		out = append(out, vm)
+	}
+	return out
+}
+
+// Tick does what is due at now.
+func (s *Spread) Tick(now time.Time) []Action {
+	out := &actions{}
+	s.detectPause(now, out)
+	s.expire(now)
+	s.readService(now, out)
+	s.fetchFiles(now, out)
+	s.exchange(now, out)
+	s.pull(now, out)
+	s.advancePhase(now, out)
+	invariant.Check(len(out.list) <= maxActions+len(s.topology.neighbours), "spread_actions_unbounded")
+	return out.list
+}
+
+// Catalog returns the catalog in force, or nil before the first.
+func (s *Spread) Catalog() *catalog.Catalog { return s.acceptor.Catalog() }
+
+// Files returns the files in force, to answer peers from. They are immutable.
+func (s *Spread) Files() *catalog.FileSet { return s.acceptor.Files() }
+
+// List returns the newest known VM list, or nil. It is immutable.
+func (s *Spread) List() *membership.List { return s.list }
+
+// Counts returns the counters.
+func (s *Spread) Counts() Counts { return s.counts }
+
+// Decisions returns how many offered configurations had each outcome.
+func (s *Spread) Decisions() catalog.Counts { return s.acceptor.Counts() }
+
+// Reader tells whether this daemon reads the platform for its zone.
+func (s *Spread) Reader() bool { return s.topology.isReader(s.self.ID) }
+
+// ListAge returns the time since the VM list was last confirmed by the
+// platform, to this daemon or to a peer. It returns false when that is unknown.
+func (s *Spread) ListAge(now time.Time) (time.Duration, bool) {
+	if s.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return max(now.Sub(s.confirmedAt), 0), true
+}
+
+// Digest summarises what this daemon holds, for exchanges.
+func (s *Spread) Digest(now time.Time) Digest {
+	d := Digest{Version: s.acceptor.Version(), Digest: s.acceptor.Files().Digest, ListAge: UnknownAge}
+	if s.list != nil {
+		d.ListRevision = s.list.Revision
+	}
+	if age, ok := s.ListAge(now); ok {
+		d.ListAge = age
+	}
+	return d
+}
+
+// offer passes a version of the folder to the acceptor.
+func (s *Spread) offer(o catalog.Offer, out *actions) catalog.Decision {
+	d := s.acceptor.Offer(o)
+	switch d.Outcome {
+	case catalog.Accepted:
+		out.add(Accept{Decision: d})
+		s.gossip.news()
+	case catalog.Unchanged:
+	default:
+		out.add(Ignore{Decision: d})
+	}
+	return d
+}
+
+// adoptList takes a list that a read or a peer gave.
+func (s *Spread) adoptList(list *membership.List, out *actions) {
+	if len(list.VMs) == 0 || s.list != nil && list.Revision < s.list.Revision {
+		s.counts.OlderLists++
+		return
+	}
+	if s.list != nil && list.Revision == s.list.Revision {
+		return
+	}
+	s.list = list
+	s.topology = newTopology(s.self, list)
+	s.gossip.keep(s.topology)
+	s.gossip.news()
+	out.add(AdoptList{List: list})
+}
--- /dev/null
+++ b/internal/core/spread/topology.go
@@ -0,0 +1,140 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+const (
+	// readersPerZone is how many daemons of a zone read the platform, so that
+	// one may be lost before the list shows it.
+	readersPerZone = 2
+	// linksPerZone is how many daemons of a zone exchange with another zone.
+	linksPerZone = 2
+)
+
+// topology is what follows from one VM list for one daemon. It is immutable.
+//
+// Within a zone the daemons stand on a ring in the order of their hashes, and
+// each exchanges with those 1, 2, 4, 8, ... places on (Stoica et al., "Chord",
+// 2001), so that news crosses a zone of n daemons in log2(n) steps while each
+// keeps log2(n) neighbours. Between each two zones there are linksPerZone
+// links, whose ends are chosen by rendezvous hashing for that pair of zones.
+type topology struct {
+	// neighbours are the daemons to exchange with regularly.
+	neighbours []membership.VM
+	// zone and others are the daemons of the own zone and of the other zones,
+	// without the daemon itself.
+	zone, others []membership.VM
+	// readers are the ids of the zone's readers, the first by rendezvous first.
+	readers []string
+	byID    map[string]membership.VM
+}
+
+func newTopology(self membership.VM, list *membership.List) topology {
+	t := topology{byID: make(map[string]membership.VM, len(list.VMs))}
+	zones := map[string][]membership.VM{}
+	selfListed := false
+	for _, vm := range list.VMs {
+		if vm.ID == self.ID {
+			selfListed = !vm.Leaving
+			continue
+		}
+		t.byID[vm.ID] = vm
+		if vm.Leaving {
+			continue
+		}
+		zones[vm.Zone] = append(zones[vm.Zone], vm)
+		if vm.Zone == self.Zone {
+			t.zone = append(t.zone, vm)
+		} else {
+			t.others = append(t.others, vm)
+		}
+	}
+	own := append(slices.Clone(t.zone), self)
+	t.neighbours = ringNeighbours(self, own)
+	for zone, vms := range zones {
+		if zone != self.Zone {
+			t.neighbours = append(t.neighbours, linksTo(self, own, zone, vms)...)
+		}
+	}
+	sortByID(t.neighbours)
+	t.readers = chooseReaders(self, t.zone, selfListed)
+	return t
+}
+
+// chooseReaders leaves out a daemon that the list doesn't hold or that leaves.
+func chooseReaders(self membership.VM, zone []membership.VM, selfListed bool) []string {
+	candidates := slices.Clone(zone)
+	if selfListed {
+		candidates = append(candidates, self)
+	}
+	var out []string
+	for _, vm := range rendezvous("reader/"+self.Zone, candidates, readersPerZone) {
+		out = append(out, vm.ID)
+	}
+	return out
+}
+
+func (t *topology) isReader(id string) bool { return slices.Contains(t.readers, id) }
+
+func sortByID(vms []membership.VM) {
+	slices.SortFunc(vms, func(a, b membership.VM) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// ringNeighbours returns the members that stand 1, 2, 4, ... places after self.
+func ringNeighbours(self membership.VM, members []membership.VM) []membership.VM {
+	ring := sortedByHash("ring/"+self.Zone, members)
+	at := slices.IndexFunc(ring, func(vm membership.VM) bool { return vm.ID == self.ID })
+	var out []membership.VM
+	for step := 1; step < len(ring); step *= 2 {
+		out = append(out, ring[(at+step)%len(ring)])
+	}
+	return out
+}
+
+// linksTo returns the daemons of another zone that self is linked with.
+func linksTo(self membership.VM, own []membership.VM, zone string, vms []membership.VM) []membership.VM {
+	key := "link/" + min(self.Zone, zone) + "/" + max(self.Zone, zone)
+	here := rendezvous(key, own, linksPerZone)
+	there := rendezvous(key, vms, linksPerZone)
+	at := slices.IndexFunc(here, func(vm membership.VM) bool { return vm.ID == self.ID })
+	if at < 0 {
+		return nil
+	}
+	if at < len(there) {
+		return there[at : at+1]
+	}
+	return there[:min(1, len(there))]
+}
+
+// rendezvous returns the n members with the highest weights for key, the
+// highest first (Thaler and Ravishankar, "Using name-based mappings to increase
+// hit rates", 1998).
+func rendezvous(key string, members []membership.VM, n int) []membership.VM {
+	ring := sortedByHash(key, members)
+	return ring[:min(n, len(ring))]
+}
+
+func sortedByHash(key string, members []membership.VM) []membership.VM {
+	type weighted struct {
+		vm     membership.VM
+		weight uint64
+	}
+	all := make([]weighted, len(members))
+	for i, vm := range members {
+		all[i] = weighted{vm: vm, weight: xxhash.Sum64String(key + "\x00" + vm.ID)}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm.ID, b.vm.ID))
+	})
+	out := make([]membership.VM, len(all))
+	for i, w := range all {
+		out[i] = w.vm
+	}
+	return out
+}
