Date the confirmation of a VM list by its request

An answer that lay in a socket while the daemon was paused counted as a confirmation at its arrival, so that an old list looked fresh and a daemon could leave its check after a pause on the strength of an answer from before it. Watches and exchanges now carry a number that the report gives back; a list counts as confirmed from the time of the request (plus the wait, when the service waited it out), digests that peers send of their own accord confirm nothing, and answers of peers without a configuration don't count at the start.

--- a/internal/core/spread/action.go
+++ b/internal/core/spread/action.go
@@ -25,10 +25,15 @@
 // Action is something for the control goroutine to carry out.
 type Action interface{ action() }
 
+// Seq numbers an action whose result must be told from that of an earlier one.
+// The report carries it back. Zero stands for none.
+type Seq uint64
+
 // WatchConfig asks the configuration service for a folder version above Since
 // and waits up to Wait for one. Its result is reported by OnFolder,
 // OnFolderUnchanged or OnServiceError.
 type WatchConfig struct {
+	Seq   Seq
 	Since uint64
 	Wait  time.Duration
 }
@@ -36,6 +41,7 @@
 // WatchList asks the platform for a VM list above Since and waits up to Wait
 // for one. Its result is reported by OnList, OnListUnchanged or OnServiceError.
 type WatchList struct {
+	Seq   Seq
 	Since uint64
 	Wait  time.Duration
 }
@@ -46,15 +52,16 @@
 	Name string
 }
 
-// Exchange sends Digest to a peer. Its result is reported by OnPeerDigest with
-// the peer's answer, or by OnPeerError.
+// Exchange sends Digest to a peer. Its result is reported by OnPeerAnswer or
+// OnPeerError.
 type Exchange struct {
+	Seq    Seq
 	Peer   membership.VM
 	Digest Digest
 }
 
 // PullFiles asks a peer for the contents that are not among Have. Its result is
-// reported by OnFiles or OnPeerError.
+// reported by OnFiles or OnPullError.
 type PullFiles struct {
 	Peer membership.VM
 	Have []catalog.FileRevision
--- /dev/null
+++ b/internal/core/spread/age_test.go
@@ -0,0 +1,70 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// checkListAges requires of every running daemon that the platform had no newer
+// list than the daemon's at the time from which the daemon counts its age.
+func (f *fleet) checkListAges() error {
+	for _, n := range f.nodes {
+		age, known := n.spread.ListAge(f.clock.now)
+		if !n.up || n.paused || !known {
+			continue
+		}
+		at := f.clock.now.Add(-age)
+		if newest := f.platform.listAt(at); newest > n.spread.List().Revision {
+			return fmt.Errorf("%s counts list %d as confirmed %v ago, when %d was the newest", n.vm.ID, n.spread.List().Revision, age, newest)
+		}
+	}
+	return nil
+}
+
+// exerciseListAge pauses daemons at random while lists change, and returns the
+// first wrong age.
+func exerciseListAge(seed uint64, tamper func(*Spread)) error {
+	f := smallFleet(seed)
+	f.tamper = tamper
+	f.latency = 20 * time.Millisecond
+	f.loss, f.repeats = 0.1, 0.1
+	for range 400 {
+		switch n := f.nodes[f.rng.IntN(len(f.nodes))]; f.rng.IntN(6) {
+		case 0:
+			n.paused = !n.paused
+		case 1:
+			f.publishList()
+		}
+		f.clock.run(time.Duration(f.rng.IntN(500))*time.Millisecond, nil)
+		if err := f.checkListAges(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestListAgeIsNeverTooSmall(t *testing.T) {
+	for seed := range uint64(10) {
+		if err := exerciseListAge(seed, nil); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+	}
+	// Counting from the arrival of an answer is wrong when it was delayed.
+	fromArrival := func(s *Spread) {
+		arrival := s.service.list.next.Add(-watchGap)
+		if c := s.service.list; !c.inFlight && c.failures == 0 && s.list != nil {
+			s.confirm(arrival)
+		}
+	}
+	failed := 0
+	for seed := range uint64(10) {
+		if exerciseListAge(seed, fromArrival) != nil {
+			failed++
+		}
+	}
+	if failed == 0 {
+		t.Error("counting from the arrival was never wrong: this test proves nothing")
+	}
+	t.Logf("counting from the arrival was wrong in %d of 10 runs", failed)
+}
--- a/internal/core/spread/failure_test.go
+++ b/internal/core/spread/failure_test.go
@@ -146,7 +146,7 @@
 	s := New(Settings{Self: self}, rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1000, 0)
 	s.Tick(now)
-	s.OnList(now, &membership.List{Revision: 1, VMs: []membership.VM{self, other}})
+	s.OnList(now, 0, &membership.List{Revision: 1, VMs: []membership.VM{self, other}})
 	all := []catalog.FileRevision{{Name: "a.json", Revision: 1}}
 	files := []catalog.Published{{Name: "a.json", Revision: 1, Content: []byte(customerFile("a", 1))}}
 	s.OnFiles(now, other.ID, 1, all, files)
@@ -154,7 +154,7 @@
 	for range 20 {
 		now = now.Add(TickInterval)
 		d := Digest{Version: 1, Digest: "another", ListRevision: 1, ListAge: 0}
-		for _, a := range s.OnPeerDigest(now, other.ID, d, nil, true) {
+		for _, a := range s.OnPeerDigest(now, other.ID, d) {
 			if _, ok := a.(PullFiles); ok {
 				pulls++
 				s.OnFiles(now, other.ID, 1, all, nil)
--- a/internal/core/spread/fleet_test.go
+++ b/internal/core/spread/fleet_test.go
@@ -185,15 +185,15 @@
 func (f *fleet) watchConfig(n *node, a WatchConfig) {
 	f.clock.after(f.delay(), func() {
 		if !f.platformReachable(n) {
-			f.deliver(n, func() []Action { return n.spread.OnServiceError(f.clock.now, ReadConfig) })
+			f.deliver(n, func() []Action { return n.spread.OnServiceError(f.clock.now, a.Seq) })
 			return
 		}
 		f.platform.watchFolder(a.Since, a.Wait, func(version uint64, all []catalog.FileRevision, changed bool) {
 			f.deliver(n, func() []Action {
 				if !changed {
-					return n.spread.OnFolderUnchanged(f.clock.now)
+					return n.spread.OnFolderUnchanged(f.clock.now, a.Seq)
 				}
-				return n.spread.OnFolder(f.clock.now, version, all)
+				return n.spread.OnFolder(f.clock.now, a.Seq, version, all)
 			})
 		})
 	})
@@ -202,15 +202,15 @@
 func (f *fleet) watchList(n *node, a WatchList) {
 	f.clock.after(f.delay(), func() {
 		if !f.platformReachable(n) {
-			f.deliver(n, func() []Action { return n.spread.OnServiceError(f.clock.now, ReadList) })
+			f.deliver(n, func() []Action { return n.spread.OnServiceError(f.clock.now, a.Seq) })
 			return
 		}
 		f.platform.watchList(a.Since, a.Wait, func(list *membership.List) {
 			f.deliver(n, func() []Action {
 				if list == nil {
-					return n.spread.OnListUnchanged(f.clock.now)
+					return n.spread.OnListUnchanged(f.clock.now, a.Seq)
 				}
-				return n.spread.OnList(f.clock.now, list)
+				return n.spread.OnList(f.clock.now, a.Seq, list)
 			})
 		})
 	})
@@ -249,11 +249,11 @@
 	to := f.find(a.Peer)
 	n.send(digestBytes)
 	if !f.reachable(n, to) {
-		f.deliver(n, func() []Action { return n.spread.OnPeerError(f.clock.now, a.Peer.ID) })
+		f.deliver(n, func() []Action { return n.spread.OnPeerError(f.clock.now, a.Seq, a.Peer.ID) })
 		return
 	}
 	f.deliverLate(to, func() []Action {
-		out := to.spread.OnPeerDigest(f.clock.now, n.vm.ID, a.Digest, nil, false)
+		out := to.spread.OnPeerDigest(f.clock.now, n.vm.ID, a.Digest)
 		answer := to.spread.Digest(f.clock.now)
 		var list *membership.List
 		to.send(digestBytes)
@@ -262,7 +262,7 @@
 			to.bytes += vmBytes * len(list.VMs)
 		}
 		f.deliver(n, func() []Action {
-			return n.spread.OnPeerDigest(f.clock.now, a.Peer.ID, answer, list, true)
+			return n.spread.OnPeerAnswer(f.clock.now, a.Seq, a.Peer.ID, answer, list)
 		})
 		return out
 	})
@@ -272,7 +272,7 @@
 	to := f.find(a.Peer)
 	n.send(digestBytes + nameBytes*len(a.Have))
 	if !f.reachable(n, to) {
-		f.deliver(n, func() []Action { return n.spread.OnPeerError(f.clock.now, a.Peer.ID) })
+		f.deliver(n, func() []Action { return n.spread.OnPullError(f.clock.now, a.Peer.ID) })
 		return
 	}
 	f.deliverLate(to, func() []Action {
--- a/internal/core/spread/gossip.go
+++ b/internal/core/spread/gossip.go
@@ -28,6 +28,8 @@
 type peer struct {
 	vm       membership.VM
 	inFlight bool
+	seq      Seq
+	sentAt   time.Time
 	expires  time.Time
 	failures int
 	retryAt  time.Time
@@ -180,10 +182,12 @@
 		return false
 	}
 	p.inFlight = true
+	p.seq = s.nextSeq()
+	p.sentAt = now
 	p.tell = false
 	p.expires = now.Add(exchangeTimeout)
 	s.counts.Exchanges++
-	out.add(Exchange{Peer: p.vm, Digest: s.Digest(now)})
+	out.add(Exchange{Seq: p.seq, Peer: p.vm, Digest: s.Digest(now)})
 	return true
 }
 
@@ -218,44 +222,45 @@
 	return d.Digest != other.Digest
 }
 
-// OnPeerDigest reports a peer's digest: the answer to an Exchange, or what came
-// with the peer's own. List is the peer's VM list when it is newer than the one
-// that was sent, else nil.
-func (s *Spread) OnPeerDigest(now time.Time, id string, d Digest, list *membership.List, answer bool) []Action {
+// OnPeerAnswer reports a peer's answer to an Exchange. List is the peer's VM
+// list when it is newer than the one that was sent, else nil.
+func (s *Spread) OnPeerAnswer(now time.Time, seq Seq, id string, d Digest, list *membership.List) []Action {
 	out := &actions{}
-	s.gossip.heardAt = now
-	if answer {
-		s.answered(id)
-	}
 	if list != nil {
 		s.adoptList(list, out)
 	}
-	s.confirmList(now, d)
-	if vm, listed := s.topology.byID[id]; listed {
-		s.notePeer(now, s.peer(vm), d, out)
+	if p := s.gossip.peers[id]; p != nil && p.inFlight && p.seq == seq {
+		s.answered(p, d)
 	}
-	s.afterEvent(now, out)
+	s.heardPeer(now, id, d, out)
 	return out.list
 }
 
-func (s *Spread) answered(id string) {
-	if p := s.gossip.peers[id]; p != nil {
-		p.inFlight = false
-		p.failures = 0
-		p.retryAt = time.Time{}
-	}
-	if s.phase.kind != serving && s.phase.answered != nil {
-		s.phase.answered[id] = true
+// OnPeerDigest reports the digest that came with a peer's own Exchange. How old
+// it is isn't known, so that it confirms nothing.
+func (s *Spread) OnPeerDigest(now time.Time, id string, d Digest) []Action {
+	out := &actions{}
+	s.heardPeer(now, id, d, out)
+	return out.list
+}
+
+func (s *Spread) heardPeer(now time.Time, id string, d Digest, out *actions) {
+	s.gossip.heardAt = now
+	if vm, listed := s.topology.byID[id]; listed {
+		s.notePeer(now, s.peer(vm), d, out)
 	}
+	s.afterEvent(now, out)
 }
 
-// confirmList takes over a younger confirmation of the list in force.
-func (s *Spread) confirmList(now time.Time, d Digest) {
-	if s.list == nil || d.ListAge == UnknownAge || d.ListRevision != s.list.Revision {
-		return
+func (s *Spread) answered(p *peer, d Digest) {
+	p.inFlight = false
+	p.failures = 0
+	p.retryAt = time.Time{}
+	if s.phase.kind != serving && d.Version > 0 {
+		s.phase.answered[p.vm.ID] = true
 	}
-	if at := now.Add(-d.ListAge); at.After(s.confirmedAt) {
-		s.confirmedAt = at
+	if s.list != nil && d.ListAge != UnknownAge && d.ListRevision == s.list.Revision {
+		s.confirm(p.sentAt.Add(-d.ListAge))
 	}
 }
 
@@ -274,15 +279,12 @@
 	}
 }
 
-// OnPeerError reports that a peer didn't answer an Exchange or a pull.
-func (s *Spread) OnPeerError(now time.Time, id string) []Action {
-	s.endPull(id)
-	if p := s.gossip.peers[id]; p != nil {
+// OnPeerError reports that a peer didn't answer an Exchange.
+func (s *Spread) OnPeerError(now time.Time, seq Seq, id string) []Action {
+	if p := s.gossip.peers[id]; p != nil && p.inFlight && p.seq == seq {
 		s.peerFailed(now, p)
 	}
-	out := &actions{}
-	s.pull(now, out)
-	return out.list
+	return nil
 }
 
 func (s *Spread) peerFailed(now time.Time, p *peer) {
--- a/internal/core/spread/load_test.go
+++ b/internal/core/spread/load_test.go
@@ -105,6 +105,9 @@
 	b.ReportMetric(float64(idle.sent)/float64(size)/rest.Seconds(), "msgs/daemon/s")
 	b.ReportMetric(float64(idle.bytes)/float64(size)/rest.Seconds(), "B/daemon/s")
 
+	b.ReportMetric(f.oldestList().Seconds(), "s-list-age")
+	b.ReportMetric(float64(f.fallbacks()), "fallbacks")
+
 	before = f.total()
 	at := f.clock.now
 	version := f.platform.publish("20-b.json", customerFile("b", 1))
@@ -119,6 +122,27 @@
 	b.ReportMetric(float64(change.most), "msgs/busiest/change")
 }
 
+// oldestList returns the largest age of a VM list, watched for five seconds.
+func (f *fleet) oldestList() time.Duration {
+	oldest := time.Duration(0)
+	for range 50 {
+		f.clock.run(100*time.Millisecond, nil)
+		for _, n := range f.nodes {
+			age, _ := n.spread.ListAge(f.clock.now)
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
+func (f *fleet) fallbacks() uint64 {
+	var sum uint64
+	for _, n := range f.nodes {
+		sum += n.spread.Counts().Fallbacks
+	}
+	return sum
+}
+
 // traffic is what daemons sent.
 type traffic struct {
 	sent, bytes, most int
--- a/internal/core/spread/phase.go
+++ b/internal/core/spread/phase.go
@@ -28,8 +28,8 @@
 	// until is when the daemon serves with what it has. It is zero before the
 	// first tick.
 	until time.Time
-	// answered holds the peers that answered since the phase began, and service
-	// tells whether the configuration service did.
+	// answered holds the peers that answered since the phase began and had a
+	// configuration. Service tells whether the configuration service answered.
 	answered map[string]bool
 	service  bool
 }
@@ -57,12 +57,14 @@
 func (s *Spread) recheck(now time.Time, gap time.Duration, out *actions) {
 	s.service.reset(now)
 	s.gossip.reset(now)
-	if s.phase.kind == serving {
+	switch s.phase.kind {
+	case starting:
+		s.phase.begin(starting, now.Add(startWait))
+		return
+	case serving:
 		out.add(NotReady{Gap: gap})
 	}
-	if s.phase.kind != starting {
-		s.phase.begin(checking, now.Add(recheckWait))
-	}
+	s.phase.begin(checking, now.Add(recheckWait))
 }
 
 func (s *Spread) advancePhase(now time.Time, out *actions) {
--- a/internal/core/spread/platform_test.go
+++ b/internal/core/spread/platform_test.go
@@ -24,8 +24,10 @@
 	rng      *rand.Rand
 	versions []folderVersion
 	list     *membership.List
-	lags     []time.Duration
-	down     bool
+	// listTimes holds when each revision of the list was published.
+	listTimes []time.Time
+	lags      []time.Duration
+	down      bool
 	// frozen is the version that every replica is stuck at, if any.
 	frozen uint64
 	// waiting holds the watches that wait for a newer state.
@@ -60,10 +62,20 @@
 	if p.list != nil {
 		revision = p.list.Revision + 1
 	}
+	p.listTimes = append(p.listTimes, p.clock.now)
 	p.list = &membership.List{Revision: revision, VMs: slices.Clone(vms)}
 	p.wake()
 }
 
+// listAt returns the list's revision at a time.
+func (p *platform) listAt(at time.Time) uint64 {
+	n := 0
+	for n < len(p.listTimes) && !p.listTimes[n].After(at) {
+		n++
+	}
+	return uint64(n)
+}
+
 // wake lets every waiting watch look again, as soon as its replica may have
 // the news.
 func (p *platform) wake() {
--- a/internal/core/spread/pull.go
+++ b/internal/core/spread/pull.go
@@ -92,6 +92,14 @@
 	s.gossip.fruitless[d.Digest] = true
 }
 
+// OnPullError reports that a peer didn't answer PullFiles.
+func (s *Spread) OnPullError(now time.Time, id string) []Action {
+	out := &actions{}
+	s.endPull(id)
+	s.pull(now, out)
+	return out.list
+}
+
 // endPull ends a pull in flight. The next exchange tells whether the peer is
 // still ahead.
 func (s *Spread) endPull(id string) {
--- a/internal/core/spread/service.go
+++ b/internal/core/spread/service.go
@@ -42,6 +42,9 @@
 // call is one kind of read that is repeated.
 type call struct {
 	inFlight bool
+	seq      Seq
+	sentAt   time.Time
+	wait     time.Duration
 	expires  time.Time
 	next     time.Time
 	failures int
@@ -49,15 +52,23 @@
 
 func (c *call) due(now time.Time) bool { return !c.inFlight && !now.Before(c.next) }
 
-func (c *call) start(now time.Time, wait time.Duration) {
+func (c *call) start(now time.Time, seq Seq, wait time.Duration) {
 	c.inFlight = true
+	c.seq = seq
+	c.sentAt = now
+	c.wait = wait
 	c.expires = now.Add(wait + watchTimeout)
 }
 
-func (c *call) succeeded(now time.Time) {
+// succeeded tells whether seq is the call in flight, and if so ends it.
+func (c *call) succeeded(now time.Time, seq Seq) bool {
+	if !c.inFlight || c.seq != seq {
+		return false
+	}
 	c.inFlight = false
 	c.failures = 0
 	c.next = now.Add(watchGap)
+	return true
 }
 
 func (c *call) failed(now time.Time, jitter func(time.Duration) time.Duration) {
@@ -122,9 +133,9 @@
 	if !c.due(now) || s.service.gather != nil {
 		return
 	}
-	c.start(now, wait)
+	c.start(now, s.nextSeq(), wait)
 	s.counts.Reads++
-	out.add(WatchConfig{Since: s.acceptor.Version(), Wait: wait})
+	out.add(WatchConfig{Seq: c.seq, Since: s.acceptor.Version(), Wait: wait})
 }
 
 func (s *Spread) watchList(now time.Time, wait time.Duration, out *actions) {
@@ -132,13 +143,13 @@
 	if !c.due(now) {
 		return
 	}
-	c.start(now, wait)
+	c.start(now, s.nextSeq(), wait)
 	s.counts.Reads++
 	var since uint64
 	if s.list != nil {
 		since = s.list.Revision
 	}
-	out.add(WatchList{Since: since, Wait: wait})
+	out.add(WatchList{Seq: c.seq, Since: since, Wait: wait})
 }
 
 // fallBack reads when no reader seems to. Its rate is set so that the reads of
@@ -175,11 +186,11 @@
 }
 
 // OnFolder reports a folder version that the service gave: every name with its
-// revision.
-func (s *Spread) OnFolder(now time.Time, version uint64, all []catalog.FileRevision) []Action {
+// revision. The answer to an abandoned watch is taken too, but proves nothing
+// about the present.
+func (s *Spread) OnFolder(now time.Time, seq Seq, version uint64, all []catalog.FileRevision) []Action {
 	out := &actions{}
-	s.service.config.succeeded(now)
-	s.phase.service = true
+	s.heardService(now, seq)
 	s.gatherFolder(now, version, all, out)
 	s.fetchFiles(now, out)
 	s.afterEvent(now, out)
@@ -187,53 +198,57 @@
 }
 
 // OnFolderUnchanged reports that the service has no newer version.
-func (s *Spread) OnFolderUnchanged(now time.Time) []Action {
+func (s *Spread) OnFolderUnchanged(now time.Time, seq Seq) []Action {
 	out := &actions{}
-	s.service.config.succeeded(now)
-	s.phase.service = true
+	s.heardService(now, seq)
 	s.afterEvent(now, out)
 	return out.list
 }
 
+func (s *Spread) heardService(now time.Time, seq Seq) {
+	if s.service.config.succeeded(now, seq) {
+		s.phase.service = true
+	}
+}
+
 // OnList reports a VM list that the platform gave. The list must not change
 // afterwards.
-func (s *Spread) OnList(now time.Time, list *membership.List) []Action {
+func (s *Spread) OnList(now time.Time, seq Seq, list *membership.List) []Action {
 	out := &actions{}
-	s.service.list.succeeded(now)
+	current := s.service.list.succeeded(now, seq)
 	s.adoptList(list, out)
-	if s.list != nil && list.Revision == s.list.Revision {
-		s.confirmedAt = now
+	if current && s.list != nil && list.Revision == s.list.Revision {
+		s.confirm(s.service.list.sentAt)
 	}
 	s.afterEvent(now, out)
 	return out.list
 }
 
-// OnListUnchanged reports that the platform has no newer list.
-func (s *Spread) OnListUnchanged(now time.Time) []Action {
-	s.service.list.succeeded(now)
-	if s.list != nil {
-		s.confirmedAt = now
-	}
+// OnListUnchanged reports that the platform had no newer list when the wait was
+// over.
+func (s *Spread) OnListUnchanged(now time.Time, seq Seq) []Action {
 	out := &actions{}
+	c := &s.service.list
+	if c.succeeded(now, seq) && s.list != nil {
+		s.confirm(earlierOf(now, c.sentAt.Add(c.wait)))
+	}
 	s.afterEvent(now, out)
 	return out.list
 }
 
-// Read names a repeated read of the platform.
-type Read uint8
-
-// The repeated reads.
-const (
-	ReadConfig Read = iota
-	ReadList
-)
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
 
 // OnServiceError reports that a watch failed or timed out.
-func (s *Spread) OnServiceError(now time.Time, read Read) []Action {
-	if read == ReadList {
-		s.service.list.failed(now, s.jitter)
-	} else {
-		s.service.config.failed(now, s.jitter)
+func (s *Spread) OnServiceError(now time.Time, seq Seq) []Action {
+	for _, c := range []*call{&s.service.config, &s.service.list} {
+		if c.inFlight && c.seq == seq {
+			c.failed(now, s.jitter)
+		}
 	}
 	return nil
 }
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -46,8 +46,8 @@
 	acceptor *catalog.Acceptor
 
 	list *membership.List
-	// confirmedAt is when some reader last heard from the platform that list is
-	// the newest. It is zero when that is unknown.
+	// confirmedAt is a time at which the platform had no newer list for some
+	// reader. It is never later than the true one, and zero when unknown.
 	confirmedAt time.Time
 	topology    topology
 
@@ -57,6 +57,7 @@
 
 	service service
 	gossip  gossip
+	seq     Seq
 	counts  Counts
 }
 
@@ -140,8 +141,9 @@
 // Reader tells whether this daemon reads the platform for its zone.
 func (s *Spread) Reader() bool { return s.topology.isReader(s.self.ID) }
 
-// ListAge returns the time since the VM list was last confirmed by the
-// platform, to this daemon or to a peer. It returns false when that is unknown.
+// ListAge returns an upper bound of the time since the platform confirmed the
+// VM list, to this daemon or to a peer. Delays of messages and pauses of this
+// daemon make it larger and never smaller. It returns false when unknown.
 func (s *Spread) ListAge(now time.Time) (time.Duration, bool) {
 	if s.confirmedAt.IsZero() {
 		return 0, false
@@ -149,6 +151,18 @@
 	return max(now.Sub(s.confirmedAt), 0), true
 }
 
+func (s *Spread) nextSeq() Seq {
+	s.seq++
+	return s.seq
+}
+
+// confirm notes that the list in force was the newest at the given time.
+func (s *Spread) confirm(at time.Time) {
+	if at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+}
+
 // Digest summarises what this daemon holds, for exchanges.
 func (s *Spread) Digest(now time.Time) Digest {
 	d := Digest{Version: s.acceptor.Version(), Digest: s.acceptor.Files().Digest, ListAge: UnknownAge}
