--- a/internal/core/catalog/bench_test.go
+++ b/internal/core/catalog/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -37,14 +38,25 @@
 	return h
 }
 
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // BenchmarkAccept measures the acceptance of a change of one small file, by the
-// number of upstreams.
+// number of upstreams, and the memory that the accepted state holds besides the
+// files themselves.
 func BenchmarkAccept(b *testing.B) {
 	for _, services := range []int{1, 23, 234} {
 		b.Run(fmt.Sprintf("upstreams=%d", services*390), func(b *testing.B) {
 			h := largeFolder(services)
+			before := heap()
 			a := NewAcceptor()
 			a.Offer(h.newest().offer())
+			held := heap() - before
 			b.ReportAllocs()
 			for b.Loop() {
 				b.StopTimer()
@@ -56,6 +68,7 @@
 					b.Fatal(d.Outcome, len(d.Changes))
 				}
 			}
+			b.ReportMetric(float64(held)/(1<<20), "MiB-held")
 		})
 	}
 }
--- a/internal/core/catalog/build_test.go
+++ b/internal/core/catalog/build_test.go
@@ -45,7 +45,7 @@
 func render(c *Catalog, problems []Problem) string {
 	var out strings.Builder
 	for _, p := range problems {
-		fmt.Fprintf(&out, "%s%s\n", map[Effect]string{HoldsFile: "file! ", HoldsItem: "item! "}[p.Effect], p.Error())
+		fmt.Fprintf(&out, "%v %v\n", p.Effect, p)
 	}
 	for _, change := range Diff(nil, c) {
 		fmt.Fprintln(&out, change)
--- a/internal/core/catalog/problem.go
+++ b/internal/core/catalog/problem.go
@@ -19,6 +19,19 @@
 	HoldsItem
 )
 
+var effectNames = [...]string{"holds_file", "holds_item"}
+
+// String returns the stable name that JSON carries.
+func (e Effect) String() string {
+	if int(e) < len(effectNames) {
+		return effectNames[e]
+	}
+	return fmt.Sprintf("effect(%d)", uint8(e))
+}
+
+// MarshalText returns the stable name.
+func (e Effect) MarshalText() ([]byte, error) { return []byte(e.String()), nil }
+
 // Problem is one mistake in the configuration.
 type Problem struct {
 	// File is the name of the file that has to be changed. It is empty when the
@@ -30,7 +43,7 @@
 	// Message says what is wrong and what is allowed.
 	Message string `json:"message"`
 	// Effect says what the mistake keeps out of the catalog.
-	Effect Effect `json:"-"`
+	Effect Effect `json:"effect"`
 }
 
 // Error returns the problem as one line.
--- a/internal/core/spread/load_test.go
+++ b/internal/core/spread/load_test.go
@@ -79,34 +79,41 @@
 
 // BenchmarkSpread reports, for a change of one file, the time until all daemons
 // have it, and the messages and bytes that each daemon sends, in the rest and
-// for the change.
+// for the change: the worst of three seeds. The faulty case loses one message in
+// twenty, and one daemon in twenty is dead but listed.
 func BenchmarkSpread(b *testing.B) {
 	for _, c := range []struct{ zones, size int }{{4, 10}, {4, 100}, {20, 1000}, {20, 2100}} {
 		b.Run(fmt.Sprintf("daemons=%d", c.size), func(b *testing.B) {
 			for b.Loop() {
-				measure(b, c.zones, c.size)
+				worst := make(map[string]float64)
+				for seed := range uint64(3) {
+					measure(b, seed, c.zones, c.size, worst)
+				}
+				for unit, value := range worst {
+					b.ReportMetric(value, unit)
+				}
 			}
 		})
 	}
 }
 
-func measure(b *testing.B, zones, size int) {
+func measure(b *testing.B, seed uint64, zones, size int, worst map[string]float64) {
 	const rest = 10 * time.Second
-	f := largeFleet(9, zones, size)
+	note := func(value float64, unit string) { worst[unit] = max(worst[unit], value) }
+	f := largeFleet(seed, zones, size)
 	f.latency = 2 * time.Millisecond
 	f.clock.run(settle, nil)
-	b.ReportMetric(float64(f.platform.mostPerSecond()), "reads/s-start")
+	note(float64(f.platform.mostPerSecond()), "reads/s-start")
 
 	before := f.total()
 	reads := f.platform.reads
 	f.clock.run(rest, nil)
 	idle := f.total().minus(before)
-	b.ReportMetric(float64(f.platform.reads-reads)/rest.Seconds(), "reads/s")
-	b.ReportMetric(float64(idle.sent)/float64(size)/rest.Seconds(), "msgs/daemon/s")
-	b.ReportMetric(float64(idle.bytes)/float64(size)/rest.Seconds(), "B/daemon/s")
-
-	b.ReportMetric(f.oldestList().Seconds(), "s-list-age")
-	b.ReportMetric(float64(f.fallbacks()), "fallbacks")
+	note(float64(f.platform.reads-reads)/rest.Seconds(), "reads/s")
+	note(float64(idle.sent)/float64(size)/rest.Seconds(), "msgs/daemon/s")
+	note(float64(idle.bytes)/float64(size)/rest.Seconds(), "B/daemon/s")
+	note(f.oldestList().Seconds(), "s-list-age")
+	note(float64(f.fallbacks()), "fallbacks")
 
 	before = f.total()
 	at := f.clock.now
@@ -114,12 +121,23 @@
 	if !f.clock.run(time.Minute, func() bool { return f.converged(version) }) {
 		b.Fatal("not in force everywhere")
 	}
-	b.ReportMetric(float64(f.clock.now.Sub(at).Milliseconds()), "ms-to-all")
+	note(float64(f.clock.now.Sub(at).Milliseconds()), "ms-to-all")
 	f.clock.run(rest-f.clock.now.Sub(at), nil)
 	change := f.total().minus(before).minus(idle)
-	b.ReportMetric(float64(change.sent)/float64(size), "msgs/daemon/change")
-	b.ReportMetric(float64(change.bytes)/float64(size), "B/daemon/change")
-	b.ReportMetric(float64(change.most), "msgs/busiest/change")
+	note(float64(change.sent)/float64(size), "msgs/daemon/change")
+	note(float64(change.bytes)/float64(size), "B/daemon/change")
+	note(float64(change.most), "msgs/busiest/change")
+
+	f.loss = 0.05
+	for range size / 20 {
+		f.stop(f.nodes[f.rng.IntN(size)])
+	}
+	at = f.clock.now
+	version = f.platform.publish("20-b.json", customerFile("b", 2))
+	if !f.clock.run(time.Minute, func() bool { return f.converged(version) }) {
+		b.Fatal("not in force everywhere under faults")
+	}
+	note(float64(f.clock.now.Sub(at).Milliseconds()), "ms-to-all-faulty")
 }
 
 // oldestList returns the largest age of a VM list, watched for five seconds.
