Add the interfaces of quota and membership

Cause: the control goroutine and the callers' listener build on both packages. Conclusion: a thin start; the scheme follows behind the same calls.

--- /dev/null
+++ b/internal/core/quota/api.go
@@ -0,0 +1,190 @@
+// Package quota keeps every customer within its rate and burst over all VMs
+// together.
+//
+// A limit is an arrival curve (rate, burst). Curves add, so the limit holds
+// over the fleet as long as the curves that VMs act on sum to at most the
+// limit at any moment, and no token is counted twice. Manager holds one VM's
+// part: slots that it owns, what it has lent and what it has borrowed.
+//
+// Admit and Peek are safe for concurrent use by traffic goroutines. All other
+// methods belong to the control goroutine.
+package quota
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// Decision is the answer to one admission.
+type Decision struct {
+	// OK tells whether the request is within the customer's limit. Its token is
+	// spent then.
+	OK bool
+	// RetryAfter is the wait after which this VM expects to have a token.
+	RetryAfter time.Duration
+}
+
+// Share is an arrival curve and the tokens that go with it.
+type Share struct {
+	// Rate is in micro-requests per second.
+	Rate int64
+	// Capacity is in micro-requests.
+	Capacity int64
+	// Tokens is in micro-requests, at most Capacity.
+	Tokens int64
+}
+
+// Want is a borrower's wish for one customer.
+type Want struct {
+	Customer string
+	// Want is the whole share that the borrower would like to hold from this
+	// lender, Have included. Its Tokens are unused.
+	Want Share
+	// Have is what the borrower holds from this lender. It gives up all above
+	// Have before it sends. Its Tokens are unused.
+	Have Share
+}
+
+// LendRequest asks one lender for shares.
+type LendRequest struct {
+	// Borrower and Incarnation identify the asking process.
+	Borrower    string
+	Incarnation uint64
+	// ID grows with each request of the process.
+	ID    uint64
+	Wants []Want
+}
+
+// Grant is what a lender gives for one customer.
+type Grant struct {
+	Customer string
+	// Share replaces what the borrower held from the lender. Only its Tokens
+	// add to what the borrower has.
+	Share Share
+	// Spare tells how much rate the lender could still give.
+	Spare int64
+}
+
+// LendResponse answers a LendRequest.
+type LendResponse struct {
+	// ID repeats the request's.
+	ID uint64
+	// Term is counted by the borrower from when it sent the request.
+	Term   time.Duration
+	Grants []Grant
+}
+
+// Release gives borrowed shares back before their term ends.
+type Release struct {
+	Borrower    string
+	Incarnation uint64
+	// ID grows with each request of the process, in one sequence with Lend.
+	ID uint64
+	// Returned holds what is left to the borrower from this lender, by customer,
+	// and in Tokens what comes back.
+	Returned []Grant
+}
+
+// Digest is what a daemon tells its peers about its view of the list.
+type Digest struct {
+	// VM and Incarnation identify the process.
+	VM          string
+	Incarnation uint64
+	// Revision is the newest list that the process knows; 0 is none.
+	Revision uint64
+	// Settled tells that the process has been up long enough to own slots and
+	// to support the view of others.
+	Settled bool
+	// Draining tells that the process has given up its slots for good.
+	Draining bool
+}
+
+// Action is what the control goroutine carries out.
+type Action interface{ action() }
+
+// SendLend asks a peer to lend. The result goes to OnGranted or OnLendFailed.
+type SendLend struct {
+	To      membership.VM
+	Request LendRequest
+}
+
+// SendRelease gives shares back to a peer. Its loss is harmless.
+type SendRelease struct {
+	To      membership.VM
+	Release Release
+}
+
+// Probe asks a peer for its Digest. The answer goes to OnDigest.
+type Probe struct {
+	To membership.VM
+	// AskedAt must be handed back to OnDigest.
+	AskedAt time.Time
+}
+
+// Audit reports a change of who holds what.
+type Audit struct {
+	At    time.Time
+	Event Event
+	// Customer is empty for changes of slots.
+	Customer string
+	// Peer is the other VM, if any.
+	Peer string
+	// Slot is the slot's number in this VM's zone, or -1.
+	Slot  int
+	Share Share
+}
+
+func (SendLend) action()    {}
+func (SendRelease) action() {}
+func (Probe) action()       {}
+func (Audit) action()       {}
+
+// Event names a change for the audit trail.
+type Event string
+
+// The events of the audit trail.
+const (
+	EventSlotAcquired  Event = "quota_slot_acquired"
+	EventSlotLost      Event = "quota_slot_lost"
+	EventLent          Event = "quota_lent"
+	EventLoanEnded     Event = "quota_loan_ended"
+	EventBorrowed      Event = "quota_borrowed"
+	EventBorrowEnded   Event = "quota_borrow_ended"
+	EventLimitRaised   Event = "quota_limit_raised"
+	EventLimitLowered  Event = "quota_limit_lowered"
+	EventViewLost      Event = "quota_view_lost"
+	EventViewSupported Event = "quota_view_supported"
+)
+
+// Status is one VM's part of every limit, for the operators' page.
+type Status struct {
+	VM       string
+	Zone     string
+	Revision uint64
+	Settled  bool
+	Draining bool
+	// Supported tells whether enough peers confirm the view of the list.
+	Supported bool
+	// Slots lists the numbers of the zone's slots that the VM owns.
+	Slots     []int
+	Customers []CustomerStatus
+}
+
+// CustomerStatus is one VM's part of one customer's limit, in micro-requests.
+type CustomerStatus struct {
+	Customer string
+	// Limit is the whole limit over all VMs.
+	Limit Share
+	// Owned, Lent and Borrowed make up the VM's part.
+	Owned    Share
+	Lent     Share
+	Borrowed Share
+	// Tokens may be spent at once.
+	Tokens int64
+	// Demand is the recent arrival rate in micro-requests per second.
+	Demand int64
+	// Admitted and Refused count since the start.
+	Admitted uint64
+	Refused  uint64
+}
