--- /dev/null
+++ b/internal/core/lease/lender.go
@@ -0,0 +1,190 @@
+package lease
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// Party identifies a borrowing process.
+type Party struct {
+	VM          string
+	Incarnation uint64
+}
+
+// Want is a borrower's wish for one limit.
+type Want struct {
+	Limit string
+	// Want is the whole curve that the borrower would like to hold from this
+	// lender, Have included.
+	Want Share
+	// Have is what the borrower holds. It gives up all above Have before it asks.
+	Have Share
+}
+
+// Loan is an entry of the lender's book.
+type Loan struct {
+	Party Party
+	Limit string
+	Share Share
+}
+
+type loanKey struct {
+	party Party
+	limit string
+}
+
+type loan struct {
+	share Share
+	// until is when the share comes back, on the monotonic clock, which does
+	// not run ahead of the borrower's.
+	until time.Duration
+}
+
+// Lender is the book of what a process has lent.
+//
+// The invariant: for each borrowing process and limit, the book holds at least
+// what that process may act on. An entry shrinks only when the borrower says
+// that it holds less, or LoanWait after the last extension, when the borrower's
+// term has ended: a borrower counts LoanTerm from before it asked.
+type Lender struct {
+	loans   map[loanKey]*loan
+	totals  map[string]Share
+	parties map[Party]*party
+}
+
+// party is what the book keeps of one borrowing process while it has loans.
+type party struct {
+	lastID uint64
+	loans  int
+}
+
+// NewLender returns an empty book.
+func NewLender() *Lender {
+	return &Lender{
+		loans:   make(map[loanKey]*loan),
+		totals:  make(map[string]Share),
+		parties: make(map[Party]*party),
+	}
+}
+
+// Begin reports whether the request is newer than all others of the party.
+// Requests that are late or repeated must not be granted, because the borrower
+// may have come to hold more since.
+func (l *Lender) Begin(p Party, id uint64) bool {
+	known := l.parties[p]
+	if known == nil {
+		known = &party{}
+		l.parties[p] = known
+	}
+	if id <= known.lastID {
+		return false
+	}
+	known.lastID = id
+	return true
+}
+
+// Lent returns the sum of what is lent of a limit.
+func (l *Lender) Lent(limit string) Share {
+	return l.totals[limit]
+}
+
+// Grant extends or starts a loan. free is what the lender could lend besides;
+// reclaim is what it wants back. It returns what the borrower holds from now on
+// and the growth of the entry, which the lender must stop using before it
+// answers.
+func (l *Lender) Grant(now membership.Reading, p Party, w Want, free, reclaim Share) (granted, growth Share) {
+	key := loanKey{party: p, limit: w.Limit}
+	have := Share{}
+	entry := l.loans[key]
+	if entry != nil {
+		have = w.Have.Min(entry.share)
+	}
+	offer := have.Plus(free.Curve()).Minus(reclaim)
+	granted = w.Want.Min(offer)
+	next := have.Max(granted)
+	if next.IsZero() {
+		l.drop(key)
+		return Share{}, Share{}
+	}
+	if entry == nil {
+		entry = &loan{}
+		l.loans[key] = entry
+		l.count(p, 1)
+	}
+	growth = next.Minus(entry.share)
+	l.resize(key, entry, next)
+	if !granted.IsZero() {
+		entry.until = now.Mono + LoanWait
+	}
+	return granted, growth
+}
+
+// Return takes back what a borrower gives up early. It returns the loan's
+// former and remaining size.
+func (l *Lender) Return(p Party, limit string, left Share) (before, after Share) {
+	key := loanKey{party: p, limit: limit}
+	entry := l.loans[key]
+	if entry == nil {
+		return Share{}, Share{}
+	}
+	before = entry.share
+	after = before.Min(left)
+	if after.IsZero() {
+		l.drop(key)
+		return before, Share{}
+	}
+	l.resize(key, entry, after)
+	return before, after
+}
+
+// Expire drops the loans whose wait is over and returns them.
+func (l *Lender) Expire(now membership.Reading) []Loan {
+	var out []Loan
+	for key, entry := range l.loans {
+		if now.Mono < entry.until {
+			continue
+		}
+		out = append(out, Loan{Party: key.party, Limit: key.limit, Share: entry.share})
+		l.drop(key)
+	}
+	for p, known := range l.parties {
+		if known.loans == 0 {
+			delete(l.parties, p)
+		}
+	}
+	return out
+}
+
+func (l *Lender) count(p Party, change int) {
+	known := l.parties[p]
+	if known == nil {
+		known = &party{}
+		l.parties[p] = known
+	}
+	known.loans += change
+}
+
+// Len returns the number of entries, for capacity figures.
+func (l *Lender) Len() int { return len(l.loans) }
+
+func (l *Lender) resize(key loanKey, entry *loan, share Share) {
+	t := l.totals[key.limit]
+	t.Rate += share.Rate - entry.share.Rate
+	t.Capacity += share.Capacity - entry.share.Capacity
+	l.totals[key.limit] = t
+	entry.share = share.Curve()
+}
+
+func (l *Lender) drop(key loanKey) {
+	entry := l.loans[key]
+	if entry == nil {
+		return
+	}
+	l.resize(key, entry, Share{})
+	delete(l.loans, key)
+	l.count(key.party, -1)
+	if l.totals[key.limit].IsZero() {
+		delete(l.totals, key.limit)
+	}
+}
--- /dev/null
+++ b/internal/core/lease/owner.go
@@ -0,0 +1,266 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// Owner decides which slots of its zone a process holds.
+//
+// The invariant: no two processes hold a slot at the same time, and a process
+// that takes a slot knows when the loans of the one before have ended. It rests
+// on four rules.
+//
+//   - A process holds slots only while a quorum has told it, within
+//     EvidenceTerm, that it knows no newer list: either two thirds of the
+//     witnesses of the fleet, or all the witnesses of the zone.
+//   - A slot's candidates are ranked by rendezvous hashing. A process holds a
+//     slot only while every better candidate has told it, within EvidenceTerm,
+//     that it isn't settled, or within DrainTerm that it drains for good.
+//   - A process that settles holds nothing until all VMs of its zone have heard
+//     of it, or DrainTerm has passed.
+//   - A newly acquired slot waits until a quorum has known the list for
+//     HoldDown, and its share is withheld for LoanWait, unless the previous
+//     holder hands it over.
+type Owner struct {
+	self        membership.VM
+	incarnation uint64
+	startedAt   membership.Reading
+
+	list          *membership.List
+	listed        bool
+	zone          []membership.VM
+	witnesses     []membership.VM
+	zoneWitnesses []membership.VM
+
+	peers    map[string]*evidence
+	probedAt map[string]time.Duration
+
+	settled   bool
+	settledAt membership.Reading
+	draining  bool
+
+	// known tells whether a quorum knows the list, since knownAt.
+	known     bool
+	knownAt   time.Duration
+	knownWait time.Duration
+
+	slots [SlotsPerZone]slot
+	// rights is RightsUntil as of the last Update. Slots are given up when it is
+	// reached, even if peers have confirmed the view since: in between, others
+	// may have held them.
+	rights membership.Reading
+}
+
+// slot is one numbered part of the zone.
+type slot struct {
+	// better are the candidates ranked above this VM.
+	better []string
+	// eligible tells whether this VM is ranked among the first maxRank.
+	eligible bool
+	held     bool
+	// heldRevision is the list under which the slot was last held.
+	heldRevision uint64
+	// clearAt ends the wait for the loans of the previous holder, on the
+	// monotonic clock.
+	clearAt time.Duration
+	// withheld is what the previous holder had lent from the slot; nil means
+	// that it isn't known, and all is withheld.
+	withheld map[string]Share
+	// handover is the previous holder's word, until it is used.
+	handover *pendingHandover
+}
+
+// pendingHandover is a handover that can't be used yet.
+type pendingHandover struct {
+	withheld map[string]Share
+	giver    string
+	// incarnation is the giver's.
+	incarnation uint64
+	receivedAt  membership.Reading
+}
+
+// NewOwner returns an Owner of no slots.
+func NewOwner(self membership.VM, incarnation uint64, now membership.Reading) *Owner {
+	return &Owner{
+		self:        self,
+		incarnation: incarnation,
+		startedAt:   now,
+		peers:       make(map[string]*evidence),
+		probedAt:    make(map[string]time.Duration),
+	}
+}
+
+// SetList takes a newer list. Slots that are held under both lists stay.
+func (o *Owner) SetList(now membership.Reading, list *membership.List) []SlotChange {
+	changes := o.Update(now)
+	o.adopt(list)
+	return append(changes, o.Update(now)...)
+}
+
+func (o *Owner) adopt(list *membership.List) {
+	previous := o.witnesses
+	o.list = list
+	o.zone = membership.InZone(list.VMs, o.self.Zone)
+	o.listed = slices.ContainsFunc(o.zone, o.isSelf)
+	o.witnesses = membership.RendezvousN("witness", list.VMs, maxWitnesses)
+	o.zoneWitnesses = membership.RendezvousN("zone-witness", o.zone, maxZoneWitnesses)
+	o.known = false
+	o.knownWait = LostWait
+	if overlaps(previous, o.witnesses) {
+		o.knownWait = HoldDown
+	}
+	for i := range o.slots {
+		o.rank(i)
+	}
+	o.forget()
+}
+
+func (o *Owner) isSelf(vm membership.VM) bool {
+	return vm.ID == o.self.ID
+}
+
+// rank sets the candidates above this VM for one slot.
+func (o *Owner) rank(i int) {
+	s := &o.slots[i]
+	s.better, s.eligible, s.handover = nil, false, nil
+	if !o.listed {
+		return
+	}
+	for _, vm := range SlotCandidates(o.self.Zone, i, o.zone) {
+		if vm.ID == o.self.ID {
+			s.eligible = true
+			return
+		}
+		s.better = append(s.better, vm.ID)
+	}
+}
+
+// SlotCandidates returns the VMs that may hold a slot, the first in rank first.
+// vms are the zone's VMs.
+func SlotCandidates(zone string, slot int, vms []membership.VM) []membership.VM {
+	return membership.RendezvousN(fmt.Sprintf("slot/%s/%d", zone, slot), vms, maxRank)
+}
+
+// forget drops what VMs have said that are no longer listed.
+func (o *Owner) forget() {
+	for id := range o.peers {
+		if !slices.ContainsFunc(o.list.VMs, func(vm membership.VM) bool { return vm.ID == id }) {
+			delete(o.peers, id)
+			delete(o.probedAt, id)
+		}
+	}
+}
+
+// quorum returns the number of witnesses that support a view.
+func quorum(witnesses int) int {
+	return (2*witnesses + 2) / 3
+}
+
+// overlaps reports whether any two quorums of the two sets share a member.
+func overlaps(a, b []membership.VM) bool {
+	if len(a) == 0 {
+		return false
+	}
+	union := len(a)
+	for _, vm := range b {
+		if !slices.ContainsFunc(a, func(o membership.VM) bool { return o.ID == vm.ID }) {
+			union++
+		}
+	}
+	return quorum(len(a))+quorum(len(b)) > union
+}
+
+// Digest returns what a peer is told.
+func (o *Owner) Digest() Digest {
+	d := Digest{VM: o.self.ID, Incarnation: o.incarnation, Settled: o.settled, Draining: o.draining}
+	if o.list != nil {
+		d.Revision = o.list.Revision
+	}
+	return d
+}
+
+// OnAnswer takes the answer to a probe that was sent at askedAt.
+func (o *Owner) OnAnswer(askedAt membership.Reading, d Digest) {
+	if d.VM == o.self.ID {
+		return
+	}
+	o.evidenceOf(d).answer(askedAt, d)
+}
+
+// OnPush takes a digest that a peer sent of its own accord.
+func (o *Owner) OnPush(now membership.Reading, d Digest) {
+	if d.VM == o.self.ID {
+		return
+	}
+	o.evidenceOf(d).push(now, d)
+}
+
+func (o *Owner) evidenceOf(d Digest) *evidence {
+	e := o.peers[d.VM]
+	if e == nil {
+		e = &evidence{incarnation: d.Incarnation}
+		o.peers[d.VM] = e
+	}
+	return e
+}
+
+// Settled reports whether the process may own slots and support others.
+func (o *Owner) Settled() bool { return o.settled }
+
+// Draining reports whether Leave was called.
+func (o *Owner) Draining() bool { return o.draining }
+
+// Supported reports whether a quorum supports the view.
+func (o *Owner) Supported(now membership.Reading) bool {
+	until, ok := o.supportUntil(now)
+	return ok && !now.Reached(until)
+}
+
+// Holds reports whether the process holds the slot.
+func (o *Owner) Holds(slot int) bool { return o.slots[slot].held }
+
+// RightsUntil returns when the held slots must be given up unless peers confirm
+// the view again. It returns false if nothing is held.
+func (o *Owner) RightsUntil(now membership.Reading) (membership.Reading, bool) {
+	until, ok := o.supportUntil(now)
+	if !ok {
+		return membership.Reading{}, false
+	}
+	any := false
+	for i := range o.slots {
+		s := &o.slots[i]
+		if !s.held {
+			continue
+		}
+		any = true
+		if end, out := o.outUntil(s, now); out {
+			until = until.Earlier(end)
+		} else {
+			return membership.Reading{}, false
+		}
+	}
+	if !any {
+		return membership.Reading{}, false
+	}
+	return until, true
+}
+
+// Available returns the part of a held slot's share that nobody else may still
+// act on.
+func (o *Owner) Available(now membership.Reading, slot int, customer string, share Share) Share {
+	s := &o.slots[slot]
+	if !s.held {
+		return Share{}
+	}
+	if now.Mono >= s.clearAt {
+		return share.Curve()
+	}
+	if s.withheld == nil {
+		return Share{}
+	}
+	return share.Minus(s.withheld[customer])
+}
--- /dev/null
+++ b/internal/core/lease/share.go
@@ -0,0 +1,51 @@
+// Package lease decides which VM may act on which part of a limit, and for how
+// long.
+//
+// A limit is cut into parts that belong to availability zones and, within a
+// zone, into numbered slots. Owner decides which slots a process holds. Lender
+// and Borrower move parts between processes for a term (Gray and Cheriton,
+// Leases, 1989). Safety needs clocks that run at about the same rate, but no
+// agreement on the time.
+//
+// The types have no locks: they belong to the control goroutine.
+package lease
+
+// Share is an arrival curve and the tokens that go with it.
+type Share struct {
+	// Rate is in micro-requests per second.
+	Rate int64
+	// Capacity is in micro-requests.
+	Capacity int64
+	// Tokens is in micro-requests, at most Capacity.
+	Tokens int64
+}
+
+// Plus adds the curves. Tokens add too.
+func (s Share) Plus(o Share) Share {
+	return Share{Rate: s.Rate + o.Rate, Capacity: s.Capacity + o.Capacity, Tokens: s.Tokens + o.Tokens}
+}
+
+// Minus subtracts the curves, not below zero. Tokens are dropped.
+func (s Share) Minus(o Share) Share {
+	return Share{Rate: max(s.Rate-o.Rate, 0), Capacity: max(s.Capacity-o.Capacity, 0)}
+}
+
+// Min returns the smaller curve, component by component, without tokens.
+func (s Share) Min(o Share) Share {
+	return Share{Rate: min(s.Rate, o.Rate), Capacity: min(s.Capacity, o.Capacity)}
+}
+
+// Max returns the larger curve, component by component, without tokens.
+func (s Share) Max(o Share) Share {
+	return Share{Rate: max(s.Rate, o.Rate), Capacity: max(s.Capacity, o.Capacity)}
+}
+
+// Curve returns the share without its tokens.
+func (s Share) Curve() Share {
+	return Share{Rate: s.Rate, Capacity: s.Capacity}
+}
+
+// IsZero reports whether nothing is shared.
+func (s Share) IsZero() bool {
+	return s.Rate == 0 && s.Capacity == 0
+}
--- a/internal/core/quota/api.go
+++ b/internal/core/quota/api.go
@@ -6,13 +6,14 @@
 // limit at any moment, and no token is counted twice. Manager holds one VM's
 // part: slots that it owns, what it has lent and what it has borrowed.
 //
-// Admit and Peek are safe for concurrent use by traffic goroutines. All other
+// Admit is safe for concurrent use by traffic goroutines. The other
 // methods belong to the control goroutine.
 package quota
 
 import (
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/lease"
 	"ryecourse.example/ryecourse/internal/core/membership"
 )
 
@@ -26,25 +27,10 @@
 }
 
 // Share is an arrival curve and the tokens that go with it.
-type Share struct {
-	// Rate is in micro-requests per second.
-	Rate int64
-	// Capacity is in micro-requests.
-	Capacity int64
-	// Tokens is in micro-requests, at most Capacity.
-	Tokens int64
-}
+type Share = lease.Share
 
-// Want is a borrower's wish for one customer.
-type Want struct {
-	Customer string
-	// Want is the whole share that the borrower would like to hold from this
-	// lender, Have included. Its Tokens are unused.
-	Want Share
-	// Have is what the borrower holds from this lender. It gives up all above
-	// Have before it sends. Its Tokens are unused.
-	Have Share
-}
+// Digest is what a VM tells its peers about its view of the list.
+type Digest = lease.Digest
 
 // LendRequest asks one lender for shares.
 type LendRequest struct {
@@ -52,8 +38,9 @@
 	Borrower    string
 	Incarnation uint64
 	// ID grows with each request of the process.
-	ID    uint64
-	Wants []Want
+	ID uint64
+	// Wants name customers as limits.
+	Wants []lease.Want
 }
 
 // Grant is what a lender gives for one customer.
@@ -86,20 +73,6 @@
 	Returned []Grant
 }
 
-// Digest is what a daemon tells its peers about its view of the list.
-type Digest struct {
-	// VM and Incarnation identify the process.
-	VM          string
-	Incarnation uint64
-	// Revision is the newest list that the process knows; 0 is none.
-	Revision uint64
-	// Settled tells that the process has been up long enough to own slots and
-	// to support the view of others.
-	Settled bool
-	// Draining tells that the process has given up its slots for good.
-	Draining bool
-}
-
 // Action is what the control goroutine carries out.
 type Action interface{ action() }
 
@@ -109,6 +82,12 @@
 	Request LendRequest
 }
 
+// SendHandover passes slots on. Its loss delays the next holder.
+type SendHandover struct {
+	To       membership.VM
+	Handover lease.Handover
+}
+
 // SendRelease gives shares back to a peer. Its loss is harmless.
 type SendRelease struct {
 	To      membership.VM
@@ -135,10 +114,11 @@
 	Share Share
 }
 
-func (SendLend) action()    {}
-func (SendRelease) action() {}
-func (Probe) action()       {}
-func (Audit) action()       {}
+func (SendLend) action()     {}
+func (SendRelease) action()  {}
+func (SendHandover) action() {}
+func (Probe) action()        {}
+func (Audit) action()        {}
 
 // Event names a change for the audit trail.
 type Event string
@@ -162,6 +142,8 @@
 	VM       string
 	Zone     string
 	Revision uint64
+	// ListAge is the time since the list was last confirmed.
+	ListAge  time.Duration
 	Settled  bool
 	Draining bool
 	// Supported tells whether enough peers confirm the view of the list.
--- /dev/null
+++ b/internal/core/quota/borrow.go
@@ -0,0 +1,287 @@
+package quota
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/lease"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+const (
+	// lendTimeout is the time after which an unanswered request is given up.
+	lendTimeout = 300 * time.Millisecond
+	// failedFor is the time for which an unreachable lender isn't asked.
+	failedFor = time.Second
+	// renewBefore is the remaining term at which a loan is renewed.
+	renewBefore = 1200 * time.Millisecond
+	// newLenders is the number of lenders asked for one customer in one tick.
+	newLenders = 4
+)
+
+// plan collects one tick's messages by lender.
+type plan struct {
+	wants   map[string][]lease.Want
+	returns map[string][]Grant
+}
+
+// borrow sizes each customer's need and asks, renews or returns.
+func (m *Manager) borrow(now time.Time, at membership.Reading) []Action {
+	p := plan{wants: make(map[string][]lease.Want), returns: make(map[string][]Grant)}
+	for _, name := range m.names {
+		a := m.accounts[name]
+		s := &m.scratch
+		a.bucket.read(at, *m.rights.Load(), s, true)
+		a.demand.add(s.arrivals)
+		if a.demand.idle() && len(s.loans) == 0 {
+			a.need = Share{}
+			continue
+		}
+		a.size(s.shortfalls)
+		m.giveBack(at, a, s, &p)
+		m.renew(at, s, &p, a)
+		m.ask(at, a, s, &p)
+	}
+	out := m.sendReturns(&p)
+	return append(out, m.sendWants(at, &p)...)
+}
+
+// giveBack returns loans, the farthest first, while the VM holds well over its
+// need.
+func (m *Manager) giveBack(at membership.Reading, a *account, s *state, p *plan) {
+	limit := Share{Rate: int64(float64(a.need.Rate) * surplus), Capacity: int64(float64(a.need.Capacity) * surplus)}
+	if a.need.IsZero() {
+		limit = Share{}
+	}
+	for i := len(s.loans) - 1; i >= 0; i-- {
+		excess := s.curve.Minus(limit)
+		if excess.Rate == 0 || excess.Capacity == 0 {
+			return
+		}
+		l := &s.loans[i]
+		left := l.share.Minus(s.curve.Minus(a.need))
+		if left.Rate == 0 || left.Capacity == 0 {
+			left = Share{}
+		}
+		tokens := a.bucket.shrinkLoan(at, *m.rights.Load(), l.lender, left)
+		given := l.share.Minus(left)
+		s.curve = s.curve.Minus(given)
+		l.share = left
+		back := left
+		back.Tokens = tokens
+		p.returns[l.lender] = append(p.returns[l.lender], Grant{Customer: a.name, Share: back})
+	}
+}
+
+// renew asks to extend loans that are soon over.
+func (m *Manager) renew(at membership.Reading, s *state, p *plan, a *account) {
+	for _, l := range s.loans {
+		if l.share.IsZero() || !at.Add(renewBefore).Reached(l.until) {
+			continue
+		}
+		p.add(l.lender, lease.Want{Limit: a.name, Want: l.share, Have: l.share})
+	}
+}
+
+// ask asks further lenders for what is missing, those of the own zone first.
+func (m *Manager) ask(at membership.Reading, a *account, s *state, p *plan) {
+	missing := a.need.Minus(s.curve)
+	if missing.IsZero() {
+		return
+	}
+	asked := 0
+	for _, zone := range m.zones {
+		if !slices.Contains(a.layout.zones, zone) {
+			continue
+		}
+		for _, c := range m.lendersOf(at, zone, &a.layout) {
+			if missing.IsZero() || asked == newLenders {
+				return
+			}
+			if a.isExhausted(at.Mono, c.id) || m.borrower.Busy(at, c.id, lendTimeout) {
+				continue
+			}
+			have := loanOf(s, c.id)
+			extra := missing.Min(c.nominal.Minus(have))
+			if extra.IsZero() {
+				continue
+			}
+			p.add(c.id, lease.Want{Limit: a.name, Want: have.Plus(extra), Have: have})
+			missing = missing.Minus(extra)
+			asked++
+		}
+	}
+}
+
+// candidate is a VM that may lend, and the most that it may own.
+type candidate struct {
+	id      string
+	nominal Share
+}
+
+// lendersOf returns the VMs that probably hold the customer's slots of a zone.
+func (m *Manager) lendersOf(at membership.Reading, zone string, l *layout) []candidate {
+	owners := m.owners[zone]
+	var out []candidate
+	for slot := range owners {
+		if !l.hasSlot(zone, slot) {
+			continue
+		}
+		id := m.probableOwner(at, owners[slot])
+		if id == "" {
+			continue
+		}
+		i := slices.IndexFunc(out, func(c candidate) bool { return c.id == id })
+		if i < 0 {
+			i = len(out)
+			out = append(out, candidate{id: id})
+		}
+		out[i].nominal = out[i].nominal.Plus(l.share)
+	}
+	return out
+}
+
+// probableOwner returns the first candidate that answers and isn't known to be
+// out, or nothing if that is this VM.
+func (m *Manager) probableOwner(at membership.Reading, candidates []membership.VM) string {
+	for _, vm := range candidates {
+		if vm.ID == m.params.Self.ID {
+			if m.owner.Settled() && !m.owner.Draining() {
+				return ""
+			}
+			continue
+		}
+		if at.Mono < m.failedUntil[vm.ID] || m.owner.KnownOut(at, vm.ID) {
+			continue
+		}
+		return vm.ID
+	}
+	return ""
+}
+
+func loanOf(s *state, lender string) Share {
+	for i := range s.loans {
+		if s.loans[i].lender == lender {
+			return s.loans[i].share
+		}
+	}
+	return Share{}
+}
+
+// add merges a wish with an earlier one for the same customer.
+func (p *plan) add(lender string, w lease.Want) {
+	wants := p.wants[lender]
+	for i := range wants {
+		if wants[i].Limit == w.Limit {
+			wants[i].Want = wants[i].Want.Max(w.Want)
+			return
+		}
+	}
+	p.wants[lender] = append(wants, w)
+}
+
+func (m *Manager) sendReturns(p *plan) []Action {
+	var out []Action
+	for _, lender := range sortedKeys(p.returns) {
+		// An answer to a request that is under way would bring back what is
+		// returned here.
+		m.borrower.Cancel(lender)
+		to, ok := m.vm(lender)
+		if !ok {
+			continue
+		}
+		out = append(out, SendRelease{To: to, Release: Release{
+			Borrower:    m.params.Self.ID,
+			Incarnation: m.params.Incarnation,
+			ID:          m.borrower.NextID(),
+			Returned:    p.returns[lender],
+		}})
+	}
+	return out
+}
+
+func (m *Manager) sendWants(at membership.Reading, p *plan) []Action {
+	var out []Action
+	for _, lender := range sortedKeys(p.wants) {
+		if m.borrower.Busy(at, lender, lendTimeout) || at.Mono < m.failedUntil[lender] {
+			continue
+		}
+		to, ok := m.vm(lender)
+		if !ok {
+			continue
+		}
+		out = append(out, SendLend{To: to, Request: LendRequest{
+			Borrower:    m.params.Self.ID,
+			Incarnation: m.params.Incarnation,
+			ID:          m.borrower.Ask(at, lender),
+			Wants:       p.wants[lender],
+		}})
+	}
+	return out
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, strings.Compare)
+	return keys
+}
+
+// OnGranted takes the answer of the lender with the given VM ID. Answers that
+// are repeated, outdated or past their term are ignored.
+func (m *Manager) OnGranted(now time.Time, lender string, r LendResponse) []Action {
+	at := m.clock(now)
+	until, ok := m.borrower.Accept(at, lender, r.ID)
+	if !ok {
+		return nil
+	}
+	var out []Action
+	for _, g := range r.Grants {
+		a := m.accounts[g.Customer]
+		if a == nil {
+			continue
+		}
+		before := a.bucket.setLoan(at, *m.rights.Load(), lender, g.Share, until)
+		if g.Spare == 0 {
+			a.exhaust(at.Mono, lender)
+		}
+		out = append(out, borrowAudit(now, a.name, lender, before, g.Share)...)
+	}
+	return out
+}
+
+func borrowAudit(now time.Time, customer, lender string, before, after Share) []Action {
+	switch {
+	case after.Curve() == before:
+		return nil
+	case after.IsZero():
+		return []Action{Audit{At: now, Event: EventBorrowEnded, Customer: customer, Peer: lender, Slot: -1, Share: before}}
+	default:
+		return []Action{Audit{At: now, Event: EventBorrowed, Customer: customer, Peer: lender, Slot: -1, Share: after}}
+	}
+}
+
+// OnLendFailed reports that a request to the lender got no answer.
+func (m *Manager) OnLendFailed(now time.Time, lender string, id uint64) {
+	m.borrower.Fail(lender, id)
+	m.failedUntil[lender] = m.clock(now).Mono + failedFor
+}
+
+// Close returns everything borrowed. It is the last call before the process
+// ends, after Leave.
+func (m *Manager) Close(now time.Time) []Action {
+	at := m.clock(now)
+	p := plan{returns: make(map[string][]Grant)}
+	for _, name := range m.names {
+		a := m.accounts[name]
+		a.bucket.read(at, *m.rights.Load(), &m.scratch, false)
+		for _, l := range m.scratch.loans {
+			tokens := a.bucket.shrinkLoan(at, *m.rights.Load(), l.lender, Share{})
+			p.returns[l.lender] = append(p.returns[l.lender], Grant{Customer: a.name, Share: Share{Tokens: tokens}})
+		}
+	}
+	return m.sendReturns(&p)
+}
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -1,40 +1,250 @@
 package quota
 
 import (
+	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/invariant"
 	"ryecourse.example/ryecourse/internal/core/membership"
 )
 
-// micro is the number of micro-requests in one request.
-const micro = 1_000_000
+const (
+	// borrowRetry is the RetryAfter of a VM that holds no rate: it asks others
+	// with the next tick.
+	borrowRetry = 500 * time.Millisecond
+	minRetry    = time.Millisecond
+	maxRetry    = time.Minute
+)
 
-// bucket is one customer's token bucket on this VM. Its lock is held for a few
-// arithmetic operations only.
+// bucket is one customer's token bucket on this VM. Traffic and control
+// goroutines share it; mu is held for a few arithmetic operations only.
+//
+// The bucket's curve is what the VM owns, less what it has lent, plus what it
+// has borrowed. Tokens never exceed the curve's capacity, so a part that leaves
+// takes its room along, and a part that arrives starts empty.
 type bucket struct {
-	mu       sync.Mutex
-	rate     int64
-	capacity int64
-	tokens   int64
-	filledAt time.Duration
+	mu sync.Mutex
+	// own is the part of the held slots; it counts only until the rights that
+	// are passed to settle are reached.
+	own  Share
+	lent Share
+	// loans are few: one for each lender.
+	loans  []borrowed
+	tokens int64
+	// remainder is the part of a micro-request that was not yet minted, in
+	// micro-requests times nanoseconds per second.
+	remainder uint64
+	filledAt  time.Duration
+	// arrivals and shortfalls count since the last tick.
+	arrivals   int64
+	shortfalls int64
+	admitted   uint64
+	refused    uint64
 }
 
-func newBucket(now membership.Reading, rate, capacity int64) *bucket {
-	return &bucket{rate: rate, capacity: capacity, filledAt: now.Mono}
+// borrowed is what one lender has lent, until the end of the term.
+type borrowed struct {
+	lender string
+	share  Share
+	until  membership.Reading
 }
 
-func (b *bucket) admit(now membership.Reading) Decision {
+func (b *bucket) admit(now, rights membership.Reading) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	gained := int64(float64(b.rate) * (now.Mono - b.filledAt).Seconds())
-	if gained > 0 {
-		b.tokens = min(b.tokens+gained, b.capacity)
-		b.filledAt = now.Mono
-	}
+	curve := b.settle(now, rights)
+	b.arrivals++
 	if b.tokens >= micro {
 		b.tokens -= micro
+		b.admitted++
 		return Decision{OK: true}
 	}
-	return Decision{RetryAfter: time.Second}
+	b.shortfalls++
+	b.refused++
+	return Decision{RetryAfter: b.retryAfter(curve)}
+}
+
+func (b *bucket) retryAfter(curve Share) time.Duration {
+	if curve.Rate == 0 || curve.Capacity < micro {
+		return borrowRetry
+	}
+	missing := float64(micro - b.tokens)
+	wait := time.Duration(missing / float64(curve.Rate) * float64(time.Second))
+	return min(max(wait, minRetry), maxRetry)
+}
+
+// settle drops what has ended, mints tokens for the time since the last call
+// and returns the present curve. What ended since mints nothing, although it
+// was valid for a part of that time.
+func (b *bucket) settle(now, rights membership.Reading) Share {
+	b.loans = slices.DeleteFunc(b.loans, func(l borrowed) bool {
+		return now.Reached(l.until)
+	})
+	curve := b.curve(now, rights)
+	if now.Mono > b.filledAt {
+		b.mint(curve.Rate, now.Mono-b.filledAt)
+		b.filledAt = now.Mono
+	}
+	b.clamp(curve)
+	return curve
+}
+
+func (b *bucket) curve(now, rights membership.Reading) Share {
+	var c Share
+	if !now.Reached(rights) {
+		c = b.own.Minus(b.lent)
+	}
+	for i := range b.loans {
+		c.Rate += b.loans[i].share.Rate
+		c.Capacity += b.loans[i].share.Capacity
+	}
+	return c
+}
+
+func (b *bucket) clamp(curve Share) {
+	if b.tokens >= curve.Capacity {
+		b.tokens = curve.Capacity
+		b.remainder = 0
+	}
+	invariant.Check(b.tokens >= 0 && b.tokens <= curve.Capacity, "quota_tokens_within_capacity")
+}
+
+// mint adds rate times elapsed, rounded down; the rest is kept for the next
+// call.
+func (b *bucket) mint(rate int64, elapsed time.Duration) {
+	const longest = time.Hour
+	elapsed = min(elapsed, longest)
+	hi, lo := bits.Mul64(uint64(rate), uint64(elapsed))
+	lo, carry := bits.Add64(lo, b.remainder, 0)
+	hi += carry
+	if hi >= uint64(time.Second) {
+		return
+	}
+	minted, rest := bits.Div64(hi, lo, uint64(time.Second))
+	const most = 1 << 61
+	b.tokens += int64(min(minted, most))
+	b.remainder = rest
+}
+
+// setOwn changes the owned part after minting with the former one.
+func (b *bucket) setOwn(now, rights membership.Reading, own Share) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settle(now, rights)
+	b.own = own
+	b.clamp(b.curve(now, rights))
+}
+
+// setLent changes the lent part. Tokens that go along leave the bucket first.
+// It returns the tokens that were there to go.
+func (b *bucket) setLent(now, rights membership.Reading, lent, growth Share) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	curve := b.settle(now, rights)
+	var moved int64
+	if curve.Capacity > 0 && growth.Capacity > 0 {
+		moved = mulDiv(b.tokens, min(growth.Capacity, curve.Capacity), curve.Capacity)
+	}
+	b.tokens -= moved
+	b.lent = lent
+	b.clamp(b.curve(now, rights))
+	return moved
+}
+
+// setLoan replaces what a lender has lent; a zero share removes it. It returns
+// the former share.
+func (b *bucket) setLoan(now, rights membership.Reading, lender string, share Share, until membership.Reading) Share {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settle(now, rights)
+	before := b.replaceLoan(lender, share.Curve(), until)
+	b.tokens += share.Tokens
+	b.clamp(b.curve(now, rights))
+	return before
+}
+
+func (b *bucket) replaceLoan(lender string, share Share, until membership.Reading) Share {
+	i := slices.IndexFunc(b.loans, func(l borrowed) bool { return l.lender == lender })
+	switch {
+	case i < 0 && share.IsZero():
+		return Share{}
+	case i < 0:
+		b.loans = append(b.loans, borrowed{lender: lender, share: share, until: until})
+		return Share{}
+	}
+	before := b.loans[i].share
+	if share.IsZero() {
+		b.loans = slices.Delete(b.loans, i, i+1)
+		return before
+	}
+	b.loans[i].share, b.loans[i].until = share, until
+	return before
+}
+
+// shrinkLoan gives up a part of a loan and returns the tokens that go back
+// with it.
+func (b *bucket) shrinkLoan(now, rights membership.Reading, lender string, left Share) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.settle(now, rights)
+	i := slices.IndexFunc(b.loans, func(l borrowed) bool { return l.lender == lender })
+	if i < 0 {
+		return 0
+	}
+	given := b.loans[i].share.Minus(left)
+	until := b.loans[i].until
+	b.replaceLoan(lender, left.Min(b.loans[i].share), until)
+	if before.Capacity == 0 {
+		return 0
+	}
+	moved := mulDiv(b.tokens, given.Capacity, before.Capacity)
+	b.tokens -= moved
+	b.clamp(b.curve(now, rights))
+	return moved
+}
+
+// addTokens takes returned tokens, as far as there is room.
+func (b *bucket) addTokens(now, rights membership.Reading, tokens int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	curve := b.settle(now, rights)
+	b.tokens += max(tokens, 0)
+	b.clamp(curve)
+}
+
+// state is a copy for the control goroutine.
+type state struct {
+	curve, own, lent     Share
+	loans                []borrowed
+	tokens               int64
+	arrivals, shortfalls int64
+	admitted, refused    uint64
+}
+
+// read settles the bucket and copies its state into s, whose loans slice is
+// reused. The arrivals start again from 0 if reset is set.
+func (b *bucket) read(now, rights membership.Reading, s *state, reset bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.curve = b.settle(now, rights)
+	s.own, s.lent = Share{}, b.lent
+	if !now.Reached(rights) {
+		s.own = b.own
+	}
+	s.loans = append(s.loans[:0], b.loans...)
+	s.tokens = b.tokens
+	s.arrivals, s.shortfalls = b.arrivals, b.shortfalls
+	s.admitted, s.refused = b.admitted, b.refused
+	if reset {
+		b.arrivals, b.shortfalls = 0, 0
+	}
+}
+
+// mulDiv returns a*b/c rounded down, for a, b >= 0, c > 0 and b <= c.
+func mulDiv(a, b, c int64) int64 {
+	hi, lo := bits.Mul64(uint64(a), uint64(b))
+	q, _ := bits.Div64(hi, lo, uint64(c))
+	return int64(q)
 }
--- /dev/null
+++ b/internal/core/quota/demand.go
@@ -0,0 +1,73 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// TickInterval is the time between two calls of Manager.Tick.
+	TickInterval = 100 * time.Millisecond
+	// demandTicks is the length of the demand window.
+	demandTicks = 20
+	// enoughArrivals is the expected count from which a short window is judged.
+	enoughArrivals = 12.0
+)
+
+// demandWindow counts the arrivals of the last demandTicks ticks.
+type demandWindow struct {
+	counts [demandTicks]uint32
+	next   int
+	sum    int64
+}
+
+func (d *demandWindow) add(arrivals int64) {
+	n := uint32(min(arrivals, math.MaxUint32))
+	d.sum += int64(n) - int64(d.counts[d.next])
+	d.counts[d.next] = n
+	d.next = (d.next + 1) % demandTicks
+}
+
+// idle reports whether nothing arrived within the window.
+func (d *demandWindow) idle() bool { return d.sum == 0 }
+
+// last returns the arrivals of the newest n ticks.
+func (d *demandWindow) last(n int) int64 {
+	var sum int64
+	for i := 1; i <= n; i++ {
+		sum += int64(d.counts[(d.next-i+demandTicks)%demandTicks])
+	}
+	return sum
+}
+
+// rate estimates the arrival rate in requests per second. It is the largest
+// rate that a window of 2, 5 or 20 ticks shows with some confidence, unless a
+// short window, long enough to judge, shows that the demand has fallen.
+func (d *demandWindow) rate() float64 {
+	if d.idle() {
+		return 0
+	}
+	best := lowerRate(d.sum, demandTicks)
+	for _, n := range [...]int{2, 5} {
+		count := d.last(n)
+		expected := best * seconds(n)
+		if expected >= enoughArrivals && float64(count) < expected/2 {
+			return float64(count) / seconds(n)
+		}
+		best = max(best, lowerRate(count, n))
+	}
+	return best
+}
+
+// lowerRate is the rate less one standard deviation of a Poisson count.
+func lowerRate(count int64, ticks int) float64 {
+	n := float64(count)
+	if ticks == demandTicks {
+		return n / seconds(ticks)
+	}
+	return (n - math.Sqrt(n)) / seconds(ticks)
+}
+
+func seconds(ticks int) float64 {
+	return float64(ticks) * TickInterval.Seconds()
+}
--- /dev/null
+++ b/internal/core/quota/export_test.go
@@ -0,0 +1,32 @@
+package quota
+
+import "ryecourse.example/ryecourse/internal/core/lease"
+
+// The seams through which tests take one rule away.
+type (
+	SlotOwner  = slotOwner
+	LendBook   = lendBook
+	BorrowBook = borrowBook
+)
+
+// Seams replaces parts of a Manager. Nil functions change nothing.
+type Seams struct {
+	Owner    func(o *lease.Owner, p Params) SlotOwner
+	Lender   func(l *lease.Lender) LendBook
+	Borrower func(b *lease.Borrower) BorrowBook
+}
+
+// NewWith returns a Manager with some parts replaced.
+func NewWith(p Params, s Seams) *Manager {
+	m := New(p)
+	if s.Owner != nil {
+		m.owner = s.Owner(m.owner.(*lease.Owner), p)
+	}
+	if s.Lender != nil {
+		m.lender = s.Lender(m.lender.(*lease.Lender))
+	}
+	if s.Borrower != nil {
+		m.borrower = s.Borrower(m.borrower.(*lease.Borrower))
+	}
+	return m
+}
--- a/internal/core/quota/manager.go
+++ b/internal/core/quota/manager.go
@@ -1,10 +1,12 @@
 package quota
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/lease"
 	"ryecourse.example/ryecourse/internal/core/membership"
 )
 
@@ -25,87 +27,205 @@
 	params  Params
 	clock   membership.Clock
 	tracker membership.Tracker
-	catalog *catalog.Catalog
+
+	// buckets is replaced as a whole; traffic goroutines read it.
 	buckets atomic.Pointer[map[string]*bucket]
+	// rights is when the owned parts end unless peers confirm the view again.
+	rights atomic.Pointer[membership.Reading]
+
+	// The rest belongs to the control goroutine.
+	owner    slotOwner
+	lender   lendBook
+	borrower borrowBook
+	accounts map[string]*account
+	// names are the customers in order.
+	names []string
+	// version is the configuration's.
+	version uint64
+	// owners are the slots' candidates by zone.
+	owners map[string][lease.SlotsPerZone][]membership.VM
+	// zones are the list's zones, the VM's own first.
+	zones []string
+	// failedUntil holds until when an unreachable lender isn't asked.
+	failedUntil map[string]time.Duration
+	// growAt is when an owned part may grow without an event.
+	growAt  time.Duration
+	scratch state
 }
 
 // New returns a Manager that owns nothing.
 func New(p Params) *Manager {
-	m := &Manager{params: p, clock: p.Clock}
+	m := &Manager{
+		params:      p,
+		clock:       p.Clock,
+		lender:      lease.NewLender(),
+		borrower:    lease.NewBorrower(),
+		accounts:    make(map[string]*account),
+		failedUntil: make(map[string]time.Duration),
+	}
 	if m.clock == nil {
 		m.clock = membership.NewClock(p.Started)
 	}
+	now := m.clock(p.Started)
+	m.owner = lease.NewOwner(p.Self, p.Incarnation, now)
+	m.rights.Store(&membership.Reading{})
 	m.buckets.Store(&map[string]*bucket{})
 	return m
 }
 
-// Admit spends one request of the customer's limit, if this VM holds one. It
-// is safe for concurrent use.
+// Admit spends one request of the customer's limit, if this VM has one. now
+// must be read just before. It is safe for concurrent use and allocates
+// nothing.
 func (m *Manager) Admit(now time.Time, customer string) Decision {
 	b := (*m.buckets.Load())[customer]
 	if b == nil {
-		return Decision{RetryAfter: time.Second}
+		return Decision{RetryAfter: borrowRetry}
 	}
-	return b.admit(m.clock(now))
+	return b.admit(m.clock(now), *m.rights.Load())
 }
 
-// OnCatalog takes a new configuration.
+// OnCatalog takes a new configuration. A lower limit is in force at once, but
+// for what is lent or borrowed for the rest of its term. A version that is not
+// newer is ignored.
 func (m *Manager) OnCatalog(now time.Time, c *catalog.Catalog) []Action {
-	m.catalog = c
-	m.rebuild(m.clock(now))
-	return nil
+	if c.Version <= m.version {
+		return nil
+	}
+	m.version = c.Version
+	at := m.clock(now)
+	zones := zonesOf(c)
+	var out []Action
+	buckets := make(map[string]*bucket, len(c.Customers))
+	accounts := make(map[string]*account, len(c.Customers))
+	for name, customer := range c.Customers {
+		a := m.accounts[name]
+		next := newLayout(customer, zones)
+		if a == nil {
+			a = &account{name: name, layout: next, bucket: &bucket{filledAt: at.Mono, lent: m.lender.Lent(name)}}
+		} else {
+			out = append(out, a.change(now, at, next)...)
+		}
+		accounts[name] = a
+		buckets[name] = a.bucket
+	}
+	m.accounts = accounts
+	m.names = sortedNames(accounts)
+	m.buckets.Store(&buckets)
+	m.assign(at)
+	return out
+}
+
+// change replaces the layout and remembers the former one while other VMs may
+// act on it.
+func (a *account) change(now time.Time, at membership.Reading, next layout) []Action {
+	before := a.layout
+	a.layout = next
+	a.earlier = slices.DeleteFunc(a.earlier, func(g generation) bool { return at.Mono >= g.until })
+	if !before.sameSplit(&next) {
+		a.earlier = append(a.earlier, generation{layout: before, until: at.Mono + RaiseWait})
+	}
+	event := EventLimitLowered
+	switch {
+	case before.limit == next.limit:
+		return nil
+	case next.limit.Rate >= before.limit.Rate && next.limit.Capacity >= before.limit.Capacity:
+		event = EventLimitRaised
+	}
+	return []Action{Audit{At: now, Event: event, Customer: a.name, Slot: -1, Share: next.limit}}
+}
+
+func sortedNames(accounts map[string]*account) []string {
+	names := make([]string, 0, len(accounts))
+	for name := range accounts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
 }
 
 // OnList takes a list of VMs that was confirmed at the given time.
 func (m *Manager) OnList(now time.Time, list *membership.List, confirmedAt time.Time) []Action {
+	before := m.tracker.List()
 	m.tracker.OnList(list, confirmedAt)
-	m.rebuild(m.clock(now))
-	return nil
+	if m.tracker.List() == before {
+		return nil
+	}
+	at := m.clock(now)
+	changes := m.owner.SetList(at, list)
+	m.mapOwners(list)
+	return m.onSlots(now, at, changes)
+}
+
+// mapOwners ranks the candidates of all slots.
+func (m *Manager) mapOwners(list *membership.List) {
+	byZone := make(map[string][]membership.VM)
+	for _, vm := range list.VMs {
+		byZone[vm.Zone] = append(byZone[vm.Zone], vm)
+	}
+	m.owners = make(map[string][lease.SlotsPerZone][]membership.VM, len(byZone))
+	nodes := make([]membership.VM, 0, len(byZone))
+	for zone, vms := range byZone {
+		var slots [lease.SlotsPerZone][]membership.VM
+		for i := range slots {
+			slots[i] = lease.SlotCandidates(zone, i, vms)
+		}
+		m.owners[zone] = slots
+		nodes = append(nodes, membership.VM{ID: zone})
+	}
+	m.zones = m.zones[:0]
+	if _, ok := m.owners[m.params.Self.Zone]; ok {
+		m.zones = append(m.zones, m.params.Self.Zone)
+	}
+	for _, node := range membership.RendezvousN(m.params.Self.ID, nodes, len(nodes)) {
+		if node.ID != m.params.Self.Zone {
+			m.zones = append(m.zones, node.ID)
+		}
+	}
 }
 
 // Tick moves time on. It is due every TickInterval.
-func (m *Manager) Tick(now time.Time) []Action { return nil }
+func (m *Manager) Tick(now time.Time) []Action {
+	at := m.clock(now)
+	out := m.onSlots(now, at, m.owner.Update(at))
+	if m.growAt != 0 && at.Mono >= m.growAt {
+		m.assign(at)
+	}
+	out = append(out, m.expireLent(now, at)...)
+	for _, vm := range m.owner.Probes(at) {
+		out = append(out, Probe{To: vm, AskedAt: now})
+	}
+	return append(out, m.borrow(now, at)...)
+}
 
 // OnDigest takes a peer's answer to a probe that was sent at askedAt.
-func (m *Manager) OnDigest(now, askedAt time.Time, d Digest) []Action { return nil }
-
-// Digest returns what a probe by a peer is answered with.
-func (m *Manager) Digest(now time.Time) Digest {
-	return Digest{VM: m.params.Self.ID, Incarnation: m.params.Incarnation}
+func (m *Manager) OnDigest(now, askedAt time.Time, d Digest) []Action {
+	m.owner.OnAnswer(m.clock(askedAt), d)
+	at := m.clock(now)
+	return m.onSlots(now, at, m.owner.Update(at))
 }
 
-// OnLend answers a peer that asks to borrow.
-func (m *Manager) OnLend(now time.Time, r LendRequest) (LendResponse, []Action) {
-	return LendResponse{ID: r.ID}, nil
+// OnProbe answers a probe. What the sender's digest takes away is given up
+// before the answer, which the sender relies on.
+func (m *Manager) OnProbe(now time.Time, from Digest) (Digest, []Action) {
+	at := m.clock(now)
+	m.owner.OnPush(at, from)
+	actions := m.onSlots(now, at, m.owner.Update(at))
+	return m.owner.Digest(), actions
 }
 
-// OnGranted takes the answer of the lender with the given VM ID.
-func (m *Manager) OnGranted(now time.Time, lender string, r LendResponse) []Action { return nil }
-
-// OnLendFailed reports that a request to the lender got no answer.
-func (m *Manager) OnLendFailed(now time.Time, lender string, id uint64) {}
-
-// OnRelease takes back what a borrower no longer needs.
-func (m *Manager) OnRelease(now time.Time, r Release) []Action { return nil }
-
-// Leave gives up every slot and returns what was borrowed. Requests that are
-// admitted already are not affected; no others are admitted.
-func (m *Manager) Leave(now time.Time) []Action { return nil }
+// Digest returns what the VM tells its peers with a probe.
+func (m *Manager) Digest() Digest {
+	return m.owner.Digest()
+}
 
-// Status describes the VM's part for the operators' page.
-func (m *Manager) Status(now time.Time) Status {
-	return Status{VM: m.params.Self.ID, Zone: m.params.Self.Zone}
+// List returns the newest list that the VM knows, or nil.
+func (m *Manager) List() *membership.List {
+	return m.tracker.List()
 }
 
-func (m *Manager) rebuild(now membership.Reading) {
-	list := m.tracker.List()
-	if m.catalog == nil || list == nil {
-		return
-	}
-	n := int64(max(len(list.VMs), 1))
-	next := make(map[string]*bucket)
-	for name, c := range m.catalog.Customers {
-		next[name] = newBucket(now, int64(c.Rate*micro)/n, int64(c.Burst*micro)/n)
-	}
-	m.buckets.Store(&next)
+// Leave gives up every slot for good and hands it over. The VM goes on serving
+// with what it borrows until Close.
+func (m *Manager) Leave(now time.Time) []Action {
+	at := m.clock(now)
+	return m.onSlots(now, at, m.owner.Leave(at))
 }
--- /dev/null
+++ b/internal/core/quota/parts.go
@@ -0,0 +1,49 @@
+package quota
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/lease"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// slotOwner decides which slots the VM holds. *lease.Owner is the product's;
+// tests take its rules away one by one.
+type slotOwner interface {
+	SetList(now membership.Reading, list *membership.List) []lease.SlotChange
+	Update(now membership.Reading) []lease.SlotChange
+	OnAnswer(askedAt membership.Reading, d lease.Digest)
+	OnPush(now membership.Reading, d lease.Digest)
+	OnHandover(now membership.Reading, h lease.Handover)
+	Leave(now membership.Reading) []lease.SlotChange
+	Probes(now membership.Reading) []membership.VM
+	Digest() lease.Digest
+	Settled() bool
+	Draining() bool
+	Supported(now membership.Reading) bool
+	KnownOut(now membership.Reading, id string) bool
+	ListSettled(now membership.Reading) bool
+	Holds(slot int) bool
+	Available(now membership.Reading, slot int, customer string, share lease.Share) lease.Share
+	RightsUntil(now membership.Reading) (membership.Reading, bool)
+	NextChange(now membership.Reading) time.Duration
+}
+
+// lendBook records what the VM has lent. *lease.Lender is the product's.
+type lendBook interface {
+	Begin(p lease.Party, id uint64) bool
+	Lent(limit string) lease.Share
+	Grant(now membership.Reading, p lease.Party, w lease.Want, free, reclaim lease.Share) (granted, growth lease.Share)
+	Return(p lease.Party, limit string, left lease.Share) (before, after lease.Share)
+	Expire(now membership.Reading) []lease.Loan
+}
+
+// borrowBook records the requests under way. *lease.Borrower is the product's.
+type borrowBook interface {
+	Busy(now membership.Reading, lender string, timeout time.Duration) bool
+	Ask(now membership.Reading, lender string) uint64
+	NextID() uint64
+	Cancel(lender string)
+	Accept(now membership.Reading, lender string, id uint64) (membership.Reading, bool)
+	Fail(lender string, id uint64)
+}
--- /dev/null
+++ b/internal/core/quota/quotasim/fleet.go
@@ -0,0 +1,294 @@
+// Package quotasim runs a small fleet of quota managers on a virtual clock with
+// a fake network and a fake list of VMs, for tests and measurements of the
+// quota package. It isn't part of the product.
+package quotasim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/lease"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+)
+
+// Base is the time of the virtual clock's zero.
+var Base = time.Unix(1_700_000_000, 0)
+
+const (
+	pollInterval = 500 * time.Millisecond
+	rpcTimeout   = 250 * time.Millisecond
+)
+
+// Daemon is what the fleet drives. *quota.Manager is the product's; tests put
+// naive ones in its place.
+type Daemon interface {
+	Admit(now time.Time, customer string) quota.Decision
+	OnCatalog(now time.Time, c *catalog.Catalog) []quota.Action
+	OnList(now time.Time, list *membership.List, confirmedAt time.Time) []quota.Action
+	Tick(now time.Time) []quota.Action
+	OnDigest(now, askedAt time.Time, d quota.Digest) []quota.Action
+	OnProbe(now time.Time, from quota.Digest) (quota.Digest, []quota.Action)
+	OnLend(now time.Time, r quota.LendRequest) (quota.LendResponse, []quota.Action)
+	OnGranted(now time.Time, lender string, r quota.LendResponse) []quota.Action
+	OnLendFailed(now time.Time, lender string, id uint64)
+	OnRelease(now time.Time, r quota.Release) []quota.Action
+	OnHandover(now time.Time, h lease.Handover) []quota.Action
+	Leave(now time.Time) []quota.Action
+	Digest() quota.Digest
+	List() *membership.List
+}
+
+// Node is one process on a VM.
+type Node struct {
+	VM     membership.VM
+	Daemon Daemon
+	Dead   bool
+	// FrozenUntil holds all events of the process back.
+	FrozenUntil time.Duration
+	// Group is the side of a cut that the VM is on.
+	Group int
+	// PlatformDown tells whether the VM can't read the list and the catalog.
+	PlatformDown bool
+	// Pinned is the newest list revision that the VM's replica of the platform
+	// gives; 0 means no bound.
+	Pinned uint64
+
+	wallOffset time.Duration
+	monoLost   time.Duration
+	config     uint64
+}
+
+// Network says what happens to messages.
+type Network struct {
+	MinDelay, MaxDelay time.Duration
+	// Loss, Repeat and Late are probabilities for each message. A late message
+	// takes up to LateBy.
+	Loss, Repeat, Late float64
+	LateBy             time.Duration
+}
+
+// Fleet is the virtual world. It is not safe for concurrent use.
+type Fleet struct {
+	Now     time.Duration
+	Rand    *rand.Rand
+	Net     Network
+	ListLag time.Duration
+	Nodes   []*Node
+	// New builds the process on a VM.
+	New func(p quota.Params) Daemon
+	// Messages and Events count what was sent and handled.
+	Messages, Events int
+	// OnAction, if set, sees every action of every node.
+	OnAction func(n *Node, a quota.Action)
+
+	queue       events
+	sequence    int
+	incarnation uint64
+	lists       []published
+	catalogs    []*catalog.Catalog
+}
+
+type published struct {
+	at   time.Duration
+	list *membership.List
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	node     *Node
+	run      func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet(seed uint64) *Fleet {
+	return &Fleet{
+		Rand:    rand.New(rand.NewPCG(seed, 1)),
+		Net:     Network{MinDelay: 250 * time.Microsecond, MaxDelay: 2 * time.Millisecond},
+		ListLag: time.Second,
+		New:     func(p quota.Params) Daemon { return quota.New(p) },
+	}
+}
+
+// Time returns the virtual time.
+func (f *Fleet) Time() time.Time { return Base.Add(f.Now) }
+
+// At runs fn after d. A nil node means the world itself.
+func (f *Fleet) At(d time.Duration, n *Node, fn func()) {
+	f.sequence++
+	heap.Push(&f.queue, event{at: f.Now + d, sequence: f.sequence, node: n, run: fn})
+}
+
+// Run handles events until the given time.
+func (f *Fleet) Run(until time.Duration) {
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		e := heap.Pop(&f.queue).(event)
+		f.Now = max(f.Now, e.at)
+		if e.node != nil && e.node.Dead {
+			continue
+		}
+		if e.node != nil && e.node.FrozenUntil > f.Now {
+			f.At(e.node.FrozenUntil-f.Now, e.node, e.run)
+			continue
+		}
+		f.Events++
+		e.run()
+	}
+	f.Now = until
+}
+
+// Start puts a new process on a VM and returns it.
+func (f *Fleet) Start(vm membership.VM) *Node {
+	f.incarnation++
+	n := &Node{VM: vm}
+	n.Daemon = f.New(quota.Params{
+		Self:        vm,
+		Incarnation: f.incarnation,
+		Started:     f.Time(),
+		Clock:       n.clock,
+	})
+	f.Nodes = append(f.Nodes, n)
+	f.At(f.jitter(quota.TickInterval), n, func() { f.tick(n) })
+	f.At(f.jitter(pollInterval), n, func() { f.poll(n) })
+	return n
+}
+
+func (n *Node) clock(now time.Time) membership.Reading {
+	d := now.Sub(Base)
+	return membership.Reading{Mono: d - n.monoLost, Wall: d + n.wallOffset}
+}
+
+// JumpWall sets the wall clock of a node on or back.
+func (n *Node) JumpWall(by time.Duration) { n.wallOffset += by }
+
+// Freeze suspends a process. With stopped, its monotonic clock stands still.
+func (f *Fleet) Freeze(n *Node, d time.Duration, stopped bool) {
+	if n.FrozenUntil > f.Now {
+		return
+	}
+	n.FrozenUntil = f.Now + d
+	if stopped {
+		n.monoLost += d
+	}
+}
+
+// Kill ends a process without warning.
+func (f *Fleet) Kill(n *Node) {
+	n.Dead = true
+	f.Nodes = slices.DeleteFunc(f.Nodes, func(o *Node) bool { return o == n })
+}
+
+// Node returns the process on the VM, or nil.
+func (f *Fleet) Node(id string) *Node {
+	for _, n := range f.Nodes {
+		if n.VM.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) jitter(d time.Duration) time.Duration {
+	return time.Duration(f.Rand.Int64N(int64(d)))
+}
+
+// PublishList makes the platform list the given VMs.
+func (f *Fleet) PublishList(vms []membership.VM) *membership.List {
+	sorted := slices.Clone(vms)
+	slices.SortFunc(sorted, func(a, b membership.VM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	list := &membership.List{Revision: uint64(len(f.lists) + 1), VMs: sorted}
+	f.lists = append(f.lists, published{at: f.Now, list: list})
+	return list
+}
+
+// PublishCatalog makes the platform give out the catalog.
+func (f *Fleet) PublishCatalog(customers []catalog.Customer, zones []string) {
+	c := &catalog.Catalog{
+		Version:   uint64(len(f.catalogs) + 1),
+		Customers: make(map[string]*catalog.Customer),
+		Zones:     make(map[string]*catalog.Zone),
+	}
+	for i := range customers {
+		c.Customers[customers[i].Name] = &customers[i]
+	}
+	for _, z := range zones {
+		c.Zones[z] = &catalog.Zone{Name: z}
+	}
+	f.catalogs = append(f.catalogs, c)
+}
+
+func (f *Fleet) tick(n *Node) {
+	f.act(n, n.Daemon.Tick(f.Time()))
+	f.At(quota.TickInterval, n, func() { f.tick(n) })
+}
+
+// poll reads the platform as the node's replica shows it.
+func (f *Fleet) poll(n *Node) {
+	f.At(pollInterval, n, func() { f.poll(n) })
+	if n.PlatformDown {
+		return
+	}
+	var visible *membership.List
+	for _, p := range f.lists {
+		if p.at+f.ListLag <= f.Now && (n.Pinned == 0 || p.list.Revision <= n.Pinned) {
+			visible = p.list
+		}
+	}
+	if len(f.lists) > 0 && f.lists[0].at == 0 && visible == nil {
+		visible = f.lists[0].list
+	}
+	if visible != nil {
+		f.act(n, n.Daemon.OnList(f.Time(), visible, f.Time()))
+	}
+	if len(f.catalogs) > 0 {
+		f.configure(n, f.catalogs[len(f.catalogs)-1])
+	}
+}
+
+func (f *Fleet) configure(n *Node, c *catalog.Catalog) {
+	if c.Version > n.config {
+		n.config = c.Version
+		f.act(n, n.Daemon.OnCatalog(f.Time(), c))
+	}
+}
+
+// Nine returns the VMs of a fleet of nine in four zones.
+func Nine() []membership.VM {
+	zones := []string{"a", "a", "a", "b", "b", "c", "c", "d", "d"}
+	vms := make([]membership.VM, len(zones))
+	for i, z := range zones {
+		vms[i] = membership.VM{ID: fmt.Sprintf("vm-%d", i+1), Zone: z}
+	}
+	return vms
+}
+
+// FourZones are the zones of Nine.
+func FourZones() []string { return []string{"a", "b", "c", "d"} }
--- /dev/null
+++ b/internal/core/quota/slots.go
@@ -0,0 +1,159 @@
+package quota
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/lease"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// onSlots follows up on changes of slots: it publishes the new rights, assigns
+// the owned parts, and hands lost slots over.
+func (m *Manager) onSlots(now time.Time, at membership.Reading, changes []lease.SlotChange) []Action {
+	if len(changes) == 0 {
+		m.publish(at)
+		return nil
+	}
+	m.assign(at)
+	var out []Action
+	var given []lease.SlotChange
+	for _, c := range changes {
+		out = append(out, slotAudit(now, c))
+		if !c.Acquired && c.Next != "" && c.Clear {
+			given = append(given, c)
+		}
+	}
+	return append(out, m.handOver(at, given)...)
+}
+
+func slotAudit(now time.Time, c lease.SlotChange) Action {
+	event := EventSlotLost
+	if c.Acquired {
+		event = EventSlotAcquired
+	}
+	return Audit{At: now, Event: event, Peer: c.Next, Slot: c.Slot}
+}
+
+// publish extends or ends the rights to the owned parts.
+func (m *Manager) publish(at membership.Reading) {
+	until, ok := m.owner.RightsUntil(at)
+	if !ok {
+		until = membership.Reading{}
+	}
+	m.rights.Store(&until)
+}
+
+// assign gives each bucket its owned part. Every bucket mints with the former
+// part and the former rights first, so that rights which lapsed for a while
+// mint nothing for that time.
+func (m *Manager) assign(at membership.Reading) {
+	former := *m.rights.Load()
+	for _, a := range m.accounts {
+		a.bucket.setOwn(at, former, m.ownedPart(at, a))
+	}
+	m.publish(at)
+	m.growAt = m.nextGrowth(at)
+}
+
+func (m *Manager) ownedPart(at membership.Reading, a *account) Share {
+	var sum Share
+	for slot := range lease.SlotsPerZone {
+		if !m.owner.Holds(slot) {
+			continue
+		}
+		share := slotShare(at.Mono, &a.layout, a.earlier, m.params.Self.Zone, slot)
+		sum = sum.Plus(m.owner.Available(at, slot, a.name, share))
+	}
+	return sum
+}
+
+// nextGrowth returns when a wait ends that holds a part back, or 0.
+func (m *Manager) nextGrowth(at membership.Reading) time.Duration {
+	var next time.Duration
+	if wait := m.owner.NextChange(at); wait > 0 {
+		next = at.Mono + wait
+	}
+	for _, a := range m.accounts {
+		for _, g := range a.earlier {
+			if g.until > at.Mono && (next == 0 || g.until < next) {
+				next = g.until
+			}
+		}
+	}
+	return next
+}
+
+// handOver tells the next holders of lost slots what is still lent from them.
+func (m *Manager) handOver(at membership.Reading, lost []lease.SlotChange) []Action {
+	if len(lost) == 0 {
+		return nil
+	}
+	settled := m.owner.ListSettled(at)
+	index := make(map[string]int)
+	var out []Action
+	excess := m.overLent(at)
+	for _, c := range lost {
+		i, ok := index[c.Next]
+		if !ok {
+			to, known := m.vm(c.Next)
+			if !known {
+				continue
+			}
+			i = len(out)
+			index[c.Next] = i
+			out = append(out, SendHandover{To: to, Handover: lease.Handover{
+				Giver: m.owner.Digest(), To: c.NextIncarnation, ListSettled: settled,
+			}})
+		}
+		send := out[i].(SendHandover)
+		send.Handover.Slots = append(send.Handover.Slots, lease.SlotHandover{
+			Slot:     c.Slot,
+			Withheld: m.withhold(at, c.Slot, excess),
+		})
+		out[i] = send
+	}
+	return out
+}
+
+// overLent returns, by customer, what is lent beyond what is still owned.
+func (m *Manager) overLent(at membership.Reading) map[string]Share {
+	out := make(map[string]Share)
+	for name, a := range m.accounts {
+		excess := m.lender.Lent(name).Minus(m.ownedPart(at, a))
+		if !excess.IsZero() {
+			out[name] = excess
+		}
+	}
+	return out
+}
+
+// withhold moves as much of the excess to the slot as its part covers.
+func (m *Manager) withhold(at membership.Reading, slot int, excess map[string]Share) map[string]Share {
+	out := make(map[string]Share)
+	for name, e := range excess {
+		a := m.accounts[name]
+		part := e.Min(slotShare(at.Mono, &a.layout, a.earlier, m.params.Self.Zone, slot))
+		if part.IsZero() {
+			continue
+		}
+		out[name] = part
+		excess[name] = e.Minus(part)
+	}
+	return out
+}
+
+func (m *Manager) vm(id string) (membership.VM, bool) {
+	for _, vm := range m.tracker.List().VMs {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return membership.VM{}, false
+}
+
+// OnHandover takes slots over from a peer that gives them up.
+func (m *Manager) OnHandover(now time.Time, h lease.Handover) []Action {
+	at := m.clock(now)
+	m.owner.OnHandover(at, h)
+	return m.onSlots(now, at, m.owner.Update(at))
+}
