Check quotas against an arrival curve under random faults

Cause: the argument for the limits needs a proof by failing first. Ruled out: judging by admissions alone. Conclusion: one failure was found in the world, not the product: a VM whose clocks both lost the pause. It is stated as an assumption.

--- a/internal/core/quota/world_test.go
+++ b/internal/core/quota/world_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/lease"
 	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
 	"ryecourse.example/ryecourse/internal/core/quota/quotasim"
 )
 
@@ -18,18 +20,26 @@
 	vms    []membership.VM
 	curves map[string]*quotasim.Curve
 	limits []catalog.Customer
-	// loweredAt is when limits were last changed; windows that begin within
-	// lowerGrace of it are not judged against the lower limit.
+	// pending are lowered limits that aren't judged by yet.
 	pending map[string]catalog.Customer
 	nextID  int
 	failure string
-	spent   int
+	// setBack is when a wall clock was last set back, and stopped until when a
+	// monotonic clock stands still.
+	setBack, stopped map[*quotasim.Node]time.Duration
+	// pauseAsking freezes the next VM that asks to borrow, for this time.
+	pauseAsking time.Duration
+	// hot is the VM that most callers ask, so that others lend to it.
+	hot string
 }
 
 // lowerGrace covers the propagation of a lower limit, once a cut has healed,
 // and the term of the loans made under the higher one.
 const lowerGrace = 6 * time.Second
 
+// clockGrace is longer than any right that a VM may hold.
+const clockGrace = 31 * time.Second
+
 func customers() []catalog.Customer {
 	return []catalog.Customer{
 		{Name: "large", Rate: 200, Burst: 100},
@@ -46,10 +56,14 @@
 		limits:  customers(),
 		pending: make(map[string]catalog.Customer),
 		nextID:  100,
+		setBack: make(map[*quotasim.Node]time.Duration),
+		stopped: make(map[*quotasim.Node]time.Duration),
 	}
+	w.hot = w.vms[int(seed%uint64(len(w.vms)))].ID
 	if build != nil {
 		build(w.fleet)
 	}
+	w.fleet.OnAction = w.watch
 	w.fleet.PublishCatalog(w.limits, quotasim.FourZones())
 	w.fleet.PublishList(w.vms)
 	for _, c := range w.limits {
@@ -61,23 +75,32 @@
 	return w
 }
 
+func (w *world) watch(n *quotasim.Node, a quota.Action) {
+	if _, ok := a.(quota.SendLend); ok && w.pauseAsking > 0 {
+		w.freeze(n, w.pauseAsking, false)
+		w.pauseAsking = 0
+	}
+}
+
 func (w *world) rand() *rand.Rand { return w.fleet.Rand }
 
 func (w *world) start(vm membership.VM) {
 	n := w.fleet.Start(vm)
-	w.fleet.At(w.pause(), n, func() { w.call(n) })
+	w.fleet.At(w.pause(n), n, func() { w.call(n) })
 }
 
-// pause is long enough at times for tokens to pile up.
-func (w *world) pause() time.Duration {
-	if w.rand().IntN(4) == 0 {
-		return time.Duration(w.rand().Int64N(int64(2 * time.Second)))
+// pause is long enough at most VMs for tokens to pile up, and short at the hot
+// one.
+func (w *world) pause(n *quotasim.Node) time.Duration {
+	if n.VM.ID == w.hot {
+		return time.Duration(w.rand().Int64N(int64(60 * time.Millisecond)))
 	}
-	return time.Duration(w.rand().Int64N(int64(120 * time.Millisecond)))
+	return time.Duration(w.rand().Int64N(int64(1500 * time.Millisecond)))
 }
 
 func (w *world) call(n *quotasim.Node) {
-	w.fleet.At(w.pause(), n, func() { w.call(n) })
+	w.fleet.At(w.pause(n), n, func() { w.call(n) })
+	w.sum()
 	if w.rand().IntN(3) == 0 {
 		// A few requests only, which tell the VM of the demand.
 		w.spend(n, w.rand().IntN(3))
@@ -92,19 +115,48 @@
 			if !n.Daemon.Admit(w.fleet.Time(), c.Name).OK {
 				break
 			}
-			w.spent++
-			if !w.curves[c.Name].Admit(w.fleet.Now) && w.failure == "" {
-				w.failure = fmt.Sprintf("%s: over its curve by %.3f at %v on %s",
+			if !w.curves[c.Name].Admit(w.fleet.Now) {
+				w.fail("%s: over its curve by %.3f at %v on %s",
 					c.Name, w.curves[c.Name].Excess(), w.fleet.Now, n.VM.ID)
 			}
 		}
 	}
 }
 
+// fail keeps the first failure.
+func (w *world) fail(format string, args ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// sum checks what the argument rests on: at any moment the curves that VMs act
+// on sum to at most the limit. It sees a part that is held twice before callers
+// have spent it twice.
+func (w *world) sum() {
+	total := make(map[string]lease.Share)
+	for _, n := range w.fleet.Nodes {
+		m, ok := n.Daemon.(*quota.Manager)
+		if !ok {
+			return
+		}
+		for _, c := range m.Status(w.fleet.Time()).Customers {
+			total[c.Customer] = total[c.Customer].Plus(c.Owned.Minus(c.Lent).Plus(c.Borrowed))
+		}
+	}
+	for name, c := range w.curves {
+		const micro = 1_000_000
+		if held := total[name]; held.Rate > int64(c.Rate*micro) || held.Capacity > int64(c.Burst*micro) {
+			w.fail("%s: VMs hold %.3f/s and %.3f together at %v",
+				name, float64(held.Rate)/micro, float64(held.Capacity)/micro, w.fleet.Now)
+		}
+	}
+}
+
 func (w *world) run(d time.Duration) { w.fleet.Run(w.fleet.Now + d) }
 
-func (w *world) node(i int) *quotasim.Node {
-	return w.fleet.Nodes[i%len(w.fleet.Nodes)]
+func (w *world) pick(c chooser) *quotasim.Node {
+	return w.fleet.Nodes[c(len(w.fleet.Nodes))]
 }
 
 // listed returns the index of the VM in the platform's list, or -1.
@@ -170,10 +222,32 @@
 	})
 }
 
+// freeze suspends a process. If stopped, its monotonic clock stands still,
+// which must not happen to a VM whose wall clock was just set back: such a VM
+// can't know that it slept.
 func (w *world) freeze(n *quotasim.Node, d time.Duration, stopped bool) {
+	if w.fleet.Now < n.FrozenUntil || w.fleet.Now < w.setBack[n]+clockGrace {
+		stopped = false
+	}
+	if stopped {
+		w.stopped[n] = w.fleet.Now + d
+	}
 	w.fleet.Freeze(n, d, stopped)
 	// The first thing that happens on waking is a rush of callers.
 	w.fleet.At(d, n, func() { w.spend(n, 200) })
+	w.fleet.At(d+time.Millisecond, n, w.sum)
+}
+
+// jumpWall sets the wall clock of a VM on or back, but not back while its
+// monotonic clock stands still.
+func (w *world) jumpWall(n *quotasim.Node, by time.Duration) {
+	if by < 0 {
+		if w.fleet.Now < w.stopped[n] {
+			return
+		}
+		w.setBack[n] = w.fleet.Now
+	}
+	n.JumpWall(by)
 }
 
 func (w *world) heal() {
