Add the query state machine over the shards of a service

Cause: the executor needs an API to code against.

Change: scatter.Query takes results and timers and returns actions. Actions became pointers into buffers of the query, since values would be boxed on every attempt.

--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -22,7 +22,7 @@
 // Picker reserves replicas. routing.Router is the product's Picker.
 type Picker interface {
 	// Pick reserves a replica of the shard, other than those in tried. It
-	// returns false when none can take a request now.
+	// returns false when none can take a request now. It doesn't keep tried.
 	Pick(now time.Time, service string, shard int, tried []string) (Target, bool)
 	// Done ends a reservation with what became of its attempt.
 	Done(now time.Time, service string, shard int, t Target, r Report)
@@ -105,7 +105,9 @@
 	Body []byte
 }
 
-// Action is what the owner of a query carries out.
+// Action is what the owner of a query carries out: a *Send, a *Cancel or a
+// *Finish. Actions point into buffers of their Query and stay valid until its
+// next call.
 type Action interface{ action() }
 
 // Send starts an attempt.
@@ -114,16 +116,17 @@
 // Cancel gives up an attempt. Its end is still reported by a Result.
 type Cancel struct{ Attempt int }
 
-// Finish ends the query. Exactly one of Answer and Refusal is set. Attempts
-// that are still running have been canceled by earlier actions.
+// Finish ends the query and is its last action. Exactly one of Answer and
+// Refusal is set. Attempts that are still running have been canceled by earlier
+// actions. The Answer is a buffer of the Query and stays valid until Reset.
 type Finish struct {
 	Answer  *Answer
 	Refusal *verdict.Refusal
 }
 
-func (Send) action()   {}
-func (Cancel) action() {}
-func (Finish) action() {}
+func (*Send) action()   {}
+func (*Cancel) action() {}
+func (*Finish) action() {}
 
 // Answer is a complete or partial answer from one snapshot.
 type Answer struct {
@@ -132,8 +135,15 @@
 	Parts []Part
 	// Missing lists the shards without an answer, in order.
 	Missing []int
-	// Attempts and Hedges count upstream requests.
-	Attempts, Hedges int
+	// Attempts counts upstream requests. Hedges, Retries and Reasks count those
+	// among them that came after the first request to a shard.
+	Attempts, Hedges, Retries, Reasks int
+}
+
+// Coverage returns the part of the snapshot's shards that answered, in (0, 1].
+// A query to a single shard covers that shard alone.
+func (a *Answer) Coverage() float64 {
+	return float64(len(a.Parts)) / float64(len(a.Parts)+len(a.Missing))
 }
 
 // Part is one shard's answer.
--- /dev/null
+++ b/internal/core/scatter/attempts.go
@@ -0,0 +1,196 @@
+package scatter
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/invariant"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// ensure sends an attempt to the shard unless one is running, or the shard waits
+// for capacity. When no attempt is possible the shard is lost for the wanted
+// snapshot.
+func (q *Query) ensure(now time.Time, k int) {
+	s := &q.shards[k]
+	if s.running > 0 || !s.pollAt.IsZero() || q.current != none && !q.needed(q.current, k) {
+		return
+	}
+	if !q.allowed(k) || q.exhausted(k, q.current) {
+		q.lose(k)
+		return
+	}
+	if !q.shared.Budgets.take(s.next) {
+		q.lose(k)
+		return
+	}
+	if !q.send(now, k, s.next) {
+		q.shared.Budgets.give(s.next)
+		q.await(now, k)
+	}
+}
+
+// await makes the shard wait for capacity, or gives it up when it has waited
+// long enough.
+func (q *Query) await(now time.Time, k int) {
+	s := &q.shards[k]
+	if s.giveUpAt.IsZero() {
+		wait := min(q.shared.Policy.CapacityWait, q.spec.Deadline.Sub(now)/2)
+		s.giveUpAt = now.Add(wait)
+	}
+	if !now.Before(s.giveUpAt) {
+		s.cause = verdict.CodeOverloaded
+		q.lose(k)
+		return
+	}
+	s.pollAt = now.Add(q.shared.Policy.CapacityPoll)
+	q.schedule(s.pollAt)
+}
+
+func (q *Query) lose(k int) {
+	if q.current == none {
+		q.shards[k].spent = true
+		return
+	}
+	q.snapshots[q.current].lose(k)
+}
+
+// allowed tells whether the shard may have another attempt at all. A request
+// that isn't idempotent may not follow one that may have run.
+func (q *Query) allowed(k int) bool {
+	s := &q.shards[k]
+	if s.spent || s.sent >= q.shared.Policy.MaxAttemptsPerShard {
+		return false
+	}
+	return q.spec.Idempotent || s.running == 0 && !s.mayRun
+}
+
+// exhausted tells whether every replica of the shard has been tried for the
+// snapshot, or may not be tried.
+func (q *Query) exhausted(k, snapshot int) bool {
+	for i := q.shards[k].last; i != none; i = q.attempts[i].previous {
+		a := &q.attempts[i]
+		if !a.ended && !a.canceled && (a.wanted == none || a.wanted == snapshot) {
+			return false
+		}
+	}
+	if !q.allowed(k) {
+		return true
+	}
+	return len(q.collectTried(k, snapshot)) >= len(q.spec.Layout[k].Replicas)
+}
+
+// collectTried lists the replicas that needn't be asked for the snapshot: those
+// with a running attempt, those that failed, and those that lack it.
+func (q *Query) collectTried(k, snapshot int) []string {
+	q.tried = q.tried[:0]
+	for i := q.shards[k].last; i != none; i = q.attempts[i].previous {
+		a := &q.attempts[i]
+		skip := a.failed || !a.ended || snapshot != none && a.lacks&(1<<snapshot) != 0
+		if skip && !contains(q.tried, a.target.Upstream) {
+			q.tried = append(q.tried, a.target.Upstream)
+		}
+	}
+	return q.tried
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+// send reserves a replica and starts an attempt. It returns false when no
+// replica can take one.
+func (q *Query) send(now time.Time, k int, kind kind) bool {
+	s := &q.shards[k]
+	target, ok := q.shared.Picker.Pick(now, q.spec.Service, k, q.collectTried(k, q.current))
+	if !ok {
+		return false
+	}
+	i := len(q.attempts)
+	q.attempts = append(q.attempts, attempt{
+		id:       q.firstID + i,
+		shard:    k,
+		previous: s.last,
+		wanted:   q.current,
+		kind:     kind,
+		target:   target,
+		sentAt:   now,
+	})
+	hedge := s.running > 0
+	s.last = i
+	s.running++
+	s.sent++
+	s.giveUpAt = time.Time{}
+	s.next = kindRetry
+	q.pending++
+	q.count(kind)
+	invariant.Check(q.spec.Idempotent || !hedge && !s.mayRun, "scatter_repeated_request_not_idempotent")
+	q.armHedge(now, k)
+	q.sends = append(q.sends, Send{Attempt: Attempt{
+		ID:       q.firstID + i,
+		Shard:    k,
+		Snapshot: q.wantedID(),
+		Target:   target,
+		Deadline: q.spec.Deadline,
+		Hedge:    hedge,
+	}})
+	q.actions = append(q.actions, &q.sends[len(q.sends)-1])
+	return true
+}
+
+func (q *Query) wantedID() string {
+	if q.current == none {
+		return ""
+	}
+	return q.snapshots[q.current].info.ID
+}
+
+func (q *Query) count(k kind) {
+	q.stats.Attempts++
+	switch k {
+	case kindHedge:
+		q.stats.Hedges++
+	case kindRetry:
+		q.stats.Retries++
+	case kindReask:
+		q.stats.Reasks++
+	}
+}
+
+// cancel gives up a running attempt.
+func (q *Query) cancel(a *attempt) {
+	if a.ended || a.canceled {
+		return
+	}
+	a.canceled = true
+	q.shards[a.shard].running--
+	q.cancels = append(q.cancels, Cancel{Attempt: a.id})
+	q.actions = append(q.actions, &q.cancels[len(q.cancels)-1])
+}
+
+// cancelShard gives up the shard's running attempts and its wait.
+func (q *Query) cancelShard(k int) {
+	s := &q.shards[k]
+	s.hedgeAt = time.Time{}
+	s.pollAt = time.Time{}
+	if s.running == 0 {
+		return
+	}
+	for i := s.last; i != none; i = q.attempts[i].previous {
+		q.cancel(&q.attempts[i])
+	}
+}
+
+// end ends the attempt's reservation.
+func (q *Query) end(now time.Time, a *attempt, r Report) {
+	a.ended = true
+	q.pending--
+	if !a.canceled {
+		q.shards[a.shard].running--
+	}
+	q.shared.Picker.Done(now, q.spec.Service, a.shard, a.target, r)
+}
--- /dev/null
+++ b/internal/core/scatter/budget.go
@@ -0,0 +1,122 @@
+package scatter
+
+import "sync/atomic"
+
+// Ratios of extra requests to first requests, and the number of extra requests
+// that may be spent in a row.
+const (
+	// HedgeRatio and HedgeBurst limit hedges.
+	HedgeRatio = 0.03
+	HedgeBurst = 10
+	// RetryRatio and RetryBurst limit retries after failures.
+	RetryRatio = 0.10
+	RetryBurst = 20
+	// ReaskRatio and ReaskBurst limit requests repeated for another snapshot.
+	ReaskRatio = 1.0
+	ReaskBurst = 1000
+	// shedCost is the number of tokens that one shed takes from each budget.
+	shedCost = 10
+)
+
+const tokenUnit = 1000 // thousandths of a token
+
+// Budgets limits the extra requests to one service from this daemon. First
+// requests earn tokens and extra requests spend them, as in the retry budgets
+// of Finagle. A shed takes shedCost tokens, so that extra requests stop while
+// more than HedgeRatio/shedCost of all requests are shed.
+//
+// Budgets is shared by all queries of the service. Every method is an atomic
+// operation without a lock.
+type Budgets struct {
+	hedge, retry, reask bucket
+}
+
+// NewBudgets returns full budgets.
+func NewBudgets() *Budgets {
+	b := &Budgets{
+		hedge: bucket{earn: HedgeRatio * tokenUnit, limit: HedgeBurst * tokenUnit},
+		retry: bucket{earn: RetryRatio * tokenUnit, limit: RetryBurst * tokenUnit},
+		reask: bucket{earn: ReaskRatio * tokenUnit, limit: ReaskBurst * tokenUnit},
+	}
+	b.hedge.tokens.Store(b.hedge.limit)
+	b.retry.tokens.Store(b.retry.limit)
+	b.reask.tokens.Store(b.reask.limit)
+	return b
+}
+
+// earn credits n first requests.
+func (b *Budgets) earn(n int) {
+	b.hedge.add(int64(n) * b.hedge.earn)
+	b.retry.add(int64(n) * b.retry.earn)
+	b.reask.add(int64(n) * b.reask.earn)
+}
+
+// shed charges one shed request to every budget.
+func (b *Budgets) shed() {
+	b.hedge.drain(shedCost * tokenUnit)
+	b.retry.drain(shedCost * tokenUnit)
+	b.reask.drain(shedCost * tokenUnit)
+}
+
+// take spends a token of the kind's budget. First requests are free.
+func (b *Budgets) take(k kind) bool {
+	switch k {
+	case kindHedge:
+		return b.hedge.take()
+	case kindRetry:
+		return b.retry.take()
+	case kindReask:
+		return b.reask.take()
+	}
+	return true
+}
+
+// give returns a token that was taken for a request that could not be sent.
+func (b *Budgets) give(k kind) {
+	switch k {
+	case kindHedge:
+		b.hedge.add(tokenUnit)
+	case kindRetry:
+		b.retry.add(tokenUnit)
+	case kindReask:
+		b.reask.add(tokenUnit)
+	}
+}
+
+// bucket is a token bucket that is filled by events instead of by time.
+type bucket struct {
+	tokens      atomic.Int64
+	earn, limit int64
+}
+
+func (b *bucket) add(n int64) {
+	for {
+		old := b.tokens.Load()
+		sum := min(old+n, b.limit)
+		if sum == old || b.tokens.CompareAndSwap(old, sum) {
+			return
+		}
+	}
+}
+
+func (b *bucket) drain(n int64) {
+	for {
+		old := b.tokens.Load()
+		left := max(old-n, 0)
+		if left == old || b.tokens.CompareAndSwap(old, left) {
+			return
+		}
+	}
+}
+
+func (b *bucket) take() bool {
+	for {
+		old := b.tokens.Load()
+		if old < tokenUnit {
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, old-tokenUnit) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/scatter/finish.go
@@ -0,0 +1,235 @@
+package scatter
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/invariant"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// conclude finishes the query when a complete answer is there, when the deadline
+// has passed, or when no more can be gained.
+func (q *Query) conclude(now time.Time) {
+	if q.finished || q.finishComplete(now) {
+		return
+	}
+	if !now.Before(q.spec.Deadline) {
+		q.finishBest(now, verdict.CodeDeadline)
+		return
+	}
+	if q.current == none {
+		q.concludeUnsettled(now)
+		return
+	}
+	if !q.lossy() {
+		return
+	}
+	for q.reconsider(now) {
+	}
+	if q.finishComplete(now) {
+		return
+	}
+	if !q.hopeful() || !q.open() {
+		q.finishBest(now, q.lossCode())
+	}
+}
+
+// lossy tells whether a shard of the wanted snapshot is lost.
+func (q *Query) lossy() bool {
+	return q.snapshots[q.current].goneCount > 0 || q.beyondLayout() > 0
+}
+
+// concludeUnsettled gives up a query without any answer when a shard is lost
+// that a complete answer needs, or all are.
+func (q *Query) concludeUnsettled(now time.Time) {
+	lost := 0
+	for k := range q.shards {
+		if q.inScope(k) && q.shards[k].spent {
+			lost++
+		}
+	}
+	if lost > 0 && (lost == q.scope() || q.wanted(q.scope()) > q.scope()-lost) {
+		q.finishBest(now, q.lossCode())
+	}
+}
+
+// wanted returns the shards out of total that the caller asks for.
+func (q *Query) wanted(total int) int {
+	n := int(math.Ceil(q.spec.MinCoverage*float64(total) - 1e-9))
+	return min(max(n, 1), total)
+}
+
+// hopeful tells whether some snapshot can still reach the wanted coverage.
+func (q *Query) hopeful() bool {
+	for i := range q.snapshots {
+		reach := q.snapshots[i].count
+		if i == q.current || !q.settled {
+			reach = q.potential(i)
+		}
+		if reach >= q.wanted(q.total(i)) {
+			return true
+		}
+	}
+	return false
+}
+
+// open tells whether a shard of the wanted snapshot may still answer.
+func (q *Query) open() bool {
+	for k := range q.shards {
+		s := &q.shards[k]
+		if q.needed(q.current, k) && (s.running > 0 || !s.pollAt.IsZero()) {
+			return true
+		}
+	}
+	return !q.settled
+}
+
+// lossCode tells why shards of the wanted snapshot are lost.
+func (q *Query) lossCode() verdict.Code {
+	code := verdict.CodeIncomplete
+	for k := range q.shards {
+		s := &q.shards[k]
+		lost := s.spent
+		if q.current != none {
+			gone := q.snapshots[q.current].gone
+			lost = k < len(gone) && gone[k]
+		}
+		if !lost || !q.inScope(k) {
+			continue
+		}
+		if q.spec.SingleShard || s.cause == verdict.CodeOverloaded {
+			return s.cause
+		}
+		if q.verdict == verdict.NotRun {
+			code = s.cause
+		}
+	}
+	return code
+}
+
+func (q *Query) finishComplete(now time.Time) bool {
+	for i := range q.snapshots {
+		if q.snapshots[i].count == q.total(i) {
+			q.finishWith(now, Finish{Answer: q.answer(i)})
+			return true
+		}
+	}
+	return false
+}
+
+// finishBest answers from the snapshot with the largest coverage if that is
+// enough for the caller, and refuses otherwise.
+func (q *Query) finishBest(now time.Time, code verdict.Code) {
+	best := none
+	for i := range q.snapshots {
+		if q.snapshots[i].count < q.wanted(q.total(i)) {
+			continue
+		}
+		if best == none || q.snapshots[i].count*q.total(best) > q.snapshots[best].count*q.total(i) {
+			best = i
+		}
+	}
+	if best != none {
+		q.finishWith(now, Finish{Answer: q.answer(best)})
+		return
+	}
+	q.refuse(now, code, q.explain(code))
+}
+
+// answer builds the answer from one snapshot.
+func (q *Query) answer(i int) *Answer {
+	s := &q.snapshots[i]
+	q.parts = q.parts[:0]
+	q.missing = q.missing[:0]
+	first, last := 0, s.info.Shards
+	if q.spec.SingleShard {
+		first, last = q.spec.Shard, q.spec.Shard+1
+	}
+	for k := first; k < last; k++ {
+		if k < len(s.answered) && s.answered[k] {
+			q.parts = append(q.parts, Part{Shard: k, Body: s.bodies[k]})
+		} else {
+			q.missing = append(q.missing, k)
+		}
+	}
+	a := &q.stats
+	a.Snapshot = s.info
+	a.Parts = q.parts
+	a.Missing = q.missing
+	return a
+}
+
+func (q *Query) explain(code verdict.Code) string {
+	covered, total := 0, q.scope()
+	if q.current != none {
+		covered, total = q.snapshots[q.current].count, q.total(q.current)
+	}
+	switch code {
+	case verdict.CodeDeadline:
+		return fmt.Sprintf("the deadline passed with %d of %d shards answered", covered, total)
+	case verdict.CodeOverloaded:
+		return "the service lacks capacity"
+	case verdict.CodeConnectionLost:
+		return "the connection to the service was lost"
+	case verdict.CodeUnavailable:
+		return "no upstream of the service can be reached"
+	}
+	return fmt.Sprintf("only %d of %d shards can answer from one snapshot", covered, total)
+}
+
+// refuse finishes the query with a refusal. A request that must not be repeated
+// after it may have run gets no advice to retry.
+func (q *Query) refuse(now time.Time, code verdict.Code, message string) {
+	retryAfter := max(q.retryAfter, q.shared.Policy.RetryAfter)
+	q.finishWith(now, Finish{Refusal: &verdict.Refusal{Code: code, Message: message, RetryAfter: retryAfter}})
+}
+
+// finishWith gives up what still runs and ends the query.
+func (q *Query) finishWith(now time.Time, f Finish) {
+	invariant.Check(!q.finished, "scatter_finished_once")
+	q.withdraw(now)
+	for i := range q.attempts {
+		q.cancel(&q.attempts[i])
+	}
+	if f.Refusal != nil {
+		f.Refusal = q.judge(f.Refusal)
+	}
+	q.finish = f
+	q.finished = true
+	q.actions = append(q.actions, &q.finish)
+}
+
+// judge completes the refusal by the verdict over all attempts. One that has no
+// result yet may have run.
+func (q *Query) judge(r *verdict.Refusal) *verdict.Refusal {
+	v := verdict.Join(r.Verdict, q.verdict)
+	if q.pending > 0 {
+		v = verdict.Join(v, verdict.MayHaveRun)
+	}
+	r = r.With(v)
+	if v != verdict.NotRun && !q.spec.Idempotent {
+		r.RetryAfter = 0
+	}
+	return r
+}
+
+// withdraw takes back the attempts that the owner has not seen yet: they never
+// run.
+func (q *Query) withdraw(now time.Time) {
+	for i := range q.sends {
+		a := &q.attempts[q.sends[i].Attempt.ID-q.firstID]
+		q.end(now, a, Report{Outcome: OutcomeCanceled, Load: -1})
+		q.stats.Attempts--
+		q.shared.Budgets.give(a.kind)
+	}
+	kept := q.actions[:0]
+	for _, action := range q.actions {
+		if c, ok := action.(*Cancel); ok && !q.attempts[c.Attempt-q.firstID].ended {
+			kept = append(kept, c)
+		}
+	}
+	q.actions = kept
+	q.sends = q.sends[:0]
+}
--- /dev/null
+++ b/internal/core/scatter/policy.go
@@ -0,0 +1,40 @@
+package scatter
+
+import "time"
+
+// Policy holds the limits of one query.
+type Policy struct {
+	// MaxAttemptsPerShard bounds the requests to one shard.
+	MaxAttemptsPerShard int
+	// MaxHedgesPerShard bounds the hedges among them.
+	MaxHedgesPerShard int
+	// MaxRestarts bounds the changes from one snapshot to another after the
+	// query has settled.
+	MaxRestarts int
+	// CapacityWait bounds the wait of a shard without a replica that can take a
+	// request.
+	CapacityWait time.Duration
+	// CapacityPoll is the time between two tries while a shard waits.
+	CapacityPoll time.Duration
+	// RetryAfter is what a refusal advises when no upstream has said more.
+	RetryAfter time.Duration
+}
+
+// DefaultPolicy returns the product's limits.
+func DefaultPolicy() Policy {
+	return Policy{
+		MaxAttemptsPerShard: 6,
+		MaxHedgesPerShard:   2,
+		MaxRestarts:         2,
+		CapacityWait:        50 * time.Millisecond,
+		CapacityPoll:        2 * time.Millisecond,
+		RetryAfter:          time.Second,
+	}
+}
+
+const (
+	// maxSnapshots bounds the snapshots that one query tells apart.
+	maxSnapshots = 8
+	// maxShards bounds the shard count that a query believes of a snapshot.
+	maxShards = 1 << 16
+)
--- /dev/null
+++ b/internal/core/scatter/query.go
@@ -0,0 +1,302 @@
+package scatter
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/invariant"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// Spec describes one query.
+type Spec struct {
+	// Service is the service's name.
+	Service string
+	// Layout is the catalog's current shards of the service. It is shared and
+	// never changed.
+	Layout []catalog.Shard
+	// RequestID is shared by all attempts.
+	RequestID string
+	// Deadline ends the query.
+	Deadline time.Time
+	// Idempotent tells whether a shard may be asked more than once.
+	Idempotent bool
+	// SingleShard tells whether the query goes to the shard Shard alone.
+	SingleShard bool
+	// Shard is the chosen shard of a SingleShard query.
+	Shard int
+	// Snapshots tells whether all answers must come from one index snapshot.
+	Snapshots bool
+	// MinCoverage is the least coverage that the caller accepts. 1 means a
+	// complete answer only.
+	MinCoverage float64
+}
+
+// Shared is what all queries of one service on one daemon have in common.
+type Shared struct {
+	Picker  Picker
+	Budgets *Budgets
+	// Latency may be nil: hedges are then due at half of the deadline.
+	Latency *Latency
+	Policy  Policy
+}
+
+// Query runs one query over the shards of a service. It is a state machine: its
+// methods take the time and an event and return actions. It is owned by one
+// goroutine at a time.
+//
+// The owner calls Start once, carries out the returned actions in order, and
+// reports the end of every attempt by OnResult, also after Cancel and Finish.
+// When the time of NextTimer comes it calls OnTimer, after the results that
+// have arrived by then. It may call Reset for the next query once Pending is
+// zero, or after Close.
+type Query struct {
+	spec   Spec
+	shared Shared
+
+	shards   []shardState
+	attempts []attempt
+	firstID  int // ID of attempts[0]; IDs aren't reused after Reset
+
+	snapshots []snapshotState
+	current   int  // index of the wanted snapshot, or none
+	settled   bool // the wanted snapshot changes only by a restart now
+	restarts  int
+	settleAt  time.Time
+	reported  int // shards with at least one ended attempt
+
+	due        time.Time // no timer is due before; zero: none
+	finished   bool
+	pending    int // attempts without a Result
+	verdict    verdict.Verdict
+	retryAfter time.Duration
+	stats      Answer
+
+	actions []Action
+	sends   []Send
+	cancels []Cancel
+	finish  Finish
+	tried   []string
+	missing []int
+	parts   []Part
+}
+
+const none = -1
+
+type shardState struct {
+	last     int // index of the latest attempt, or none
+	running  int // attempts without a Result that aren't canceled
+	sent     int
+	hedges   int
+	ended    bool // an attempt has ended
+	mayRun   bool // an attempt has run or may have run
+	spent    bool // no further attempt is allowed, whatever the snapshot
+	next     kind // of the next attempt
+	cause    verdict.Code
+	hedgeAt  time.Time // zero: no hedge is due
+	pollAt   time.Time // zero: the shard doesn't wait for capacity
+	giveUpAt time.Time // end of the wait for capacity
+}
+
+type attempt struct {
+	id       int
+	shard    int
+	previous int // the shard's attempt before, or none
+	wanted   int // index of the wanted snapshot, or none for any
+	kind     kind
+	target   Target
+	sentAt   time.Time
+	ended    bool
+	canceled bool
+	failed   bool   // ended without an answer, for a reason other than its snapshot
+	lacks    uint16 // bit set of the snapshots that the replica said it lacks
+}
+
+// kind tells which budget an attempt is paid from.
+type kind uint8
+
+const (
+	kindFirst kind = iota
+	kindHedge
+	kindRetry
+	kindReask
+)
+
+// New returns a Query that is ready for Start.
+func New(spec Spec, shared Shared) *Query {
+	q := &Query{shared: shared}
+	q.Reset(spec)
+	return q
+}
+
+// Reset makes the Query ready for another query of the same service, with the
+// buffers of the one before. Attempts that are still pending must be closed
+// first; Close does it.
+func (q *Query) Reset(spec Spec) {
+	invariant.Check(q.pending == 0, "scatter_reset_with_pending_attempts")
+	q.firstID += len(q.attempts)
+	q.spec = spec
+	q.attempts = q.attempts[:0]
+	q.snapshots = q.snapshots[:0]
+	q.current = none
+	q.settled = false
+	q.restarts = 0
+	q.settleAt = time.Time{}
+	q.reported = 0
+	q.due = time.Time{}
+	q.finished = false
+	q.pending = 0
+	q.verdict = verdict.NotRun
+	q.retryAfter = 0
+	q.stats = Answer{}
+	q.finish = Finish{}
+	q.resetShards(len(spec.Layout))
+	if !spec.Snapshots {
+		q.current = q.snapshotIndex(SnapshotInfo{Shards: len(spec.Layout)})
+		q.settled = true
+	}
+}
+
+func (q *Query) resetShards(n int) {
+	if cap(q.shards) < n {
+		q.shards = make([]shardState, n)
+	}
+	q.shards = q.shards[:n]
+	for i := range q.shards {
+		q.shards[i] = shardState{last: none, cause: verdict.CodeUnavailable}
+	}
+}
+
+// Start sends the first attempt to every shard.
+func (q *Query) Start(now time.Time) []Action {
+	q.begin()
+	if len(q.shards) == 0 || q.spec.SingleShard && uint(q.spec.Shard) >= uint(len(q.shards)) {
+		q.refuse(now, verdict.CodeUnavailable, "the service has no such shard")
+		return q.actions
+	}
+	if !now.Before(q.spec.Deadline) {
+		q.refuse(now, verdict.CodeDeadline, "the deadline has passed")
+		return q.actions
+	}
+	q.shared.Budgets.earn(q.scope())
+	if q.spec.Snapshots {
+		q.settleAt = now.Add(q.hedgeDelay(now, q.firstShard()))
+	}
+	q.schedule(q.spec.Deadline)
+	for k := range q.shards {
+		if q.inScope(k) {
+			q.ensure(now, k)
+		}
+	}
+	q.conclude(now)
+	return q.actions
+}
+
+// OnResult takes the end of an attempt. Results of unknown attempts and repeated
+// results change nothing.
+func (q *Query) OnResult(now time.Time, r Result) []Action {
+	q.begin()
+	i := r.Attempt - q.firstID
+	if i < 0 || i >= len(q.attempts) || q.attempts[i].ended {
+		return nil
+	}
+	a := &q.attempts[i]
+	q.check(a, &r)
+	q.end(now, a, r.Report)
+	q.account(a, &r)
+	if q.finished {
+		return nil
+	}
+	if r.Report.Outcome == OutcomeAnswered {
+		q.onAnswer(now, a, &r)
+	} else {
+		q.onFailure(a, &r)
+	}
+	q.trySettle(now)
+	q.advance(now, a.shard)
+	q.conclude(now)
+	return q.actions
+}
+
+// OnTimer does what is due. It is harmless to call it early or late.
+func (q *Query) OnTimer(now time.Time) []Action {
+	q.begin()
+	if q.finished || q.due.IsZero() || now.Before(q.due) {
+		return nil
+	}
+	q.due = time.Time{}
+	q.schedule(q.spec.Deadline)
+	if now.Before(q.spec.Deadline) {
+		q.trySettle(now)
+		q.runTimers(now)
+	}
+	q.conclude(now)
+	return q.actions
+}
+
+// NextTimer returns the time of the next OnTimer, and false when none is due.
+func (q *Query) NextTimer() (time.Time, bool) {
+	if q.finished || q.due.IsZero() {
+		return time.Time{}, false
+	}
+	return q.due, true
+}
+
+// Abandon ends the query with the refusal because the caller is gone or the
+// daemon stops. The refusal's verdict is joined with what the attempts tell.
+func (q *Query) Abandon(now time.Time, refusal *verdict.Refusal) []Action {
+	q.begin()
+	if q.finished {
+		return nil
+	}
+	q.finishWith(now, Finish{Refusal: refusal})
+	return q.actions
+}
+
+// Pending returns the number of attempts whose Result has not come.
+func (q *Query) Pending() int { return q.pending }
+
+// Close ends all reservations whose Result has not come, as canceled. Results
+// that come later are ignored, also after Reset.
+func (q *Query) Close(now time.Time) {
+	for i := range q.attempts {
+		a := &q.attempts[i]
+		if !a.ended {
+			q.end(now, a, Report{Outcome: OutcomeCanceled, Latency: now.Sub(a.sentAt), Load: -1})
+		}
+	}
+	q.finished = true
+}
+
+func (q *Query) begin() {
+	clear(q.actions)
+	q.actions = q.actions[:0]
+	q.sends = q.sends[:0]
+	q.cancels = q.cancels[:0]
+}
+
+func (q *Query) schedule(t time.Time) {
+	if q.due.IsZero() || t.Before(q.due) {
+		q.due = t
+	}
+}
+
+// inScope tells whether the query concerns the shard of the layout.
+func (q *Query) inScope(k int) bool {
+	return !q.spec.SingleShard || k == q.spec.Shard
+}
+
+func (q *Query) firstShard() int {
+	if q.spec.SingleShard {
+		return q.spec.Shard
+	}
+	return 0
+}
+
+// scope returns the number of shards of the layout that the query concerns.
+func (q *Query) scope() int {
+	if q.spec.SingleShard {
+		return 1
+	}
+	return len(q.shards)
+}
--- /dev/null
+++ b/internal/core/scatter/query_test.go
@@ -0,0 +1,97 @@
+package scatter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// roundRobin is a Picker that offers every replica that wasn't tried.
+type roundRobin struct {
+	layout []catalog.Shard
+	next   int
+	open   int
+}
+
+func (p *roundRobin) Pick(_ time.Time, _ string, k int, tried []string) (Target, bool) {
+	replicas := p.layout[k].Replicas
+	for range replicas {
+		p.next++
+		u := &replicas[p.next%len(replicas)]
+		if !contains(tried, u.ID) {
+			p.open++
+			return Target{Upstream: u.ID, Address: u.Address}, true
+		}
+	}
+	return Target{}, false
+}
+
+func (p *roundRobin) Done(time.Time, string, int, Target, Report) { p.open-- }
+
+func layoutOf(shards, replicas int) []catalog.Shard {
+	layout := make([]catalog.Shard, shards)
+	for k := range layout {
+		for r := range replicas {
+			layout[k].Replicas = append(layout[k].Replicas, catalog.Upstream{ID: fmt.Sprintf("u%d-%d", k, r)})
+		}
+	}
+	return layout
+}
+
+func TestQueryAnswersFromAllShards(t *testing.T) {
+	layout := layoutOf(3, 2)
+	picker := &roundRobin{layout: layout}
+	shared := Shared{Picker: picker, Budgets: NewBudgets(), Latency: NewLatency(3), Policy: DefaultPolicy()}
+	q := New(Spec{Service: "s", Layout: layout, Deadline: epoch.Add(time.Second), Idempotent: true, Snapshots: true, MinCoverage: 1}, shared)
+	sends := q.Start(epoch)
+	if len(sends) != 3 {
+		t.Fatalf("got %d actions, want 3", len(sends))
+	}
+	ids := make([]int, 0, 3)
+	for _, a := range sends {
+		ids = append(ids, a.(*Send).Attempt.ID)
+	}
+	var last []Action
+	for _, id := range ids {
+		last = q.OnResult(epoch.Add(time.Millisecond), Result{Attempt: id, Verdict: verdict.Ran, Snapshot: SnapshotInfo{ID: "a", Shards: 3}, Body: []byte("{}")})
+	}
+	f, ok := last[len(last)-1].(*Finish)
+	if !ok || f.Answer == nil || f.Answer.Coverage() != 1 {
+		t.Fatalf("got %+v, want a complete answer", last)
+	}
+	if picker.open != 0 || q.Pending() != 0 {
+		t.Fatalf("got %d open reservations and %d pending attempts, want none", picker.open, q.Pending())
+	}
+}
+
+// BenchmarkQuery runs one query of 130 shards per iteration on reused buffers.
+func BenchmarkQuery(b *testing.B) {
+	const shards = 130
+	layout := layoutOf(shards, 3)
+	picker := &roundRobin{layout: layout}
+	shared := Shared{Picker: picker, Budgets: NewBudgets(), Latency: NewLatency(shards), Policy: DefaultPolicy()}
+	spec := Spec{Service: "s", Layout: layout, Deadline: epoch.Add(time.Second), Idempotent: true, Snapshots: true, MinCoverage: 1}
+	q := New(spec, shared)
+	body := []byte("{}")
+	ids := make([]int, 0, shards)
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		spec.Deadline = now.Add(time.Second)
+		q.Reset(spec)
+		ids = ids[:0]
+		for _, a := range q.Start(now) {
+			ids = append(ids, a.(*Send).Attempt.ID)
+		}
+		for _, id := range ids {
+			q.OnResult(now, Result{Attempt: id, Verdict: verdict.Ran, Snapshot: SnapshotInfo{ID: "a", Shards: shards}, Body: body})
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/shards, "ns/attempt")
+}
--- /dev/null
+++ b/internal/core/scatter/results.go
@@ -0,0 +1,130 @@
+package scatter
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// check turns an answer that can't belong to its attempt into a mismatch.
+func (q *Query) check(a *attempt, r *Result) {
+	if r.Report.Outcome != OutcomeAnswered {
+		return
+	}
+	r.Verdict = verdict.Ran
+	if !q.spec.Snapshots {
+		return
+	}
+	i := q.snapshotIndex(r.Snapshot)
+	foreign := i == none || a.wanted != none && i != a.wanted
+	if foreign || a.shard >= r.Snapshot.Shards {
+		r.Report.Outcome = OutcomeMismatch
+	}
+}
+
+// account keeps what the result says about execution and load.
+func (q *Query) account(a *attempt, r *Result) {
+	s := &q.shards[a.shard]
+	q.verdict = verdict.Join(q.verdict, r.Verdict)
+	s.mayRun = s.mayRun || r.Verdict != verdict.NotRun
+	if !s.ended {
+		s.ended = true
+		q.reported++
+	}
+	switch r.Report.Outcome {
+	case OutcomeAnswered:
+		q.shared.Latency.Record(a.shard, r.Report.Latency)
+	case OutcomeShed:
+		q.shared.Budgets.shed()
+		q.retryAfter = max(q.retryAfter, r.Report.RetryAfter)
+	case OutcomeCanceled:
+		if a.canceled && a.kind != kindHedge && s.hedges > 0 {
+			q.shared.Latency.Record(a.shard, r.Report.Latency)
+		}
+	}
+}
+
+// onAnswer stores an answer with its snapshot and gives up the losers.
+func (q *Query) onAnswer(now time.Time, a *attempt, r *Result) {
+	i := q.current
+	if q.spec.Snapshots {
+		i = q.snapshotIndex(r.Snapshot)
+	}
+	k := a.shard
+	q.snapshots[i].store(k, r.Body)
+	if q.current == none || i == q.current {
+		q.cancelShard(k)
+		return
+	}
+	q.shards[k].next = kindReask
+	// The replica may hold the wanted snapshot too, so it may be asked again.
+}
+
+// onFailure keeps why an attempt failed.
+func (q *Query) onFailure(a *attempt, r *Result) {
+	s := &q.shards[a.shard]
+	if a.canceled {
+		return
+	}
+	s.next = kindRetry
+	s.cause = causeOf(r.Report.Outcome)
+	if r.Report.Outcome != OutcomeSnapshotMissing {
+		a.failed = true
+		return
+	}
+	s.next = kindReask
+	q.noteHeld(a, r.Held)
+}
+
+// noteHeld keeps which snapshots the attempt's replica lacks.
+func (q *Query) noteHeld(a *attempt, held []SnapshotInfo) {
+	var holds uint16
+	for _, info := range held {
+		if i := q.snapshotIndex(info); i != none {
+			holds |= 1 << i
+		}
+	}
+	a.lacks = ^holds
+	if a.wanted == none {
+		a.failed = holds == 0
+	} else {
+		a.lacks |= 1 << a.wanted
+	}
+}
+
+// advance goes on with a shard whose attempt has ended.
+func (q *Query) advance(now time.Time, k int) {
+	if !now.Before(q.spec.Deadline) {
+		return
+	}
+	if q.current != none && !q.needed(q.current, k) {
+		return
+	}
+	if q.divergent(k) && !q.settled {
+		return
+	}
+	q.ensure(now, k)
+}
+
+// divergent tells whether the shard has answered, but from another snapshot than
+// the wanted one.
+func (q *Query) divergent(k int) bool {
+	for i := range q.snapshots {
+		if i != q.current && k < len(q.snapshots[i].answered) && q.snapshots[i].answered[k] {
+			return true
+		}
+	}
+	return false
+}
+
+func causeOf(o Outcome) verdict.Code {
+	switch o {
+	case OutcomeShed:
+		return verdict.CodeOverloaded
+	case OutcomeConnectFailed, OutcomeDraining:
+		return verdict.CodeUnavailable
+	case OutcomeConnectionLost:
+		return verdict.CodeConnectionLost
+	}
+	return verdict.CodeIncomplete
+}
--- /dev/null
+++ b/internal/core/scatter/snapshot.go
@@ -0,0 +1,216 @@
+package scatter
+
+import "time"
+
+// snapshotState is what a query knows of one snapshot.
+type snapshotState struct {
+	info SnapshotInfo
+	// bodies holds the answers by shard, of the snapshot's shards within the
+	// layout. answered tells which of them have come.
+	bodies   [][]byte
+	answered []bool
+	count    int
+	// gone tells the shards that no replica can answer from this snapshot.
+	gone      []bool
+	goneCount int
+}
+
+func (s *snapshotState) reset(info SnapshotInfo, layout int) {
+	n := min(info.Shards, layout)
+	s.info = info
+	s.bodies = resize(s.bodies, n)
+	s.answered = resize(s.answered, n)
+	s.gone = resize(s.gone, n)
+	s.count = 0
+	s.goneCount = 0
+}
+
+func resize[T any](s []T, n int) []T {
+	if cap(s) < n {
+		return make([]T, n)
+	}
+	s = s[:n]
+	clear(s)
+	return s
+}
+
+func (s *snapshotState) store(k int, body []byte) {
+	if s.answered[k] {
+		return
+	}
+	s.answered[k] = true
+	s.bodies[k] = body
+	s.count++
+	s.unlose(k)
+}
+
+func (s *snapshotState) lose(k int) {
+	if !s.gone[k] && !s.answered[k] {
+		s.gone[k] = true
+		s.goneCount++
+	}
+}
+
+func (s *snapshotState) unlose(k int) {
+	if s.gone[k] {
+		s.gone[k] = false
+		s.goneCount--
+	}
+}
+
+// snapshotIndex returns the index of a snapshot and adds one that is new. It
+// returns none when the information contradicts what is known, can't be true, or
+// exceeds the query's bounds.
+func (q *Query) snapshotIndex(info SnapshotInfo) int {
+	for i := range q.snapshots {
+		if q.snapshots[i].info.ID != info.ID {
+			continue
+		}
+		if q.snapshots[i].info.Shards != info.Shards {
+			return none
+		}
+		return i
+	}
+	if !q.believable(info) || len(q.snapshots) == maxSnapshots {
+		return none
+	}
+	n := len(q.snapshots)
+	if n < cap(q.snapshots) {
+		q.snapshots = q.snapshots[:n+1]
+	} else {
+		q.snapshots = append(q.snapshots, snapshotState{})
+	}
+	q.snapshots[n].reset(info, len(q.shards))
+	return n
+}
+
+// believable tells whether the query can use the snapshot. The chosen shard of a
+// single-shard query is only right for the layout's own shard count.
+func (q *Query) believable(info SnapshotInfo) bool {
+	if info.Shards < 1 || info.Shards > maxShards {
+		return false
+	}
+	if !q.spec.Snapshots {
+		return true
+	}
+	if info.ID == "" {
+		return false
+	}
+	return !q.spec.SingleShard || info.Shards == len(q.shards)
+}
+
+// total returns the shards that a complete answer from the snapshot has.
+func (q *Query) total(i int) int {
+	if q.spec.SingleShard {
+		return 1
+	}
+	return q.snapshots[i].info.Shards
+}
+
+// needed tells whether the query still lacks the shard's answer from the
+// snapshot and can hope for it.
+func (q *Query) needed(i, k int) bool {
+	s := &q.snapshots[i]
+	return q.inScope(k) && k < len(s.answered) && !s.answered[k] && !s.gone[k]
+}
+
+// potential returns the shards that have answered from the snapshot or still
+// can.
+func (q *Query) potential(i int) int {
+	s := &q.snapshots[i]
+	n := 0
+	for k := range s.answered {
+		if s.answered[k] || q.needed(i, k) && !q.exhausted(k, i) {
+			n++
+		}
+	}
+	return n
+}
+
+// trySettle chooses among the snapshots seen so far, and ends the choice once
+// half of the shards have reported or the time for it is over.
+func (q *Query) trySettle(now time.Time) {
+	if q.settled || len(q.snapshots) == 0 {
+		return
+	}
+	if q.current == none {
+		q.current = 0
+	}
+	for i := range q.snapshots {
+		if q.snapshots[i].count > q.snapshots[q.current].count {
+			q.current = i
+		}
+	}
+	if 2*q.reported < q.scope() && now.Before(q.settleAt) {
+		q.schedule(q.settleAt)
+		return
+	}
+	q.settled = true
+	q.askCurrent(now)
+}
+
+// askCurrent cancels the attempts that can't add to the wanted snapshot and asks
+// every shard that lacks an answer from it.
+func (q *Query) askCurrent(now time.Time) {
+	for k := range q.shards {
+		if q.needed(q.current, k) {
+			q.ensure(now, k)
+		} else {
+			q.cancelShard(k)
+		}
+	}
+}
+
+// reconsider moves to another snapshot when the wanted one can't be complete and
+// the other gains coverage within the deadline. It tells whether it moved.
+func (q *Query) reconsider(now time.Time) bool {
+	if !q.settled || !q.spec.Snapshots || q.restarts == q.shared.Policy.MaxRestarts {
+		return false
+	}
+	if q.snapshots[q.current].goneCount == 0 && q.beyondLayout() == 0 {
+		return false
+	}
+	best := q.current
+	most := q.potential(best)
+	for i := range q.snapshots {
+		n := q.potential(i)
+		if n*q.total(best) > most*q.total(i) {
+			best, most = i, n
+		}
+	}
+	if best == q.current || !q.timeForRestart(now) {
+		return false
+	}
+	q.restarts++
+	q.current = best
+	q.cancelOthers()
+	q.askCurrent(now)
+	return true
+}
+
+// beyondLayout returns the shards of the wanted snapshot that the catalog's
+// layout doesn't have.
+func (q *Query) beyondLayout() int {
+	if q.spec.SingleShard {
+		return 0
+	}
+	return max(0, q.snapshots[q.current].info.Shards-len(q.shards))
+}
+
+// timeForRestart tells whether a new attempt usually ends before the deadline.
+func (q *Query) timeForRestart(now time.Time) bool {
+	left := q.spec.Deadline.Sub(now)
+	d, known := q.shared.Latency.Delay(q.firstShard())
+	return left > 0 && (!known || d < left)
+}
+
+// cancelOthers cancels the attempts that want another snapshot than the current
+// one.
+func (q *Query) cancelOthers() {
+	for i := range q.attempts {
+		a := &q.attempts[i]
+		if a.wanted != none && a.wanted != q.current {
+			q.cancel(a)
+		}
+	}
+}
