--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -81,7 +81,7 @@
 	Target Target
 	// Deadline ends the attempt.
 	Deadline time.Time
-	// Hedge tells whether another attempt for the shard is running.
+	// Hedge tells whether the attempt backs up a slow one that is running.
 	Hedge bool
 }
 
--- a/internal/core/scatter/attempts.go
+++ b/internal/core/scatter/attempts.go
@@ -12,7 +12,7 @@
 // snapshot.
 func (q *Query) ensure(now time.Time, k int) {
 	s := &q.shards[k]
-	if s.running > 0 || !s.pollAt.IsZero() || q.current != none && !q.needed(q.current, k) {
+	if q.covered(k, q.current) || !s.pollAt.IsZero() || q.current != none && !q.needed(q.current, k) {
 		return
 	}
 	if !q.allowed(k) || q.exhausted(k, q.current) {
@@ -46,9 +46,13 @@
 	q.schedule(s.pollAt)
 }
 
+// lose gives the shard up: for the wanted snapshot, or for good when there is
+// none yet.
 func (q *Query) lose(k int) {
+	q.report(k)
 	if q.current == none {
 		q.shards[k].spent = true
+		q.spent++
 		return
 	}
 	q.snapshots[q.current].lose(k)
@@ -67,25 +71,39 @@
 // exhausted tells whether every replica of the shard has been tried for the
 // snapshot, or may not be tried.
 func (q *Query) exhausted(k, snapshot int) bool {
+	if q.covered(k, snapshot) {
+		return false
+	}
+	if !q.allowed(k) {
+		return true
+	}
+	return len(q.collectTried(k, snapshot, false)) >= len(q.spec.Layout[k].Replicas)
+}
+
+// covered tells whether an attempt is running that may answer from the snapshot.
+func (q *Query) covered(k, snapshot int) bool {
+	if q.shards[k].running == 0 {
+		return false
+	}
 	for i := q.shards[k].last; i != none; i = q.attempts[i].previous {
 		a := &q.attempts[i]
 		if !a.ended && !a.canceled && (a.wanted == none || a.wanted == snapshot) {
-			return false
+			return true
 		}
 	}
-	if !q.allowed(k) {
-		return true
-	}
-	return len(q.collectTried(k, snapshot)) >= len(q.spec.Layout[k].Replicas)
+	return false
 }
 
 // collectTried lists the replicas that needn't be asked for the snapshot: those
-// with a running attempt, those that failed, and those that lack it.
-func (q *Query) collectTried(k, snapshot int) []string {
+// with a running attempt, those that failed, and those that lack it. A replica
+// whose attempt was canceled may be asked again. With busy set, the list has the
+// replicas that run an attempt for another snapshot, too.
+func (q *Query) collectTried(k, snapshot int, busy bool) []string {
 	q.tried = q.tried[:0]
 	for i := q.shards[k].last; i != none; i = q.attempts[i].previous {
 		a := &q.attempts[i]
-		skip := a.failed || !a.ended || snapshot != none && a.lacks&(1<<snapshot) != 0
+		running := !a.ended && !a.canceled && (busy || a.wanted == none || a.wanted == snapshot)
+		skip := a.failed || running || snapshot != none && a.lacks&(1<<snapshot) != 0
 		if skip && !contains(q.tried, a.target.Upstream) {
 			q.tried = append(q.tried, a.target.Upstream)
 		}
@@ -106,7 +124,7 @@
 // replica can take one.
 func (q *Query) send(now time.Time, k int, kind kind) bool {
 	s := &q.shards[k]
-	target, ok := q.shared.Picker.Pick(now, q.spec.Service, k, q.collectTried(k, q.current))
+	target, ok := q.shared.Picker.Pick(now, q.spec.Service, k, q.collectTried(k, q.current, true))
 	if !ok {
 		return false
 	}
@@ -120,7 +138,7 @@
 		target:   target,
 		sentAt:   now,
 	})
-	hedge := s.running > 0
+	repeated := s.running > 0 || s.mayRun
 	s.last = i
 	s.running++
 	s.sent++
@@ -128,7 +146,7 @@
 	s.next = kindRetry
 	q.pending++
 	q.count(kind)
-	invariant.Check(q.spec.Idempotent || !hedge && !s.mayRun, "scatter_repeated_request_not_idempotent")
+	invariant.Check(q.spec.Idempotent || !repeated, "scatter_repeated_request_not_idempotent")
 	q.armHedge(now, k)
 	q.sends = append(q.sends, Send{Attempt: Attempt{
 		ID:       q.firstID + i,
@@ -136,7 +154,7 @@
 		Snapshot: q.wantedID(),
 		Target:   target,
 		Deadline: q.spec.Deadline,
-		Hedge:    hedge,
+		Hedge:    kind == kindHedge,
 	}})
 	q.actions = append(q.actions, &q.sends[len(q.sends)-1])
 	return true
@@ -152,6 +170,8 @@
 func (q *Query) count(k kind) {
 	q.stats.Attempts++
 	switch k {
+	case kindFirst:
+		q.unearned++
 	case kindHedge:
 		q.stats.Hedges++
 	case kindRetry:
@@ -167,6 +187,7 @@
 		return
 	}
 	a.canceled = true
+	q.shards[a.shard].mayRun = true
 	q.shards[a.shard].running--
 	q.cancels = append(q.cancels, Cancel{Attempt: a.id})
 	q.actions = append(q.actions, &q.cancels[len(q.cancels)-1])
--- a/internal/core/scatter/finish.go
+++ b/internal/core/scatter/finish.go
@@ -23,7 +23,7 @@
 		q.concludeUnsettled(now)
 		return
 	}
-	if !q.lossy() {
+	if !q.lossy() && !q.doubtful(now) {
 		return
 	}
 	for q.reconsider(now) {
@@ -38,7 +38,7 @@
 
 // lossy tells whether a shard of the wanted snapshot is lost.
 func (q *Query) lossy() bool {
-	return q.snapshots[q.current].goneCount > 0 || q.beyondLayout() > 0
+	return q.spent > 0 || q.snapshots[q.current].goneCount > 0 || q.beyondLayout() > 0
 }
 
 // concludeUnsettled gives up a query without any answer when a shard is lost
@@ -63,9 +63,12 @@
 
 // hopeful tells whether some snapshot can still reach the wanted coverage.
 func (q *Query) hopeful() bool {
+	if !q.settled && !q.failedForGood() {
+		return true
+	}
 	for i := range q.snapshots {
-		reach := q.snapshots[i].count
-		if i == q.current || !q.settled {
+		reach := q.underway(i)
+		if i == q.current {
 			reach = q.potential(i)
 		}
 		if reach >= q.wanted(q.total(i)) {
@@ -75,11 +78,28 @@
 	return false
 }
 
-// open tells whether a shard of the wanted snapshot may still answer.
+// failedForGood tells whether too many shards of the layout have failed whatever
+// the snapshot, and no snapshot is known that can do without them.
+func (q *Query) failedForGood() bool {
+	for i := range q.snapshots {
+		if q.sufficient(i) {
+			return false
+		}
+	}
+	lost := 0
+	for k := range q.shards {
+		if q.inScope(k) && !q.answeredAny(k) && q.exhausted(k, none) {
+			lost++
+		}
+	}
+	return q.wanted(q.scope()) > q.scope()-lost
+}
+
+// open tells whether an answer may still come.
 func (q *Query) open() bool {
 	for k := range q.shards {
 		s := &q.shards[k]
-		if q.needed(q.current, k) && (s.running > 0 || !s.pollAt.IsZero()) {
+		if s.running > 0 || !s.pollAt.IsZero() {
 			return true
 		}
 	}
@@ -112,6 +132,7 @@
 func (q *Query) finishComplete(now time.Time) bool {
 	for i := range q.snapshots {
 		if q.snapshots[i].count == q.total(i) {
+			q.remember(i)
 			q.finishWith(now, Finish{Answer: q.answer(i)})
 			return true
 		}
@@ -119,6 +140,13 @@
 	return false
 }
 
+// remember lets later queries start with the snapshot.
+func (q *Query) remember(i int) {
+	if q.spec.Snapshots && !q.spec.SingleShard {
+		q.shared.Recent.store(q.snapshots[i].info)
+	}
+}
+
 // finishBest answers from the snapshot with the largest coverage if that is
 // enough for the caller, and refuses otherwise.
 func (q *Query) finishBest(now time.Time, code verdict.Code) {
@@ -222,6 +250,9 @@
 		a := &q.attempts[q.sends[i].Attempt.ID-q.firstID]
 		q.end(now, a, Report{Outcome: OutcomeCanceled, Load: -1})
 		q.stats.Attempts--
+		if a.kind == kindFirst {
+			q.unearned--
+		}
 		q.shared.Budgets.give(a.kind)
 	}
 	kept := q.actions[:0]
--- a/internal/core/scatter/policy.go
+++ b/internal/core/scatter/policy.go
@@ -11,6 +11,9 @@
 	// MaxRestarts bounds the changes from one snapshot to another after the
 	// query has settled.
 	MaxRestarts int
+	// DiscoverEvery is the number of queries among which one asks for any
+	// snapshot instead of the most recent complete one. Zero: all of them do.
+	DiscoverEvery int
 	// CapacityWait bounds the wait of a shard without a replica that can take a
 	// request.
 	CapacityWait time.Duration
@@ -26,6 +29,7 @@
 		MaxAttemptsPerShard: 6,
 		MaxHedgesPerShard:   2,
 		MaxRestarts:         2,
+		DiscoverEvery:       8,
 		CapacityWait:        50 * time.Millisecond,
 		CapacityPoll:        2 * time.Millisecond,
 		RetryAfter:          time.Second,
--- a/internal/core/scatter/query.go
+++ b/internal/core/scatter/query.go
@@ -38,7 +38,9 @@
 	Budgets *Budgets
 	// Latency may be nil: hedges are then due at half of the deadline.
 	Latency *Latency
-	Policy  Policy
+	// Recent may be nil: the query then asks for any snapshot at first.
+	Recent *Recent
+	Policy Policy
 }
 
 // Query runs one query over the shards of a service. It is a state machine: its
@@ -62,8 +64,12 @@
 	current   int  // index of the wanted snapshot, or none
 	settled   bool // the wanted snapshot changes only by a restart now
 	restarts  int
-	settleAt  time.Time
-	reported  int // shards with at least one ended attempt
+	settleAt  time.Time // a choice is made by then
+	// lastRestartAt is the latest time at which a restart is likely to end
+	// before the deadline. Until then the query waits for slow replicas.
+	lastRestartAt time.Time
+	reported      int // shards that are reported
+	spent         int // shards that were lost before a snapshot was known
 
 	due        time.Time // no timer is due before; zero: none
 	finished   bool
@@ -71,6 +77,7 @@
 	verdict    verdict.Verdict
 	retryAfter time.Duration
 	stats      Answer
+	unearned   int // first requests that the budgets don't know of yet
 
 	actions []Action
 	sends   []Send
@@ -88,7 +95,7 @@
 	running  int // attempts without a Result that aren't canceled
 	sent     int
 	hedges   int
-	ended    bool // an attempt has ended
+	reported bool // an attempt has ended, or the shard is lost
 	mayRun   bool // an attempt has run or may have run
 	spent    bool // no further attempt is allowed, whatever the snapshot
 	next     kind // of the next attempt
@@ -142,7 +149,10 @@
 	q.settled = false
 	q.restarts = 0
 	q.settleAt = time.Time{}
+	q.lastRestartAt = time.Time{}
+	q.unearned = 0
 	q.reported = 0
+	q.spent = 0
 	q.due = time.Time{}
 	q.finished = false
 	q.pending = 0
@@ -178,18 +188,21 @@
 		q.refuse(now, verdict.CodeDeadline, "the deadline has passed")
 		return q.actions
 	}
-	q.shared.Budgets.earn(q.scope())
 	if q.spec.Snapshots {
-		q.settleAt = now.Add(q.hedgeDelay(now, q.firstShard()))
+		delay := q.hedgeDelay(now, q.firstShard())
+		q.settleAt = now.Add(delay)
+		q.lastRestartAt = q.spec.Deadline.Add(-2 * delay)
+		if info, ok := q.shared.Recent.next(q.shared.Policy.DiscoverEvery); ok {
+			q.current = q.usableIndex(info)
+		}
 	}
-	q.schedule(q.spec.Deadline)
+	q.scheduleQuery(now)
 	for k := range q.shards {
 		if q.inScope(k) {
 			q.ensure(now, k)
 		}
 	}
-	q.conclude(now)
-	return q.actions
+	return q.close(now)
 }
 
 // OnResult takes the end of an attempt. Results of unknown attempts and repeated
@@ -210,12 +223,11 @@
 	if r.Report.Outcome == OutcomeAnswered {
 		q.onAnswer(now, a, &r)
 	} else {
-		q.onFailure(a, &r)
+		q.onFailure(now, a, &r)
 	}
 	q.trySettle(now)
 	q.advance(now, a.shard)
-	q.conclude(now)
-	return q.actions
+	return q.close(now)
 }
 
 // OnTimer does what is due. It is harmless to call it early or late.
@@ -225,13 +237,12 @@
 		return nil
 	}
 	q.due = time.Time{}
-	q.schedule(q.spec.Deadline)
+	q.scheduleQuery(now)
 	if now.Before(q.spec.Deadline) {
 		q.trySettle(now)
 		q.runTimers(now)
 	}
-	q.conclude(now)
-	return q.actions
+	return q.close(now)
 }
 
 // NextTimer returns the time of the next OnTimer, and false when none is due.
@@ -249,6 +260,9 @@
 	if q.finished {
 		return nil
 	}
+	if refusal == nil {
+		refusal = verdict.Refuse(verdict.CodeNotReady, q.shared.Policy.RetryAfter, "the request was given up")
+	}
 	q.finishWith(now, Finish{Refusal: refusal})
 	return q.actions
 }
@@ -275,6 +289,28 @@
 	q.cancels = q.cancels[:0]
 }
 
+// close ends a call: it finishes the query if need be and credits the first
+// requests that were sent.
+func (q *Query) close(now time.Time) []Action {
+	if !q.finished && now.Before(q.spec.Deadline) {
+		q.trySettle(now)
+	}
+	q.conclude(now)
+	if q.unearned > 0 {
+		q.shared.Budgets.earn(q.unearned)
+		q.unearned = 0
+	}
+	return q.actions
+}
+
+// scheduleQuery schedules what concerns the whole query.
+func (q *Query) scheduleQuery(now time.Time) {
+	q.schedule(q.spec.Deadline)
+	if now.Before(q.lastRestartAt) {
+		q.schedule(q.lastRestartAt)
+	}
+}
+
 func (q *Query) schedule(t time.Time) {
 	if q.due.IsZero() || t.Before(q.due) {
 		q.due = t
--- a/internal/core/scatter/results.go
+++ b/internal/core/scatter/results.go
@@ -27,10 +27,7 @@
 	s := &q.shards[a.shard]
 	q.verdict = verdict.Join(q.verdict, r.Verdict)
 	s.mayRun = s.mayRun || r.Verdict != verdict.NotRun
-	if !s.ended {
-		s.ended = true
-		q.reported++
-	}
+	q.report(a.shard)
 	switch r.Report.Outcome {
 	case OutcomeAnswered:
 		q.shared.Latency.Record(a.shard, r.Report.Latency)
@@ -44,9 +41,17 @@
 	}
 }
 
+// report counts the shards that an attempt has told about, or that are lost.
+func (q *Query) report(k int) {
+	if !q.shards[k].reported {
+		q.shards[k].reported = true
+		q.reported++
+	}
+}
+
 // onAnswer stores an answer with its snapshot and gives up the losers.
 func (q *Query) onAnswer(now time.Time, a *attempt, r *Result) {
-	i := q.current
+	i := 0
 	if q.spec.Snapshots {
 		i = q.snapshotIndex(r.Snapshot)
 	}
@@ -61,11 +66,14 @@
 }
 
 // onFailure keeps why an attempt failed.
-func (q *Query) onFailure(a *attempt, r *Result) {
+func (q *Query) onFailure(now time.Time, a *attempt, r *Result) {
 	s := &q.shards[a.shard]
 	if a.canceled {
 		return
 	}
+	if s.running > 0 && s.hedges > 0 {
+		s.hedgeAt = now // the other attempt is slow already
+	}
 	s.next = kindRetry
 	s.cause = causeOf(r.Report.Outcome)
 	if r.Report.Outcome != OutcomeSnapshotMissing {
@@ -78,10 +86,18 @@
 
 // noteHeld keeps which snapshots the attempt's replica lacks.
 func (q *Query) noteHeld(a *attempt, held []SnapshotInfo) {
+	if len(held) == 0 {
+		a.failed = a.wanted == none
+		if !a.failed {
+			a.lacks = 1 << a.wanted
+		}
+		return
+	}
 	var holds uint16
 	for _, info := range held {
 		if i := q.snapshotIndex(info); i != none {
 			holds |= 1 << i
+			q.snapshots[i].support++
 		}
 	}
 	a.lacks = ^holds
@@ -100,17 +116,20 @@
 	if q.current != none && !q.needed(q.current, k) {
 		return
 	}
-	if q.divergent(k) && !q.settled {
-		return
+	if !q.settled && len(q.snapshots) > 0 && q.shards[k].next == kindReask {
+		return // it is asked again once the snapshot is chosen
 	}
+	q.shards[k].pollAt = time.Time{} // the result may have changed what to wait for
 	q.ensure(now, k)
+	if s := &q.shards[k]; !s.hedgeAt.IsZero() {
+		q.runHedge(now, k)
+	}
 }
 
-// divergent tells whether the shard has answered, but from another snapshot than
-// the wanted one.
-func (q *Query) divergent(k int) bool {
+// answeredAny tells whether the shard has answered from some snapshot.
+func (q *Query) answeredAny(k int) bool {
 	for i := range q.snapshots {
-		if i != q.current && k < len(q.snapshots[i].answered) && q.snapshots[i].answered[k] {
+		if k < len(q.snapshots[i].answered) && q.snapshots[i].answered[k] {
 			return true
 		}
 	}
--- a/internal/core/scatter/snapshot.go
+++ b/internal/core/scatter/snapshot.go
@@ -10,6 +10,8 @@
 	bodies   [][]byte
 	answered []bool
 	count    int
+	// support is the number of results that named the snapshot.
+	support int
 	// gone tells the shards that no replica can answer from this snapshot.
 	gone      []bool
 	goneCount int
@@ -22,6 +24,7 @@
 	s.answered = resize(s.answered, n)
 	s.gone = resize(s.gone, n)
 	s.count = 0
+	s.support = 0
 	s.goneCount = 0
 }
 
@@ -41,6 +44,7 @@
 	s.answered[k] = true
 	s.bodies[k] = body
 	s.count++
+	s.support++
 	s.unlose(k)
 }
 
@@ -84,6 +88,15 @@
 	return n
 }
 
+// usableIndex returns the index of a snapshot that the catalog's layout can
+// answer completely, or none.
+func (q *Query) usableIndex(info SnapshotInfo) int {
+	if info.Shards > len(q.shards) {
+		return none
+	}
+	return q.snapshotIndex(info)
+}
+
 // believable tells whether the query can use the snapshot. The chosen shard of a
 // single-shard query is only right for the layout's own shard count.
 func (q *Query) believable(info SnapshotInfo) bool {
@@ -114,6 +127,19 @@
 	return q.inScope(k) && k < len(s.answered) && !s.answered[k] && !s.gone[k]
 }
 
+// underway returns the shards that have answered from the snapshot or have an
+// attempt that may.
+func (q *Query) underway(i int) int {
+	s := &q.snapshots[i]
+	n := 0
+	for k := range s.answered {
+		if s.answered[k] || q.inScope(k) && q.covered(k, i) {
+			n++
+		}
+	}
+	return n
+}
+
 // potential returns the shards that have answered from the snapshot or still
 // can.
 func (q *Query) potential(i int) int {
@@ -136,17 +162,59 @@
 	if q.current == none {
 		q.current = 0
 	}
+	q.prefer()
+	if q.undecided(now) {
+		return
+	}
+	if info, ok := q.shared.Recent.last(); ok && !q.sufficient(q.current) {
+		q.usableIndex(info)
+		q.prefer()
+	}
+	q.settled = true
+	q.cancelOthers()
+	q.askCurrent(now)
+}
+
+func (q *Query) prefer() {
 	for i := range q.snapshots {
-		if q.snapshots[i].count > q.snapshots[q.current].count {
+		if i != q.current && q.preferred(i, q.current) {
 			q.current = i
 		}
 	}
+}
+
+// preferred tells whether snapshot i is a better choice than j: one that can
+// reach the wanted coverage, and then the one that more results have named.
+func (q *Query) preferred(i, j int) bool {
+	if a, b := q.sufficient(i), q.sufficient(j); a != b {
+		return a
+	}
+	return q.snapshots[i].support > q.snapshots[j].support
+}
+
+// sufficient tells whether the snapshot can reach the wanted coverage.
+func (q *Query) sufficient(i int) bool {
+	return q.potential(i) >= q.wanted(q.total(i))
+}
+
+// undecided tells whether the choice of a snapshot should wait for more answers.
+func (q *Query) undecided(now time.Time) bool {
 	if 2*q.reported < q.scope() && now.Before(q.settleAt) {
 		q.schedule(q.settleAt)
-		return
+		return true
 	}
-	q.settled = true
-	q.askCurrent(now)
+	return !q.sufficient(q.current) && q.exploring()
+}
+
+// exploring tells whether an attempt for any snapshot is running.
+func (q *Query) exploring() bool {
+	for i := range q.attempts {
+		a := &q.attempts[i]
+		if !a.ended && !a.canceled && a.wanted == none {
+			return true
+		}
+	}
+	return false
 }
 
 // askCurrent cancels the attempts that can't add to the wanted snapshot and asks
@@ -164,14 +232,12 @@
 // reconsider moves to another snapshot when the wanted one can't be complete and
 // the other gains coverage within the deadline. It tells whether it moved.
 func (q *Query) reconsider(now time.Time) bool {
-	if !q.settled || !q.spec.Snapshots || q.restarts == q.shared.Policy.MaxRestarts {
-		return false
-	}
-	if q.snapshots[q.current].goneCount == 0 && q.beyondLayout() == 0 {
+	if !q.settled || len(q.snapshots) < 2 || q.restarts == q.shared.Policy.MaxRestarts {
 		return false
 	}
+	lossy := q.lossy()
 	best := q.current
-	most := q.potential(best)
+	most := q.potential(best) - q.stuck(now)
 	for i := range q.snapshots {
 		n := q.potential(i)
 		if n*q.total(best) > most*q.total(i) {
@@ -183,11 +249,49 @@
 	}
 	q.restarts++
 	q.current = best
-	q.cancelOthers()
+	if lossy {
+		q.cancelOthers()
+	}
 	q.askCurrent(now)
 	return true
 }
 
+// doubtful tells whether the time has come to restart because of slow replicas.
+func (q *Query) doubtful(now time.Time) bool {
+	return len(q.snapshots) > 1 && !now.Before(q.lastRestartAt) && q.stuck(now) > 0
+}
+
+// stuck returns the shards that depend on slow replicas alone for the wanted
+// snapshot, once the time has come to restart because of them.
+func (q *Query) stuck(now time.Time) int {
+	if now.Before(q.lastRestartAt) {
+		return 0
+	}
+	n := 0
+	for k := range q.snapshots[q.current].answered {
+		if q.needed(q.current, k) && q.slow(now, k) {
+			n++
+		}
+	}
+	return n
+}
+
+// slow tells whether all running attempts of the shard are late and no other
+// replica is left to ask.
+func (q *Query) slow(now time.Time, k int) bool {
+	if !q.covered(k, q.current) {
+		return false
+	}
+	late := now.Add(-q.hedgeDelay(now, k))
+	for i := q.shards[k].last; i != none; i = q.attempts[i].previous {
+		a := &q.attempts[i]
+		if !a.ended && !a.canceled && a.sentAt.After(late) {
+			return false
+		}
+	}
+	return len(q.collectTried(k, q.current, true)) >= len(q.spec.Layout[k].Replicas)
+}
+
 // beyondLayout returns the shards of the wanted snapshot that the catalog's
 // layout doesn't have.
 func (q *Query) beyondLayout() int {
--- a/internal/core/scatter/timers.go
+++ b/internal/core/scatter/timers.go
@@ -58,7 +58,7 @@
 	if s.running == 0 || !q.allowed(k) || q.current != none && !q.needed(q.current, k) {
 		return
 	}
-	if len(q.collectTried(k, q.current)) >= len(q.spec.Layout[k].Replicas) {
+	if len(q.collectTried(k, q.current, true)) >= len(q.spec.Layout[k].Replicas) {
 		return
 	}
 	if !q.shared.Budgets.take(kindHedge) {
