Share upstream capacity among customers by their rates

Cause: while upstreams are short, one customer that sends several times its rate took the places of all others.

Change: start-time fair queueing weighted by rate, with a credit of at most 16 queries after a pause; refusal at once of what can't end in time, with a time to come back from the queue; an additive-increase, multiplicative-decrease limit of running queries that follows sheds and durations.

--- /dev/null
+++ b/internal/core/admission/refusal.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// refuse returns why a query of the customer can't be queued, or nil.
+func (s *Scheduler) refuse(now time.Time, c *customer, startBy time.Time) *verdict.Refusal {
+	wait := s.wait(c)
+	over := now.Add(wait).Sub(startBy)
+	if over >= 0 {
+		return s.overloaded(over)
+	}
+	if c.waiting >= s.config.MaxQueue {
+		return s.overloaded(wait / 2)
+	}
+	return nil
+}
+
+// late returns the refusal of a query that has waited in vain.
+func (s *Scheduler) late(c *customer) *verdict.Refusal {
+	return s.overloaded(s.wait(c))
+}
+
+func (s *Scheduler) overloaded(retryAfter time.Duration) *verdict.Refusal {
+	retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter)
+	return verdict.Refuse(verdict.CodeOverloaded, retryAfter, "the service lacks capacity for this customer's queue")
+}
+
+// wait estimates how long one more query of the customer waits: until the
+// virtual time has reached its start tag, which advances by one query's time for
+// each unit of the weights that wait, and no longer than for everything that
+// waits now.
+func (s *Scheduler) wait(c *customer) time.Duration {
+	perQuery := s.limit.service().Seconds() / float64(s.limit.current())
+	weights := s.activeWeight
+	if c.waiting == 0 {
+		weights += c.weight
+	}
+	ahead := max(s.startTag(c)-s.virtual, 0) + float64(c.waiting)/c.weight
+	own := ahead * weights
+	all := float64(s.waiting + 1)
+	return time.Duration(min(own, all) * perQuery * float64(time.Second))
+}
--- /dev/null
+++ b/internal/core/admission/ticket.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// Ticket is a query that waits for its grant. Its goroutine waits until Ready is
+// closed, or until StartBy or the end of the caller's connection, and calls
+// Withdraw then.
+type Ticket struct {
+	customer *customer
+	startBy  time.Time
+	ready    chan struct{}
+	permit   Permit
+	refusal  *verdict.Refusal
+	done     bool
+}
+
+// Ready is closed once the ticket is granted or refused.
+func (t *Ticket) Ready() <-chan struct{} { return t.ready }
+
+// StartBy is the latest time at which the query can start and usually end
+// before its deadline.
+func (t *Ticket) StartBy() time.Time { return t.startBy }
+
+// Result returns the permit, or why the query is refused. It may be called once
+// Ready is closed or Withdraw has returned.
+func (t *Ticket) Result() (Permit, *verdict.Refusal) { return t.permit, t.refusal }
+
+func (t *Ticket) decided() bool { return t.done }
+
+func (t *Ticket) grant(p Permit) {
+	t.permit = p
+	t.done = true
+	close(t.ready)
+}
+
+func (t *Ticket) refuse(r *verdict.Refusal) {
+	t.refusal = r
+	t.done = true
+	close(t.ready)
+}
+
+// byTag is a heap of the customers with waiting queries, by start tag and then
+// by name.
+type byTag []*customer
+
+func (o byTag) Len() int { return len(o) }
+
+func (o byTag) Less(i, j int) bool {
+	if o[i].tag != o[j].tag {
+		return o[i].tag < o[j].tag
+	}
+	return o[i].name < o[j].name
+}
+
+func (o byTag) Swap(i, j int) {
+	o[i], o[j] = o[j], o[i]
+	o[i].index = i
+	o[j].index = j
+}
+
+func (o *byTag) Push(x any) {
+	c := x.(*customer)
+	c.index = len(*o)
+	*o = append(*o, c)
+}
+
+func (o *byTag) Pop() any {
+	last := len(*o) - 1
+	c := (*o)[last]
+	(*o)[last] = nil
+	*o = (*o)[:last]
+	return c
+}
