Measure hedging on a virtual clock

Cause: the target for queries over groups with slow answers needs a figure that is quick to get and the same on every run.

Change: internal/scattermodel drives the real queries, budgets and latency tracker against modelled leaves with slots, queues and cancellation, for a random and a two-choices picker, with and without hedges. Its two-choices picker stands in for the router.

--- /dev/null
+++ b/internal/scattermodel/main.go
@@ -0,0 +1,67 @@
+// Command scattermodel measures the decisions of package scatter on a virtual
+// clock: groups of replicas with slots and queues, some of whose answers are
+// much slower. It prints one line for each policy and scenario with the median
+// and the range over the seeds. Its figures are those of a model; they say
+// nothing about the cost of sockets and scheduling.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"time"
+)
+
+func main() {
+	seeds := flag.Int("seeds", 5, "number of seeds, from 1")
+	rate := flag.Float64("rate", 400, "queries per second")
+	length := flag.Duration("length", 30*time.Second, "virtual time of each run")
+	flag.Parse()
+	fmt.Printf("%-9s %-22s %-26s %-26s %-22s %s\n", "scenario", "policy", "p50 ms", "p99 ms", "extra requests", "coverage")
+	for _, scenario := range []scenario{healthy, slow, frozen} {
+		for _, p := range policies() {
+			report(scenario, p, *seeds, *rate, *length)
+		}
+	}
+}
+
+// report runs one policy over all seeds and prints its line.
+func report(s scenario, p policy, seeds int, rate float64, length time.Duration) {
+	var p50, p99, extra, coverage []float64
+	for seed := range seeds {
+		r := run(uint64(seed+1), s, p, rate, length)
+		p50 = append(p50, r.quantile(0.50))
+		p99 = append(p99, r.quantile(0.99))
+		extra = append(extra, r.extra())
+		coverage = append(coverage, r.coverage/float64(r.queries))
+	}
+	fmt.Printf("%-9s %-22s %-26s %-26s %-22s %s\n", s, p.name,
+		spread(p50, "%.2f"), spread(p99, "%.2f"), spread(extra, "%.4f"), spread(coverage, "%.5f"))
+}
+
+// spread formats the median and the range of values.
+func spread(values []float64, format string) string {
+	slices.Sort(values)
+	f := format + " (" + format + ".." + format + ")"
+	return fmt.Sprintf(f, values[len(values)/2], values[0], values[len(values)-1])
+}
+
+// result is what one run has measured.
+type result struct {
+	queries  int
+	first    int // first requests to a shard
+	attempts int
+	coverage float64 // summed over the queries; a refusal counts as none
+	times    []float64
+}
+
+// quantile returns a quantile of the queries' durations in milliseconds.
+func (r *result) quantile(q float64) float64 {
+	slices.Sort(r.times)
+	return r.times[int(q*float64(len(r.times)-1))]
+}
+
+// extra returns the requests beyond the first to each shard, over the first.
+func (r *result) extra() float64 {
+	return float64(r.attempts-r.first) / float64(r.first)
+}
--- /dev/null
+++ b/internal/scattermodel/model.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+const (
+	deadline = time.Second
+	// warmUp is left out of the figures.
+	warmUp = 2 * time.Second
+	// freezeAt is the time of the freeze, and freezeSettle the time after which
+	// the figures begin again.
+	freezeAt     = 10 * time.Second
+	freezeSettle = 2 * time.Second
+)
+
+var (
+	epoch    = time.Unix(1_700_000_000, 0)
+	snapshot = scatter.SnapshotInfo{ID: "a", Shards: groups}
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
+
+// model is one run.
+type model struct {
+	now      time.Time
+	rng      *rand.Rand
+	scenario scenario
+	policy   policy
+	rate     float64
+	end      time.Time
+	events   events
+	seq      int
+	layout   []catalog.Shard
+	leaves   map[string]*leaf
+	shared   scatter.Shared
+	result   result
+}
+
+// query is one running query.
+type query struct {
+	*scatter.Query
+	startedAt time.Time
+	timerAt   time.Time
+	calls     map[int]*call
+	finished  bool
+}
+
+func run(seed uint64, s scenario, p policy, rate float64, length time.Duration) *result {
+	m := &model{
+		now:      epoch,
+		rng:      rand.New(rand.NewPCG(seed, 0)),
+		scenario: s,
+		policy:   p,
+		rate:     rate,
+		end:      epoch.Add(length),
+		leaves:   make(map[string]*leaf),
+	}
+	m.build()
+	m.nextQuery()
+	if s == frozen {
+		m.after(freezeAt, m.freeze)
+	}
+	for len(m.events) > 0 {
+		e := heap.Pop(&m.events).(event)
+		m.now = e.at
+		e.do()
+	}
+	return &m.result
+}
+
+func (m *model) build() {
+	m.layout = make([]catalog.Shard, groups)
+	for k := range m.layout {
+		for r := range replicas {
+			id := fmt.Sprintf("leaf-%d-%d", k, r)
+			m.layout[k].Replicas = append(m.layout[k].Replicas, catalog.Upstream{ID: id})
+			m.leaves[id] = &leaf{id: id}
+		}
+	}
+	m.shared = scatter.Shared{
+		Picker:  m.policy.picker(m.rng, m.layout),
+		Budgets: scatter.NewBudgets(),
+		Latency: scatter.NewLatency(groups),
+		Recent:  &scatter.Recent{},
+		Policy:  scatter.DefaultPolicy(),
+	}
+	if !m.policy.hedge {
+		m.shared.Policy.MaxHedgesPerShard = 0
+	}
+}
+
+func (m *model) freeze() {
+	for k := range m.layout {
+		m.leaves[m.layout[k].Replicas[0].ID].frozen = true
+	}
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.seq++
+	heap.Push(&m.events, event{at: m.now.Add(d), seq: m.seq, do: do})
+}
+
+func (m *model) nextQuery() {
+	m.after(time.Duration(m.rng.ExpFloat64()/m.rate*float64(time.Second)), func() {
+		if m.now.After(m.end) {
+			return
+		}
+		m.start()
+		m.nextQuery()
+	})
+}
+
+func (m *model) start() {
+	spec := scatter.Spec{
+		Service:    "model",
+		Layout:     m.layout,
+		Deadline:   m.now.Add(deadline),
+		Idempotent: true,
+		Snapshots:  true,
+	}
+	q := &query{Query: scatter.New(spec, m.shared), startedAt: m.now, calls: make(map[int]*call)}
+	m.carryOut(q, q.Start(m.now))
+}
+
+// carryOut does what a query wants and sets its timer.
+func (m *model) carryOut(q *query, actions []scatter.Action) {
+	var canceled []int
+	for _, action := range actions {
+		switch a := action.(type) {
+		case *scatter.Send:
+			m.send(q, a.Attempt)
+		case *scatter.Cancel:
+			canceled = append(canceled, a.Attempt)
+		case *scatter.Finish:
+			m.finish(q, a)
+		}
+	}
+	for _, id := range canceled {
+		m.abort(q, id)
+	}
+	m.arm(q)
+}
+
+func (m *model) arm(q *query) {
+	at, ok := q.NextTimer()
+	if !ok || at.Equal(q.timerAt) {
+		return
+	}
+	q.timerAt = at
+	m.after(at.Sub(m.now), func() {
+		if q.timerAt.Equal(at) {
+			q.timerAt = time.Time{}
+			m.carryOut(q, q.OnTimer(m.now))
+		}
+	})
+}
+
+func (m *model) send(q *query, a scatter.Attempt) {
+	c := &call{query: q, attempt: a.ID, shard: a.Shard, sentAt: m.now, leaf: m.leaves[a.Target.Upstream]}
+	q.calls[a.ID] = c
+	m.after(networkDelay, func() { m.arrive(c) })
+}
+
+// abort cancels a call and reports its end.
+func (m *model) abort(q *query, id int) {
+	c := q.calls[id]
+	m.cancel(c)
+	report := scatter.Report{Outcome: scatter.OutcomeCanceled, Latency: m.now.Sub(c.sentAt), Load: -1}
+	m.carryOut(q, q.OnResult(m.now, scatter.Result{Attempt: id, Verdict: verdict.MayHaveRun, Report: report}))
+}
+
+// answer reports a complete answer.
+func (m *model) answer(c *call) {
+	if c.finished {
+		return
+	}
+	c.finished = true
+	report := scatter.Report{Outcome: scatter.OutcomeAnswered, Latency: m.now.Sub(c.sentAt), Load: -1}
+	result := scatter.Result{Attempt: c.attempt, Verdict: verdict.Ran, Snapshot: snapshot, Report: report}
+	m.carryOut(c.query, c.query.OnResult(m.now, result))
+}
+
+// finish keeps the figures of a query.
+func (m *model) finish(q *query, f *scatter.Finish) {
+	if !m.counts(q) {
+		return
+	}
+	m.result.queries++
+	m.result.first += groups
+	m.result.attempts += len(q.calls)
+	m.result.times = append(m.result.times, m.now.Sub(q.startedAt).Seconds()*1000)
+	if f.Answer != nil {
+		m.result.coverage += f.Answer.Coverage()
+	}
+}
+
+// counts tells whether the query lies within the measured time.
+func (m *model) counts(q *query) bool {
+	from := epoch.Add(warmUp)
+	if m.scenario == frozen {
+		from = epoch.Add(freezeAt + freezeSettle)
+	}
+	return !q.startedAt.Before(from)
+}
--- /dev/null
+++ b/internal/scattermodel/picker.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+)
+
+// policy is a way to choose replicas, with or without hedges.
+type policy struct {
+	name   string
+	hedge  bool
+	picker func(*rand.Rand, []catalog.Shard) scatter.Picker
+}
+
+func policies() []policy {
+	random := func(rng *rand.Rand, layout []catalog.Shard) scatter.Picker {
+		return newPicker(rng, layout, 1)
+	}
+	twoChoices := func(rng *rand.Rand, layout []catalog.Shard) scatter.Picker {
+		return newPicker(rng, layout, 2)
+	}
+	return []policy{
+		{name: "random, no hedge", picker: random},
+		{name: "two choices, no hedge", picker: twoChoices},
+		{name: "random, hedge", hedge: true, picker: random},
+		{name: "two choices, hedge", hedge: true, picker: twoChoices},
+	}
+}
+
+// latencyShare is the weight of one sample in a replica's recent latency.
+const latencyShare = 0.2
+
+// picker takes the best of some replicas drawn at random, by in-flight requests
+// and recent latency. With one choice it is random.
+type picker struct {
+	rng     *rand.Rand
+	layout  []catalog.Shard
+	choices int
+	stats   map[string]*stats
+}
+
+type stats struct {
+	inFlight int
+	recent   float64 // seconds
+}
+
+func newPicker(rng *rand.Rand, layout []catalog.Shard, choices int) *picker {
+	p := &picker{rng: rng, layout: layout, choices: choices, stats: make(map[string]*stats)}
+	for k := range layout {
+		for _, u := range layout[k].Replicas {
+			p.stats[u.ID] = &stats{recent: fixedService.Seconds()}
+		}
+	}
+	return p
+}
+
+// Pick implements scatter.Picker.
+func (p *picker) Pick(_ time.Time, _ string, shard int, tried []string) (scatter.Target, bool) {
+	var best string
+	left := p.choices
+	for _, i := range p.rng.Perm(replicas) {
+		id := p.layout[shard].Replicas[i].ID
+		if left == 0 || slices.Contains(tried, id) {
+			continue
+		}
+		left--
+		if best == "" || p.score(id) < p.score(best) {
+			best = id
+		}
+	}
+	if best == "" {
+		return scatter.Target{}, false
+	}
+	p.stats[best].inFlight++
+	return scatter.Target{Upstream: best}, true
+}
+
+func (p *picker) score(id string) float64 {
+	s := p.stats[id]
+	return float64(s.inFlight+1) * s.recent
+}
+
+// Done implements scatter.Picker. A canceled attempt took at least its latency.
+func (p *picker) Done(_ time.Time, _ string, _ int, t scatter.Target, r scatter.Report) {
+	s := p.stats[t.Upstream]
+	s.inFlight--
+	d := r.Latency.Seconds()
+	if r.Outcome == scatter.OutcomeCanceled && d < s.recent {
+		return
+	}
+	s.recent += (d - s.recent) * latencyShare
+}
