--- a/internal/core/scatter/attempts.go
+++ b/internal/core/scatter/attempts.go
@@ -124,7 +124,7 @@
 // replica can take one.
 func (q *Query) send(now time.Time, k int, kind kind) bool {
 	s := &q.shards[k]
-	target, ok := q.shared.Picker.Pick(now, q.spec.Service, k, q.collectTried(k, q.current, true))
+	target, ok := q.pick(now, k, kind)
 	if !ok {
 		return false
 	}
@@ -160,6 +160,34 @@
 	return true
 }
 
+// pick reserves a replica. A shard that is asked again because of its snapshot
+// goes to another replica than those that answered from another snapshot, if
+// one can take it, since those may have dropped the wanted one.
+func (q *Query) pick(now time.Time, k int, kind kind) (Target, bool) {
+	tried := q.collectTried(k, q.current, true)
+	if kind == kindReask && q.answeredAny(k) {
+		n := len(tried)
+		target, ok := q.shared.Picker.Pick(now, q.spec.Service, k, q.addAnswered(tried, k))
+		if ok {
+			return target, true
+		}
+		tried = q.tried[:n]
+	}
+	return q.shared.Picker.Pick(now, q.spec.Service, k, tried)
+}
+
+// addAnswered adds the replicas that have answered for the shard.
+func (q *Query) addAnswered(tried []string, k int) []string {
+	for i := q.shards[k].last; i != none; i = q.attempts[i].previous {
+		a := &q.attempts[i]
+		if a.answered && !contains(tried, a.target.Upstream) {
+			tried = append(tried, a.target.Upstream)
+		}
+	}
+	q.tried = tried
+	return tried
+}
+
 func (q *Query) wantedID() string {
 	if q.current == none {
 		return ""
--- a/internal/core/scatter/budget.go
+++ b/internal/core/scatter/budget.go
@@ -6,7 +6,7 @@
 // that may be spent in a row.
 const (
 	// HedgeRatio and HedgeBurst limit hedges.
-	HedgeRatio = 0.03
+	HedgeRatio = 0.04
 	HedgeBurst = 10
 	// RetryRatio and RetryBurst limit retries after failures.
 	RetryRatio = 0.10
--- a/internal/core/scatter/finish.go
+++ b/internal/core/scatter/finish.go
@@ -119,7 +119,7 @@
 		if !lost || !q.inScope(k) {
 			continue
 		}
-		if q.spec.SingleShard || s.cause == verdict.CodeOverloaded {
+		if q.scope() == 1 || s.cause == verdict.CodeOverloaded {
 			return s.cause
 		}
 		if q.verdict == verdict.NotRun {
--- a/internal/core/scatter/latency.go
+++ b/internal/core/scatter/latency.go
@@ -9,7 +9,7 @@
 const (
 	// HedgeQuantile is the part of a group's requests that end before a hedge
 	// is due.
-	HedgeQuantile = 0.97
+	HedgeQuantile = 0.96
 
 	subBuckets    = 8 // per octave
 	octaves       = 16
--- a/internal/core/scatter/query.go
+++ b/internal/core/scatter/query.go
@@ -115,6 +115,7 @@
 	sentAt   time.Time
 	ended    bool
 	canceled bool
+	answered bool   // ended with an answer
 	failed   bool   // ended without an answer, for a reason other than its snapshot
 	lacks    uint16 // bit set of the snapshots that the replica said it lacks
 }
@@ -221,7 +222,7 @@
 		return nil
 	}
 	if r.Report.Outcome == OutcomeAnswered {
-		q.onAnswer(now, a, &r)
+		q.onAnswer(a, &r)
 	} else {
 		q.onFailure(now, a, &r)
 	}
--- a/internal/core/scatter/recent.go
+++ b/internal/core/scatter/recent.go
@@ -43,6 +43,7 @@
 		return
 	}
 	if old := r.info.Load(); old == nil || *old != info {
-		r.info.Store(&info)
+		kept := info // only this copy is allocated
+		r.info.Store(&kept)
 	}
 }
--- a/internal/core/scatter/results.go
+++ b/internal/core/scatter/results.go
@@ -50,12 +50,13 @@
 }
 
 // onAnswer stores an answer with its snapshot and gives up the losers.
-func (q *Query) onAnswer(now time.Time, a *attempt, r *Result) {
+func (q *Query) onAnswer(a *attempt, r *Result) {
 	i := 0
 	if q.spec.Snapshots {
 		i = q.snapshotIndex(r.Snapshot)
 	}
 	k := a.shard
+	a.answered = true
 	q.snapshots[i].store(k, r.Body)
 	if q.current == none || i == q.current {
 		q.cancelShard(k)
--- a/internal/core/scatter/snapshot.go
+++ b/internal/core/scatter/snapshot.go
@@ -239,6 +239,9 @@
 	best := q.current
 	most := q.potential(best) - q.stuck(now)
 	for i := range q.snapshots {
+		if i == q.current {
+			continue
+		}
 		n := q.potential(i)
 		if n*q.total(best) > most*q.total(i) {
 			best, most = i, n
