Add a stand-in of the platform

Cause: daemons need a configuration service and a VM list to run against before the real ones are at hand.

Change: 'standin platform' publishes a folder and a VM file as docs/PLATFORM.md says, several replicas in one process, each with lag, an old state, refusal or hanging set by POST /control, by part and for a time. Revisions start from Unix time, so a restart doesn't go back.

--- /dev/null
+++ b/internal/standin/platform/control.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ControlPath is where a replica takes faults (POST) and tells its state (GET).
+const ControlPath = "/control"
+
+// State is what GET on ControlPath answers.
+type State struct {
+	Reads          Reads  `json:"reads"`
+	FolderRevision uint64 `json:"folder_revision"`
+	VMsRevision    uint64 `json:"vms_revision"`
+	Config         Fault  `json:"config_fault"`
+	VMs            Fault  `json:"vms_fault"`
+}
+
+// Handler returns the replica's handler for both paths.
+func (r *Replica) Handler() fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != ControlPath {
+			r.ServeHTTP(ctx)
+			return
+		}
+		if ctx.IsPost() {
+			r.control(ctx)
+			return
+		}
+		writeJSON(ctx, r.State(time.Now()))
+	}
+}
+
+func (r *Replica) control(ctx *fasthttp.RequestCtx) {
+	var f Fault
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	now := time.Now()
+	r.Set(f, now)
+	writeJSON(ctx, r.State(now))
+}
+
+// State returns what the replica shows and how often it was read.
+func (r *Replica) State(now time.Time) State {
+	return State{
+		Reads:          r.Reads(),
+		FolderRevision: r.folder(now).revision,
+		VMsRevision:    r.vmList(now).revision,
+		Config:         r.fault(PartConfig, now).Fault,
+		VMs:            r.fault(PartVMs, now).Fault,
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/publisher.go
@@ -0,0 +1,26 @@
+package platform
+
+import (
+	"os"
+	"os/user"
+	"strconv"
+	"syscall"
+)
+
+// publisher returns the name of the file's owner, or nothing where it is not
+// known.
+func publisher(e os.DirEntry) string {
+	info, err := e.Info()
+	if err != nil {
+		return ""
+	}
+	stat, ok := info.Sys().(*syscall.Stat_t)
+	if !ok {
+		return ""
+	}
+	owner, err := user.LookupId(strconv.Itoa(int(stat.Uid)))
+	if err != nil {
+		return ""
+	}
+	return owner.Username
+}
--- /dev/null
+++ b/internal/standin/platform/replica.go
@@ -0,0 +1,187 @@
+package platform
+
+import (
+	"sync"
+	"time"
+)
+
+// Mode is how a replica treats calls.
+type Mode string
+
+// The modes of a replica.
+const (
+	// ModeOK answers.
+	ModeOK Mode = "ok"
+	// ModeRefuse answers 503 at once.
+	ModeRefuse Mode = "refuse"
+	// ModeHang accepts the call and doesn't answer while the mode lasts.
+	ModeHang Mode = "hang"
+)
+
+// Part names what a fault applies to.
+type Part string
+
+// The parts of the service. The empty part means all of them.
+const (
+	PartConfig Part = "config"
+	PartVMs    Part = "vms"
+)
+
+// Fault is what a control call sets on a replica. The zero value clears.
+type Fault struct {
+	// Part limits the fault to one part of the service.
+	Part Part `json:"part,omitempty"`
+	// Mode is how calls are treated. Empty means ModeOK.
+	Mode Mode `json:"mode,omitempty"`
+	// LagMS delays what the replica shows, in milliseconds.
+	LagMS int64 `json:"lag_ms,omitempty"`
+	// Behind pins the replica that many revisions before the newest at the time
+	// of the call.
+	Behind int `json:"behind,omitempty"`
+	// ForMS ends the fault by itself, in milliseconds. Zero means never.
+	ForMS int64 `json:"for_ms,omitempty"`
+}
+
+// activeFault is a fault with its absolute times.
+type activeFault struct {
+	Fault
+	until  time.Time
+	pinned uint64
+}
+
+// Replica is one endpoint of the service with faults of its own.
+type Replica struct {
+	store *Store
+
+	mu     sync.Mutex
+	config activeFault
+	vms    activeFault
+	reads  Reads
+}
+
+// Reads counts calls since the start. A waiting watch counts as one.
+type Reads struct {
+	Config uint64 `json:"config"`
+	Files  uint64 `json:"files"`
+	VMs    uint64 `json:"vms"`
+}
+
+// NewReplica returns a replica without faults.
+func NewReplica(s *Store) *Replica {
+	return &Replica{store: s}
+}
+
+// Set replaces the faults of the part that f names.
+func (r *Replica) Set(f Fault, now time.Time) {
+	a := activeFault{Fault: f}
+	if f.ForMS > 0 {
+		a.until = now.Add(time.Duration(f.ForMS) * time.Millisecond)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.Part != PartVMs {
+		r.config = a
+		r.config.pinned = r.store.behindFolder(f.Behind)
+	}
+	if f.Part != PartConfig {
+		r.vms = a
+		r.vms.pinned = r.store.behindVMs(f.Behind)
+	}
+}
+
+// fault returns the part's fault that holds now.
+func (r *Replica) fault(p Part, now time.Time) activeFault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.config
+	if p == PartVMs {
+		a = r.vms
+	}
+	if !a.until.IsZero() && now.After(a.until) {
+		return activeFault{}
+	}
+	return a
+}
+
+// Reads returns the counts of calls so far.
+func (r *Replica) Reads() Reads {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reads
+}
+
+func (r *Replica) count(n *uint64) {
+	r.mu.Lock()
+	*n++
+	r.mu.Unlock()
+}
+
+// folder returns the folder that the replica shows now.
+func (r *Replica) folder(now time.Time) folder {
+	f := r.fault(PartConfig, now)
+	return r.store.folderAt(f.pinned, now.Add(-f.lag()))
+}
+
+// vmList returns the VM list that the replica shows now.
+func (r *Replica) vmList(now time.Time) vmList {
+	f := r.fault(PartVMs, now)
+	return r.store.vmsAt(f.pinned, now.Add(-f.lag()))
+}
+
+func (a activeFault) lag() time.Duration {
+	return time.Duration(a.LagMS) * time.Millisecond
+}
+
+// folderAt returns the newest folder up to the revision, if one is given, that
+// was published by the time.
+func (s *Store) folderAt(revision uint64, t time.Time) folder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.folders) - 1; i > 0; i-- {
+		f := s.folders[i]
+		if shown(f.revision, revision, f.since, t) {
+			return f
+		}
+	}
+	return s.folders[0]
+}
+
+// vmsAt is folderAt for the VM list.
+func (s *Store) vmsAt(revision uint64, t time.Time) vmList {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.lists) - 1; i > 0; i-- {
+		l := s.lists[i]
+		if shown(l.revision, revision, l.since, t) {
+			return l
+		}
+	}
+	return s.lists[0]
+}
+
+func shown(revision, pinned uint64, since, t time.Time) bool {
+	if pinned != 0 && revision > pinned {
+		return false
+	}
+	return !since.After(t)
+}
+
+// behindFolder returns the revision n before the newest; zero for n of zero.
+func (s *Store) behindFolder(n int) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n <= 0 {
+		return 0
+	}
+	return s.folders[max(0, len(s.folders)-1-n)].revision
+}
+
+// behindVMs is behindFolder for the VM list.
+func (s *Store) behindVMs(n int) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n <= 0 {
+		return 0
+	}
+	return s.lists[max(0, len(s.lists)-1-n)].revision
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,195 @@
+// Package platform stands in for the platform in tests and demonstrations: a
+// configuration service over a folder of files, and a list of VMs. It speaks
+// docs/PLATFORM.md and can lag, serve an old state, refuse or hang on request.
+package platform
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// MaxFileSize is the largest file that the service publishes, in bytes.
+const MaxFileSize = 1 << 20
+
+// historyLength is the number of past states that a stale replica can serve.
+const historyLength = 256
+
+// File is one published file. Content is immutable.
+type File struct {
+	Name      string
+	Revision  uint64
+	Publisher string
+	Content   []byte
+}
+
+// VM is one entry of the VM list.
+type VM struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	PeerAddress string `json:"peer_address"`
+	State       string `json:"state"`
+}
+
+// folder is one revision of the folder. It is immutable.
+type folder struct {
+	revision uint64
+	since    time.Time
+	files    []File
+}
+
+// vmList is one revision of the VM list. It is immutable.
+type vmList struct {
+	revision uint64
+	since    time.Time
+	vms      []VM
+}
+
+// Store holds every published state of the folder and of the VM list. Its
+// methods are safe for concurrent use.
+type Store struct {
+	dir     string
+	vmsFile string
+
+	mu      sync.Mutex
+	folders []folder
+	lists   []vmList
+	lastVMs string
+}
+
+// NewStore reads the folder and the VM file once. The first revision is the
+// given one, so that a restarted stand-in doesn't go back.
+func NewStore(dir, vmsFile string, first uint64, now time.Time) (*Store, error) {
+	s := &Store{dir: dir, vmsFile: vmsFile}
+	s.folders = []folder{{revision: first, since: now}}
+	s.lists = []vmList{{revision: first, since: now}}
+	if err := s.Poll(now); err != nil {
+		return nil, err
+	}
+	s.folders = s.folders[len(s.folders)-1:]
+	s.lists = s.lists[len(s.lists)-1:]
+	return s, nil
+}
+
+// Poll publishes a new revision of the folder or of the VM list if the disk
+// shows a change. A file that can't be read leaves the earlier state.
+func (s *Store) Poll(now time.Time) error {
+	if err := s.pollFolder(now); err != nil {
+		return err
+	}
+	return s.pollVMs(now)
+}
+
+func (s *Store) pollFolder(now time.Time) error {
+	found, err := readFolder(s.dir)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.folders[len(s.folders)-1]
+	files, changed := merge(last, found)
+	if !changed {
+		return nil
+	}
+	next := folder{revision: last.revision + 1, since: now, files: files}
+	s.folders = trim(append(s.folders, next))
+	return nil
+}
+
+// merge gives each found file the revision that published its content.
+func merge(last folder, found []File) ([]File, bool) {
+	old := make(map[string]File, len(last.files))
+	for _, f := range last.files {
+		old[f.Name] = f
+	}
+	changed := len(found) != len(last.files)
+	for i := range found {
+		prev, ok := old[found[i].Name]
+		if ok && string(prev.Content) == string(found[i].Content) {
+			found[i] = prev
+			continue
+		}
+		found[i].Revision = last.revision + 1
+		changed = true
+	}
+	return found, changed
+}
+
+// readFolder reads the files NAME.json in the order of their names.
+func readFolder(dir string) ([]File, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, &ReadError{Path: dir, Err: err}
+	}
+	var files []File
+	for _, e := range entries {
+		if !published(e) {
+			continue
+		}
+		content, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		if os.IsNotExist(err) {
+			continue
+		}
+		if err != nil {
+			return nil, &ReadError{Path: e.Name(), Err: err}
+		}
+		if len(content) > MaxFileSize {
+			continue
+		}
+		files = append(files, File{Name: e.Name(), Content: content, Publisher: publisher(e)})
+	}
+	sort.Slice(files, func(i, j int) bool { return files[i].Name < files[j].Name })
+	return files, nil
+}
+
+func published(e os.DirEntry) bool {
+	name := e.Name()
+	return !e.IsDir() && strings.HasSuffix(name, ".json") && !strings.HasPrefix(name, ".")
+}
+
+func (s *Store) pollVMs(now time.Time) error {
+	content, err := os.ReadFile(s.vmsFile)
+	if err != nil {
+		return &ReadError{Path: s.vmsFile, Err: err}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if string(content) == s.lastVMs {
+		return nil
+	}
+	var doc struct {
+		VMs []VM `json:"vms"`
+	}
+	if err := json.Unmarshal(content, &doc); err != nil {
+		return &ReadError{Path: s.vmsFile, Err: err}
+	}
+	s.lastVMs = string(content)
+	last := s.lists[len(s.lists)-1]
+	s.lists = trim(append(s.lists, vmList{revision: last.revision + 1, since: now, vms: doc.VMs}))
+	return nil
+}
+
+// trim drops the oldest states beyond historyLength.
+func trim[T any](states []T) []T {
+	if len(states) <= historyLength {
+		return states
+	}
+	return append([]T(nil), states[len(states)-historyLength:]...)
+}
+
+// ReadError reports a folder or file that the stand-in can't publish.
+type ReadError struct {
+	Path string
+	Err  error
+}
+
+// Error implements error.
+func (e *ReadError) Error() string { return "publish " + e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Err }
