Add stand-in upstreams

Cause: the tier needs upstreams that can do all that real ones do, and a checker needs a record of what they received.

POST /control crashes, restarts, freezes, drains, cools or changes some of them. Each keeps a log of the received attempts with their queries' digests.

Ruled out: one process for each upstream (too many), and a read ahead on each connection to see it close; a look at the socket every 5 ms is cheaper.

--- /dev/null
+++ b/internal/standin/leaf/control.go
@@ -0,0 +1,220 @@
+package leaf
+
+import (
+	"encoding/json"
+	"path"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Action is what a control call does to leaves.
+type Action string
+
+// The actions.
+const (
+	ActionCrash   Action = "crash"
+	ActionStart   Action = "start"
+	ActionRestart Action = "restart"
+	ActionFreeze  Action = "freeze"
+	ActionThaw    Action = "thaw"
+	ActionDrain   Action = "drain"
+	ActionUndrain Action = "undrain"
+	ActionCold    Action = "cold"
+	ActionPublish Action = "publish"
+	ActionPolicy  Action = "policy"
+)
+
+// Command is the body of a control call.
+type Command struct {
+	// Leaf is a pattern of IDs as in path.Match.
+	Leaf   string `json:"leaf"`
+	Action Action `json:"action"`
+	// Snapshot is what ActionPublish makes the newest.
+	Snapshot Snapshot `json:"snapshot"`
+	// SpreadMS is the time within which the leaves get the snapshot, in
+	// milliseconds.
+	SpreadMS float64 `json:"spread_ms"`
+	// Policy has the members of a Policy that ActionPolicy changes.
+	Policy json.RawMessage `json:"policy,omitempty"`
+}
+
+// CommandAnswer tells how many leaves a command met.
+type CommandAnswer struct {
+	Leaves int `json:"leaves"`
+}
+
+// CommandError reports a command that can't be carried out.
+type CommandError struct {
+	Command Command
+	Reason  string
+}
+
+// Error implements error.
+func (e *CommandError) Error() string {
+	return string(e.Command.Action) + " " + e.Command.Leaf + ": " + e.Reason
+}
+
+// Status is a leaf's state and counts.
+type Status struct {
+	ID        string     `json:"id"`
+	Zone      string     `json:"zone"`
+	Service   string     `json:"service"`
+	Shard     int        `json:"shard"`
+	Address   string     `json:"address"`
+	State     string     `json:"state"`
+	Instance  string     `json:"instance"`
+	Running   int        `json:"running"`
+	Queued    int        `json:"queued"`
+	Open      int        `json:"open_connections"`
+	Snapshots []Snapshot `json:"snapshots"`
+	Policy    Policy     `json:"policy"`
+	Counters  Counters   `json:"counters"`
+}
+
+// Status returns the true state.
+func (l *Leaf) Status(now time.Time) Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Status{
+		ID:        l.cfg.ID,
+		Zone:      l.cfg.Zone,
+		Service:   l.cfg.Service,
+		Shard:     l.cfg.Shard,
+		Address:   l.cfg.Address,
+		State:     "crashed",
+		Snapshots: append([]Snapshot{}, l.snapshots...),
+		Policy:    l.policy,
+		Counters:  l.counters,
+	}
+	inc := l.current
+	if inc == nil {
+		return s
+	}
+	s.Instance = inc.id
+	s.Running = inc.running
+	s.Queued = len(inc.waiting)
+	s.Open = len(inc.conns)
+	s.State = inc.stateName(now)
+	return s
+}
+
+func (inc *incarnation) stateName(now time.Time) string {
+	switch {
+	case inc.thawed != nil:
+		return "frozen"
+	case inc.draining:
+		return "draining"
+	case inc.isCold(now):
+		return "cold"
+	}
+	return "ok"
+}
+
+// Process is the leaves of one process.
+type Process struct {
+	Leaves []*Leaf
+}
+
+// Do carries out a command on each leaf that it names.
+func (p *Process) Do(c Command) (CommandAnswer, error) {
+	var answer CommandAnswer
+	for _, l := range p.Leaves {
+		met, err := path.Match(c.Leaf, l.cfg.ID)
+		if err != nil {
+			return answer, &CommandError{Command: c, Reason: err.Error()}
+		}
+		if !met {
+			continue
+		}
+		if err := l.do(c); err != nil {
+			return answer, err
+		}
+		answer.Leaves++
+	}
+	return answer, nil
+}
+
+func (l *Leaf) do(c Command) error {
+	switch c.Action {
+	case ActionCrash:
+		l.Crash()
+	case ActionStart:
+		return l.Start()
+	case ActionRestart:
+		l.Crash()
+		return l.Start()
+	case ActionFreeze:
+		l.Freeze()
+	case ActionThaw:
+		l.Thaw()
+	case ActionDrain, ActionUndrain:
+		l.Drain(c.Action == ActionDrain)
+	case ActionCold:
+		l.TurnCold()
+	case ActionPublish:
+		time.AfterFunc(l.PublishDelay(milliseconds(c.SpreadMS)), func() { l.Publish(c.Snapshot) })
+	case ActionPolicy:
+		return l.SetPolicy(func(p *Policy) error { return json.Unmarshal(c.Policy, p) })
+	default:
+		return &CommandError{Command: c, Reason: "no such action"}
+	}
+	return nil
+}
+
+// ServeControl answers POST /control, GET /control/leaves and
+// GET /control/truth?leaf=ID&from=INDEX.
+func (p *Process) ServeControl(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/control":
+		p.serveCommand(ctx)
+	case "/control/leaves":
+		now := time.Now()
+		all := []Status{}
+		for _, l := range p.Leaves {
+			all = append(all, l.Status(now))
+		}
+		writeJSON(ctx, all)
+	case "/control/truth":
+		p.serveTruth(ctx)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Process) serveCommand(ctx *fasthttp.RequestCtx) {
+	var c Command
+	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	answer, err := p.Do(c)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	writeJSON(ctx, answer)
+}
+
+func (p *Process) serveTruth(ctx *fasthttp.RequestCtx) {
+	from, _ := strconv.Atoi(string(ctx.QueryArgs().Peek("from")))
+	id := string(ctx.QueryArgs().Peek("leaf"))
+	for _, l := range p.Leaves {
+		if l.cfg.ID == id {
+			writeJSON(ctx, l.Truth(from))
+			return
+		}
+	}
+	ctx.Error("no such leaf", fasthttp.StatusNotFound)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/standin/leaf/handler.go
@@ -0,0 +1,153 @@
+package leaf
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// retryAfterSeconds is what a leaf that sheds asks for.
+const retryAfterSeconds = "1"
+
+// serve answers one request of docs/UPSTREAM.md.
+func (inc *incarnation) serve(ctx *fasthttp.RequestCtx) {
+	inc.waitThawed()
+	switch string(ctx.Path()) {
+	case "/v1/query":
+		inc.serveQuery(ctx)
+	case "/health":
+		inc.serveHealth(ctx)
+	case "/load":
+		inc.serveLoad(ctx)
+	default:
+		ctx.Error("no such call", fasthttp.StatusNotFound)
+	}
+}
+
+func (inc *incarnation) serveQuery(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		ctx.Error("a query is a POST", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	now := time.Now()
+	a := inc.parse(ctx, now)
+	d := a.receive(now)
+	work := d.work
+	switch d.outcome {
+	case OutcomeRunning:
+	case OutcomeQueued:
+		var granted bool
+		work, granted = a.wait(d.waiter)
+		if !granted {
+			return
+		}
+	default:
+		a.refuse(d.outcome)
+		return
+	}
+	outcome := OutcomeAnswered
+	if work > 0 {
+		outcome = a.work(work)
+	}
+	// The answer is made before the slot is free, so that it tells this
+	// request's part of the load.
+	a.respond(outcome)
+	a.finish(outcome)
+}
+
+// refuse answers an attempt that did not start.
+func (a *attempt) refuse(o Outcome) {
+	r := &a.ctx.Response
+	r.Header.Set("X-Attempt-Id", a.id)
+	r.Header.Set("X-Not-Run", "1")
+	switch o {
+	case OutcomeSnapshotMissing:
+		r.SetStatusCode(fasthttp.StatusConflict)
+		r.Header.Set("X-Snapshots", listSnapshots(a.held))
+	case OutcomeMisrouted:
+		r.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+	case OutcomeCanceledQueued:
+		a.ctx.SetConnectionClose()
+	case OutcomeDraining:
+		r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		r.Header.Set("X-Draining", "1")
+	default:
+		r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		r.Header.Set("Retry-After", retryAfterSeconds)
+	}
+}
+
+func listSnapshots(held []Snapshot) string {
+	var out []byte
+	for i, s := range held {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = append(out, s.ID...)
+		out = append(out, ':')
+		out = strconv.AppendInt(out, int64(s.Shards), 10)
+	}
+	return string(out)
+}
+
+// respond answers an attempt that started.
+func (a *attempt) respond(o Outcome) {
+	switch o {
+	case OutcomeAnswered:
+		a.answer()
+	case OutcomeTimedOut:
+		a.ctx.Response.Header.Set("X-Attempt-Id", a.id)
+		a.ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	default:
+		a.ctx.SetConnectionClose()
+		a.ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
+
+func (a *attempt) answer() {
+	l := a.inc.leaf
+	h := &a.ctx.Response.Header
+	s := a.status()
+	h.Set("X-Attempt-Id", a.id)
+	h.Set("X-Service", a.service)
+	h.Set("X-Shard", strconv.Itoa(a.shard))
+	h.Set("X-Instance", a.inc.id)
+	h.Set("X-Load", strconv.FormatFloat(s.load, 'f', 2, 64))
+	if a.snapshot.ID != "" {
+		h.Set("X-Snapshot", a.snapshot.ID)
+		h.Set("X-Snapshot-Shards", strconv.Itoa(a.snapshot.Shards))
+	}
+	if s.cold {
+		h.Set("X-Cold", "1")
+	}
+	a.ctx.SetContentType("application/json")
+	buffer := a.ctx.Response.SwapBody(nil)
+	body := AppendAnswer(buffer[:0], l.cfg.Service, a.shard, a.snapshot.ID, a.digest, s.size)
+	a.ctx.Response.SwapBody(body)
+	a.misbehave(s.crossedWith, s.misbehavior)
+}
+
+// answerStatus is what an answer tells about its leaf.
+type answerStatus struct {
+	load        float64
+	cold        bool
+	size        int
+	misbehavior misbehavior
+	crossedWith string
+}
+
+func (a *attempt) status() answerStatus {
+	l := a.inc.leaf
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := &l.policy
+	s := answerStatus{size: p.AnswerBytes, misbehavior: a.inc.drawMisbehavior(), crossedWith: a.inc.lastAttempt}
+	a.inc.lastAttempt = a.id
+	if p.HintIdle {
+		return s
+	}
+	s.load = float64(a.inc.running) / float64(max(p.Slots, 1))
+	s.cold = a.inc.isCold(time.Now()) && !p.SilentCold
+	return s
+}
--- /dev/null
+++ b/internal/standin/leaf/leaf.go
@@ -0,0 +1,221 @@
+package leaf
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Leaf is one stand-in upstream. Its methods are safe for concurrent use; one
+// lock guards all of its state.
+type Leaf struct {
+	cfg Config
+
+	mu        sync.Mutex
+	policy    Policy
+	snapshots []Snapshot // newest first
+	rng       *rand.Rand
+	counters  Counters
+	truth     truthLog
+	samples   []hint
+	starts    int
+	current   *incarnation
+}
+
+// incarnation is a leaf between a start and a crash. The leaf's lock guards it.
+type incarnation struct {
+	leaf     *Leaf
+	id       string
+	ln       net.Listener
+	conns    map[*conn]struct{}
+	running  int
+	waiting  []*waiter
+	crashed  bool
+	draining bool
+	// thawed is nil, or closed when a freeze ends.
+	thawed         chan struct{}
+	cold           bool
+	coldUntil      time.Time
+	coldRequests   int
+	collapsedUntil time.Time
+	lastAttempt    string
+}
+
+// Counters count what happened to a leaf over all of its incarnations.
+type Counters struct {
+	Received        uint64 `json:"received"`
+	Started         uint64 `json:"started"`
+	Answered        uint64 `json:"answered"`
+	Shed            uint64 `json:"shed"`
+	ReceivedDrained uint64 `json:"received_draining"`
+	SnapshotMissing uint64 `json:"snapshot_missing"`
+	Misrouted       uint64 `json:"misrouted"`
+	Expired         uint64 `json:"expired"`
+	TimedOut        uint64 `json:"timed_out"`
+	Canceled        uint64 `json:"canceled"`
+	CanceledQueued  uint64 `json:"canceled_queued"`
+	// Overruns counts starts beyond the load that a cold leaf bears.
+	Overruns           uint64 `json:"overruns"`
+	MaxRunning         int    `json:"max_running"`
+	MaxRunningCold     int    `json:"max_running_cold"`
+	ConnectionsOpened  uint64 `json:"connections_opened"`
+	ConnectionsRefused uint64 `json:"connections_refused"`
+	MaxConnections     int    `json:"max_connections"`
+	// SecretsSeen counts requests with something like a key.
+	SecretsSeen uint64 `json:"secrets_seen"`
+	// LastReceivedMS is the time of the last receipt, in Unix milliseconds.
+	LastReceivedMS int64 `json:"last_received_ms"`
+}
+
+// New returns a leaf that isn't started.
+func New(cfg Config) *Leaf {
+	return &Leaf{
+		cfg:       cfg,
+		policy:    cfg.Policy,
+		snapshots: append([]Snapshot(nil), cfg.Snapshots...),
+		rng:       rand.New(rand.NewPCG(cfg.Seed, uint64(len(cfg.ID)))),
+		truth:     truthLog{limit: cfg.TruthLimit},
+	}
+}
+
+// ID returns the upstream's ID.
+func (l *Leaf) ID() string { return l.cfg.ID }
+
+// Start listens and serves in the background. A running leaf is left alone.
+func (l *Leaf) Start() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil {
+		return nil
+	}
+	ln, err := net.Listen("tcp", l.cfg.Address)
+	if err != nil {
+		return err
+	}
+	l.starts++
+	inc := &incarnation{
+		leaf:  l,
+		id:    l.cfg.ID + "#" + strconv.Itoa(l.starts),
+		ln:    ln,
+		conns: make(map[*conn]struct{}),
+	}
+	if l.policy.StartCold {
+		inc.turnCold(time.Now())
+	}
+	l.current = inc
+	server := &fasthttp.Server{
+		Handler:               inc.serve,
+		Name:                  "standin-leaf",
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		IdleTimeout:           milliseconds(l.policy.IdleTimeoutMS),
+		Logger:                quiet{},
+	}
+	go func() { _ = server.Serve(&listener{Listener: ln, inc: inc}) }()
+	return nil
+}
+
+// quiet drops the server's messages about connections that were cut.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// Crash resets every connection, forgets the running requests and stops
+// listening, as the end of the process would.
+func (l *Leaf) Crash() {
+	l.mu.Lock()
+	inc := l.current
+	l.current = nil
+	if inc == nil {
+		l.mu.Unlock()
+		return
+	}
+	inc.crashed = true
+	inc.thaw()
+	conns := make([]*conn, 0, len(inc.conns))
+	for c := range inc.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	_ = inc.ln.Close()
+	for _, c := range conns {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// Freeze stops all answers until Thaw. Connections stay open.
+func (l *Leaf) Freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil && l.current.thawed == nil {
+		l.current.thawed = make(chan struct{})
+	}
+}
+
+// Thaw ends a freeze.
+func (l *Leaf) Thaw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil {
+		l.current.thaw()
+	}
+}
+
+func (inc *incarnation) thaw() {
+	if inc.thawed != nil {
+		close(inc.thawed)
+		inc.thawed = nil
+	}
+}
+
+// Drain sets whether the leaf refuses new requests because it leaves.
+func (l *Leaf) Drain(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil {
+		l.current.draining = on
+	}
+}
+
+// TurnCold starts a cold phase without a restart.
+func (l *Leaf) TurnCold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil {
+		l.current.turnCold(time.Now())
+	}
+}
+
+// Publish makes a snapshot the newest one and drops the oldest ones beyond
+// the number held.
+func (l *Leaf) Publish(s Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := append([]Snapshot{s}, l.snapshots...)
+	l.snapshots = held[:min(len(held), max(l.policy.Hold, 1))]
+}
+
+// PublishDelay returns a random delay below the spread.
+func (l *Leaf) PublishDelay(spread time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.rng.Float64() * float64(spread))
+}
+
+// SetPolicy changes the policy by the given function.
+func (l *Leaf) SetPolicy(change func(*Policy) error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.policy
+	if err := change(&p); err != nil {
+		return err
+	}
+	l.policy = p
+	return nil
+}
--- /dev/null
+++ b/internal/standin/leaf/run.go
@@ -0,0 +1,89 @@
+package leaf
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// sampleInterval is how often the state is kept for lagging hints.
+const sampleInterval = 100 * time.Millisecond
+
+// RunOptions are the settings of a process of leaves.
+type RunOptions struct {
+	// Control is the host:port of the control listener. Empty means none.
+	Control string
+	// SwitchEvery makes all leaves get a new snapshot at this interval, spread
+	// over half of it. Zero means never.
+	SwitchEvery time.Duration
+}
+
+// Run starts all leaves and serves until ctx ends.
+func (p *Process) Run(ctx context.Context, o RunOptions) error {
+	for _, l := range p.Leaves {
+		if err := l.Start(); err != nil {
+			return err
+		}
+	}
+	defer p.stop()
+	failed := make(chan error, 1)
+	if o.Control != "" {
+		server := &fasthttp.Server{Handler: p.ServeControl, Name: "standin-control"}
+		go func() { failed <- server.ListenAndServe(o.Control) }()
+	}
+	if o.SwitchEvery > 0 {
+		go p.switchSnapshots(ctx, o.SwitchEvery)
+	}
+	tick := time.NewTicker(sampleInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return err
+		case now := <-tick.C:
+			for _, l := range p.Leaves {
+				l.Sample(now)
+			}
+		}
+	}
+}
+
+func (p *Process) stop() {
+	for _, l := range p.Leaves {
+		l.Crash()
+	}
+}
+
+// switchSnapshots numbers the snapshots from the wall clock, so that several
+// processes publish the same ones. The number of shards stays.
+func (p *Process) switchSnapshots(ctx context.Context, every time.Duration) {
+	for {
+		now := time.Now()
+		next := now.Truncate(every).Add(every)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		id := "s" + strconv.FormatInt(next.UnixNano()/int64(every), 10)
+		for _, l := range p.Leaves {
+			l.publishNext(id, every/2)
+		}
+	}
+}
+
+// publishNext publishes a snapshot with the shards of the newest one.
+func (l *Leaf) publishNext(id string, spread time.Duration) {
+	l.mu.Lock()
+	held := l.snapshots
+	l.mu.Unlock()
+	if len(held) == 0 {
+		return
+	}
+	next := Snapshot{ID: id, Shards: held[0].Shards}
+	time.AfterFunc(l.PublishDelay(spread), func() { l.Publish(next) })
+}
