--- /dev/null
+++ b/internal/standin/command/check.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"ryecourse.example/ryecourse/internal/standin/load"
+)
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "send queries to daemons and check every answer against the upstreams' logs",
+		Description: `Prints what is wrong and, last, a summary. Exit code 1 tells of any fault.
+The events file has a line for each thing that the driver of the run is about
+to do: Unix milliseconds, kind, argument. Kinds: kill, pause and resume
+(a daemon's address), zone-out and zone-in (a zone), withdraw (a customer).`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "file", Required: true, Usage: "`FILE` that describes the run"},
+			&cli.DurationFlag{Name: "for", Required: true, Usage: "`TIME` to send queries"},
+			&cli.StringFlag{Name: "name", Value: "check", Usage: "`NAME` at the start of the summary"},
+		},
+		Action: runCheck,
+	}
+}
+
+func runCheck(ctx context.Context, c *cli.Command) error {
+	cfg, err := load.ReadConfig(c.String("file"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("for"))
+	defer cancel()
+	report, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	report.Print(os.Stdout, c.String("name"))
+	if !report.OK() {
+		return cli.Exit("", 1)
+	}
+	return nil
+}
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -15,7 +15,7 @@
 	return &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins of the platform and of upstreams, for tests and demonstrations",
-		Commands: []*cli.Command{platformCommand(), leafCommand(), filesCommand()},
+		Commands: []*cli.Command{platformCommand(), leafCommand(), filesCommand(), checkCommand()},
 	}
 }
 
--- a/internal/standin/leaf/control.go
+++ b/internal/standin/leaf/control.go
@@ -92,6 +92,7 @@
 	if inc == nil {
 		return s
 	}
+	s.Address = inc.ln.Addr().String()
 	s.Instance = inc.id
 	s.Running = inc.running
 	s.Queued = len(inc.waiting)
--- a/internal/standin/leaf/leaf_test.go
+++ b/internal/standin/leaf/leaf_test.go
@@ -37,12 +37,6 @@
 	return l
 }
 
-func (l *Leaf) testAddress() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.current.ln.Addr().String()
-}
-
 // request is one raw request on a connection of its own.
 func request(id, snapshot, extra string) string {
 	return fmt.Sprintf("POST /v1/query HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: %s\r\nX-Request-Id: r\r\nX-Service: proof-studio\r\nX-Shard: 0\r\nX-Snapshot: %s\r\n%sContent-Length: 2\r\n\r\n{}", id, snapshot, extra)
@@ -50,7 +44,7 @@
 
 func dial(t *testing.T, l *Leaf, raw string) (net.Conn, *bufio.Reader) {
 	t.Helper()
-	c, err := net.Dial("tcp", l.testAddress())
+	c, err := net.Dial("tcp", l.Status(time.Now()).Address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -209,7 +203,7 @@
 	l := startLeaf(t, func(c *Config) { c.Policy.Connections = 1 })
 	_, r := dial(t, l, request("a1", "s1", ""))
 	read(t, r)
-	refused, err := net.Dial("tcp", l.testAddress())
+	refused, err := net.Dial("tcp", l.Status(time.Now()).Address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/standin/load/answer.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"fmt"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+// checkAnswer returns what is wrong with an answer by itself: its verdict, its
+// coverage, or a part that isn't the one right body for the query, the shard
+// and the snapshot. Empty means nothing.
+func (t *Try) checkAnswer() string {
+	a := &t.Answer
+	if a.Verdict != verdictRan {
+		return "an answer with the verdict " + a.Verdict
+	}
+	if wrong := t.checkCoverage(); wrong != "" {
+		return wrong
+	}
+	for _, r := range a.Results {
+		want := leaf.AppendAnswer(nil, t.Service.Name, r.Shard, a.Snapshot, t.Digest, t.Service.AnswerBytes)
+		if string(r.Body) != string(want) {
+			return fmt.Sprintf("shard %d under %q: body %.200s, want %.200s", r.Shard, a.Snapshot, r.Body, want)
+		}
+	}
+	return ""
+}
+
+// checkCoverage compares the coverage with the parts. All queries ask for
+// complete answers.
+func (t *Try) checkCoverage() string {
+	a := &t.Answer
+	total := t.Service.Shards
+	if t.Service.SingleShard {
+		total = 1
+	}
+	if a.Coverage.Total != total {
+		return fmt.Sprintf("coverage of %d shards, want %d", a.Coverage.Total, total)
+	}
+	if a.Coverage.Answered != len(a.Results) {
+		return fmt.Sprintf("coverage says %d, there are %d parts", a.Coverage.Answered, len(a.Results))
+	}
+	if len(a.Results) != total || len(a.Coverage.Missing) > 0 {
+		return fmt.Sprintf("incomplete: %d of %d parts, missing %v", len(a.Results), total, a.Coverage.Missing)
+	}
+	seen := make(map[int]bool)
+	for _, r := range a.Results {
+		if r.Shard < 0 || r.Shard >= t.Service.Shards || seen[r.Shard] {
+			return fmt.Sprintf("shard %d is unknown or stands twice", r.Shard)
+		}
+		seen[r.Shard] = true
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/load/events.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"bufio"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// EventKind is what the driver of a run does right after it has written the
+// event.
+type EventKind string
+
+// The kinds of events. The argument is given in brackets.
+const (
+	// EventKill ends a daemon without warning (its address).
+	EventKill EventKind = "kill"
+	// EventPause and EventResume stop and continue a daemon (its address).
+	EventPause  EventKind = "pause"
+	EventResume EventKind = "resume"
+	// EventZoneOut and EventZoneIn change the state of a zone (its name).
+	EventZoneOut EventKind = "zone-out"
+	EventZoneIn  EventKind = "zone-in"
+	// EventWithdraw takes away a customer's key (its name).
+	EventWithdraw EventKind = "withdraw"
+)
+
+// Event is one line of the events file: Unix milliseconds, kind, argument.
+type Event struct {
+	At       time.Time
+	Kind     EventKind
+	Argument string
+}
+
+// ReadEvents reads an events file. A file that doesn't exist has no events.
+func ReadEvents(file string) ([]Event, error) {
+	f, err := os.Open(file)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &ConfigError{File: file, Err: err}
+	}
+	defer func() { _ = f.Close() }()
+	var out []Event
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 2 {
+			continue
+		}
+		ms, err := strconv.ParseInt(fields[0], 10, 64)
+		if err != nil {
+			return nil, &ConfigError{File: file, Err: err}
+		}
+		e := Event{At: time.UnixMilli(ms), Kind: EventKind(fields[1])}
+		if len(fields) > 2 {
+			e.Argument = fields[2]
+		}
+		out = append(out, e)
+	}
+	return out, lines.Err()
+}
+
+// history answers questions about the events of a run.
+type history struct {
+	events []Event
+	grace  time.Duration
+}
+
+// dead tells whether a daemon was killed or paused by the time.
+func (h *history) dead(daemon string, t time.Time) bool {
+	dead := false
+	for _, e := range h.events {
+		if e.Argument != daemon || e.At.After(t) {
+			continue
+		}
+		switch e.Kind {
+		case EventKill, EventPause:
+			dead = true
+		}
+	}
+	return dead
+}
+
+// withdrawn tells whether a customer's key must have stopped working by the
+// time, and whether it may have.
+func (h *history) withdrawn(customer string, t time.Time) (must, may bool) {
+	for _, e := range h.events {
+		if e.Kind != EventWithdraw || e.Argument != customer {
+			continue
+		}
+		must = must || t.After(e.At.Add(h.grace))
+		may = may || !t.Before(e.At)
+	}
+	return must, may
+}
+
+// zoneOut tells whether a zone must get nothing new at the time.
+func (h *history) zoneOut(zone string, t time.Time) bool {
+	out := false
+	for _, e := range h.events {
+		if e.Argument != zone {
+			continue
+		}
+		switch e.Kind {
+		case EventZoneOut:
+			out = out || t.After(e.At.Add(h.grace))
+		case EventZoneIn:
+			out = out && t.Before(e.At)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/load/generator.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+)
+
+const (
+	// maxOperations bounds the operations that run at a time.
+	maxOperations = 512
+	// maxTries bounds the tries of one operation.
+	maxTries = 4
+	// maxBackoff bounds the wait before a caller comes back.
+	maxBackoff = 200 * time.Millisecond
+)
+
+// generator sends operations at a fixed rate, whatever becomes of them.
+type generator struct {
+	cfg     *Config
+	clients *clients
+	started time.Time
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	next  int
+	tries []*Try
+}
+
+func newGenerator(cfg *Config) *generator {
+	return &generator{
+		cfg:     cfg,
+		clients: newClients(cfg.Daemons),
+		started: time.Now(),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
+}
+
+// run sends until ctx ends and waits for the last operations. It returns all
+// tries.
+func (g *generator) run(ctx context.Context) []*Try {
+	pool := pond.NewPool(maxOperations)
+	var streams sync.WaitGroup
+	for i := range g.cfg.Services {
+		streams.Go(func() { g.stream(ctx, &g.cfg.Services[i], pool) })
+	}
+	streams.Wait()
+	pool.StopAndWait()
+	return g.tries
+}
+
+// stream starts operations for one service at its rate.
+func (g *generator) stream(ctx context.Context, s *Service, pool pond.Pool) {
+	tick := time.NewTicker(time.Duration(float64(time.Second) / s.Rate))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			pool.Submit(func() { g.operate(s) })
+		}
+	}
+}
+
+// plan is what an operation draws at its start.
+type plan struct {
+	operation int
+	first     int
+	customer  *Customer
+}
+
+func (g *generator) draw() plan {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.next++
+	p := plan{operation: g.next, first: g.rng.IntN(len(g.clients.all))}
+	weights := 0
+	for i := range g.cfg.Customers {
+		weights += g.cfg.Customers[i].Weight
+	}
+	x := g.rng.IntN(max(weights, 1))
+	for i := range g.cfg.Customers {
+		p.customer = &g.cfg.Customers[i]
+		x -= p.customer.Weight
+		if x < 0 {
+			break
+		}
+	}
+	return p
+}
+
+// operate sends one operation and tries again elsewhere while it is certain
+// that nothing has run. Each try has a text of its own, which the upstreams'
+// logs tell apart.
+func (g *generator) operate(s *Service) {
+	p := g.draw()
+	order := g.clients.order(p.first, time.Now())
+	for n := range maxTries {
+		c := order[n%len(order)]
+		text := fmt.Sprintf("%d operation %d try %d", g.started.UnixNano(), p.operation, n)
+		t := c.send(s, p.customer, text)
+		t.Operation = p.operation
+		g.keep(t)
+		if !t.retriable() {
+			return
+		}
+		if t.Kind == KindUnreachable {
+			g.clients.unreachable(c, t.End)
+		}
+		time.Sleep(min(time.Duration(t.Refusal.RetryAfterMS)*time.Millisecond, maxBackoff))
+	}
+}
+
+func (g *generator) keep(t *Try) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tries = append(g.tries, t)
+}
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	goodKey    = "rk_good"
+	unknownKey = "rk_unknown"
+	operationN = 5
+)
+
+// trial is a run of a few operations against a naive tier.
+type trial struct {
+	flaw    flaw
+	cold    bool
+	unknown bool
+	events  string
+}
+
+// run returns the faults that the checker found, in order of the summary.
+func (tr trial) run(t *testing.T) string {
+	t.Helper()
+	upstreams, control := startUpstreams(t, tr.cold, goodKey)
+	tier := &naiveTier{upstreams: upstreams, keys: map[string]bool{goodKey: true}, flaw: tr.flaw}
+	events := filepath.Join(t.TempDir(), "events")
+	if err := os.WriteFile(events, []byte(tr.events), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg := &Config{
+		Daemons:     []string{tier.start(t)},
+		Controls:    []string{control},
+		Events:      events,
+		Services:    []Service{{Name: "orders", Shards: 2, DeadlineMS: 5000}},
+		Customers:   []Customer{{Name: "buyers", Key: goodKey, Weight: 1}},
+		GraceMS:     1,
+		MinAnswered: 1,
+	}
+	if tr.unknown {
+		cfg.Customers[0] = Customer{Name: "intruder", Key: unknownKey, Unknown: true, Weight: 1}
+		cfg.MinAnswered = 0
+	}
+	g := newGenerator(cfg)
+	for range operationN {
+		g.operate(&cfg.Services[0])
+	}
+	report, err := check(cfg, g.tries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[Fault]bool)
+	for _, f := range report.Findings {
+		found[f.Fault] = true
+	}
+	var names []string
+	for _, f := range faults {
+		if found[f] {
+			names = append(names, string(f))
+		}
+	}
+	return strings.Join(names, " ")
+}
+
+// TestCheckerFindsEachFlaw takes one mechanism away at a time.
+func TestCheckerFindsEachFlaw(t *testing.T) {
+	for _, test := range []struct {
+		trial
+		want string
+	}{
+		{trial{flaw: flawNone}, ""},
+		{trial{flaw: flawNone, cold: true}, ""},
+		{trial{flaw: flawPrevious}, "wrong"},
+		{trial{flaw: flawMixed}, "wrong false_label"},
+		{trial{flaw: flawDropped}, "wrong"},
+		{trial{flaw: flawHidden}, "wrong"},
+		{trial{flaw: flawInvented}, "false_label"},
+		{trial{flaw: flawFalseNotRun}, "false_label repeated too_few_answered"},
+		{trial{flaw: flawNoVerdict}, "false_label too_few_answered"},
+		{trial{flaw: flawRepeats}, "repeated"},
+		{trial{flaw: flawForwardsKey}, "secret"},
+		{trial{flaw: flawRefusesKeys}, "good_key_refused too_few_answered"},
+		{trial{flaw: flawCuts}, "cut too_few_answered"},
+		{trial{flaw: flawRefusesAll}, "too_few_answered"},
+		{trial{flaw: flawSendsParallel, cold: true}, "repeated overruns"},
+		{trial{flaw: flawNone, unknown: true}, "too_few_answered"},
+		{trial{flaw: flawKeyBlind, unknown: true}, "bad_key_accepted too_few_answered"},
+		{trial{flaw: flawNone, events: "1000 withdraw buyers\n"}, "bad_key_accepted too_few_answered"},
+		{trial{flaw: flawNone, events: "1000 zone-out cz-a\n"}, "after_zone_out"},
+		{trial{flaw: flawNone, events: "1000 zone-out cz-a\n2000 zone-in cz-a\n"}, ""},
+		{trial{flaw: flawNone, events: "1000 zone-out cz-b\n"}, ""},
+	} {
+		t.Run(string(test.flaw)+" "+strings.TrimSpace(test.events), func(t *testing.T) {
+			t.Parallel()
+			if got := test.run(t); got != test.want {
+				t.Errorf("faults %q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/load/naive_test.go
@@ -0,0 +1,198 @@
+package load
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+// naiveTier is a query tier in one function. Its flaws are what the checker
+// must find.
+type naiveTier struct {
+	upstreams []string // by shard
+	keys      map[string]bool
+	flaw      flaw
+
+	mu       sync.Mutex
+	attempts int
+	previous []byte
+}
+
+type flaw string
+
+const (
+	flawNone          flaw = "none"
+	flawPrevious      flaw = "answers with another request's answer"
+	flawMixed         flaw = "mixes snapshots"
+	flawDropped       flaw = "drops a shard and tells full coverage"
+	flawHidden        flaw = "drops a shard and its place in the coverage"
+	flawInvented      flaw = "invents a part"
+	flawFalseNotRun   flaw = "says not run after it ran"
+	flawNoVerdict     flaw = "refuses without a verdict"
+	flawRepeats       flaw = "sends each request twice"
+	flawForwardsKey   flaw = "forwards the key"
+	flawKeyBlind      flaw = "accepts every key"
+	flawRefusesKeys   flaw = "refuses every key"
+	flawCuts          flaw = "closes the connection"
+	flawRefusesAll    flaw = "refuses every request"
+	flawSendsParallel flaw = "sends two requests at a time to a cold upstream"
+)
+
+// start serves on a free port and returns the address.
+func (n *naiveTier) start(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: n.serve}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln.Addr().String()
+}
+
+func (n *naiveTier) serve(ctx *fasthttp.RequestCtx) {
+	key := strings.TrimPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	known := (n.keys[key] || n.flaw == flawKeyBlind) && n.flaw != flawRefusesKeys
+	switch {
+	case !known:
+		refuse(ctx, 401, Refusal{Code: codeUnknownKey, Verdict: verdictNotRun})
+		return
+	case n.flaw == flawRefusesAll:
+		refuse(ctx, 503, Refusal{Code: "overloaded", Verdict: verdictNotRun})
+		return
+	}
+	answer := n.scatter(ctx, key)
+	switch n.flaw {
+	case flawFalseNotRun:
+		refuse(ctx, 503, Refusal{Code: "overloaded", Verdict: verdictNotRun})
+		return
+	case flawNoVerdict:
+		refuse(ctx, 503, Refusal{Code: "overloaded"})
+		return
+	case flawCuts:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+		return
+	}
+	ctx.SetBody(n.spoil(answer))
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, r Refusal) {
+	content, _ := json.Marshal(r)
+	ctx.SetStatusCode(status)
+	ctx.SetBody(content)
+}
+
+func (n *naiveTier) scatter(ctx *fasthttp.RequestCtx, key string) *Answer {
+	service := strings.Split(string(ctx.Path()), "/")[3]
+	a := &Answer{Verdict: verdictRan, Snapshot: "s2"}
+	for shard := range n.upstreams {
+		snapshot := a.Snapshot
+		if n.flaw == flawMixed && shard == 1 {
+			snapshot = "s1"
+		}
+		body := n.ask(shard, service, snapshot, key, ctx.PostBody())
+		if n.flaw == flawRepeats {
+			body = n.ask(shard, service, snapshot, key, ctx.PostBody())
+		}
+		if n.flaw == flawSendsParallel {
+			var both sync.WaitGroup
+			both.Go(func() { n.ask(shard, service, snapshot, key, ctx.PostBody()) })
+			both.Go(func() { n.ask(shard, service, snapshot, key, ctx.PostBody()) })
+			both.Wait()
+		}
+		a.Results = append(a.Results, Result{Shard: shard, Body: body})
+	}
+	a.Coverage = Coverage{Answered: len(a.Results), Total: len(a.Results)}
+	return a
+}
+
+// ask sends one attempt. A tier that invents a part computes it instead.
+func (n *naiveTier) ask(shard int, service, snapshot, key string, body []byte) []byte {
+	if n.flaw == flawInvented && shard == 1 {
+		return leaf.AppendAnswer(nil, service, shard, snapshot, leaf.Digest(leaf.Query(body)), 0)
+	}
+	n.mu.Lock()
+	n.attempts++
+	id := strconv.Itoa(n.attempts)
+	n.mu.Unlock()
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + n.upstreams[shard] + "/v1/query")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	for name, value := range map[string]string{
+		"X-Attempt-Id": id, "X-Service": service, "X-Shard": strconv.Itoa(shard), "X-Snapshot": snapshot,
+	} {
+		req.Header.Set(name, value)
+	}
+	if n.flaw == flawForwardsKey {
+		req.Header.Set("X-Caller", key)
+	}
+	req.SetBody(body)
+	if err := fasthttp.Do(req, resp); err != nil {
+		return []byte(`"` + err.Error() + `"`)
+	}
+	return append([]byte(nil), resp.Body()...)
+}
+
+func (n *naiveTier) spoil(a *Answer) []byte {
+	last := len(a.Results) - 1
+	switch n.flaw {
+	case flawDropped:
+		a.Results = a.Results[:last]
+	case flawHidden:
+		a.Results = a.Results[:last]
+		a.Coverage = Coverage{Answered: last, Total: last}
+	}
+	content, _ := json.Marshal(a)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	previous := n.previous
+	n.previous = content
+	if n.flaw == flawPrevious && previous != nil {
+		return previous
+	}
+	return content
+}
+
+// startUpstreams starts a leaf for each of two shards, and their control
+// listener.
+func startUpstreams(t *testing.T, cold bool, secret string) (addresses []string, control string) {
+	t.Helper()
+	p := &leaf.Process{}
+	for shard := range 2 {
+		l := leaf.New(leaf.Config{
+			ID: "up-" + strconv.Itoa(shard), Address: "127.0.0.1:0", Zone: "cz-a", Service: "orders", Shard: shard,
+			Snapshots: []leaf.Snapshot{{ID: "s2", Shards: 2}, {ID: "s1", Shards: 2}},
+			// Two at a time must overlap, so that a cold leaf sees the overrun.
+			Policy:     leaf.Policy{Slots: 8, ServiceMS: 20, StartCold: cold, ColdMS: 3_600_000, ColdPermits: 1, CollapseFactor: 1},
+			TruthLimit: 1000,
+			Secrets:    []string{secret},
+		})
+		if err := l.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Crash)
+		addresses = append(addresses, l.Status(time.Now()).Address)
+		p.Leaves = append(p.Leaves, l)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: p.ServeControl}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	return addresses, ln.Addr().String()
+}
--- /dev/null
+++ b/internal/standin/load/report.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency and latencyDigits size the histogram, in microseconds.
+	maxLatency    = int64(60 * time.Second / time.Microsecond)
+	latencyDigits = 3
+	// shownFindings is the number of findings that are printed of each fault.
+	shownFindings = 5
+)
+
+// Report is the result of a run.
+type Report struct {
+	Tries    []*Try
+	Findings []Finding
+	Events   []Event
+	// Valid and Answered count operations with a good key.
+	Valid, Answered    int
+	ConnectionsRefused uint64
+	latency            *hdrhistogram.Histogram
+}
+
+// Run sends queries until ctx ends, then checks everything. After an interrupt
+// it still checks.
+func Run(ctx context.Context, cfg *Config) (*Report, error) {
+	return check(cfg, newGenerator(cfg).run(ctx))
+}
+
+// check compares the tries with the events and the upstreams' logs.
+func check(cfg *Config, tries []*Try) (*Report, error) {
+	events, err := ReadEvents(cfg.Events)
+	if err != nil {
+		return nil, err
+	}
+	t, err := fetchTruth(cfg.Controls)
+	if err != nil {
+		return nil, err
+	}
+	j := &judge{cfg: cfg, history: history{events: events, grace: cfg.grace()}, truth: t}
+	j.all(tries)
+	r := &Report{Tries: tries, Findings: j.findings, Events: events}
+	r.Valid, r.Answered = operations(tries, &j.history)
+	for _, s := range t.statuses {
+		r.ConnectionsRefused += s.Counters.ConnectionsRefused
+	}
+	r.measure()
+	return r, nil
+}
+
+func (r *Report) measure() {
+	r.latency = hdrhistogram.New(1, maxLatency, latencyDigits)
+	for _, t := range r.Tries {
+		if t.Kind == KindAnswer {
+			_ = r.latency.RecordValue(t.End.Sub(t.Start).Microseconds())
+		}
+	}
+}
+
+// OK tells whether no fault was found.
+func (r *Report) OK() bool { return len(r.Findings) == 0 }
+
+// Print writes the findings, the refusals by code and, last, the summary.
+func (r *Report) Print(w io.Writer, name string) {
+	counts := make(map[Fault]int)
+	for _, f := range r.Findings {
+		counts[f.Fault]++
+		if counts[f.Fault] <= shownFindings {
+			fmt.Fprintf(w, "%s: %s\n", f.Fault, f.Detail)
+		}
+	}
+	fmt.Fprintf(w, "responses: %s\n", r.kinds())
+	parts := []string{fmt.Sprintf("queries=%d", r.operations())}
+	for _, f := range faults {
+		parts = append(parts, fmt.Sprintf("%s=%d", f, counts[f]))
+	}
+	parts = append(parts,
+		fmt.Sprintf("answered=%d/%d", r.Answered, r.Valid),
+		fmt.Sprintf("connections_refused=%d", r.ConnectionsRefused),
+		fmt.Sprintf("p50_ms=%.1f", r.quantile(50)),
+		fmt.Sprintf("p99_ms=%.1f", r.quantile(99)),
+		fmt.Sprintf("max_ms=%.1f", r.quantile(100)))
+	fmt.Fprintf(w, "%s: %s\n", name, strings.Join(parts, " "))
+}
+
+func (r *Report) operations() int {
+	last := 0
+	for _, t := range r.Tries {
+		last = max(last, t.Operation)
+	}
+	return last
+}
+
+func (r *Report) quantile(q float64) float64 {
+	return float64(r.latency.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+}
+
+// kinds lists how many tries ended in which way.
+func (r *Report) kinds() string {
+	counts := make(map[string]int)
+	for _, t := range r.Tries {
+		name := string(t.Kind)
+		if t.Kind == KindRefusal {
+			name = fmt.Sprintf("%d/%s/%s", t.Status, t.Refusal.Code, t.Refusal.Verdict)
+		}
+		counts[name]++
+	}
+	var out []string
+	for name, n := range counts {
+		out = append(out, fmt.Sprintf("%s=%d", name, n))
+	}
+	sort.Strings(out)
+	return strings.Join(out, " ")
+}
--- /dev/null
+++ b/internal/standin/load/truth.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+// controlTimeout bounds one call to a control listener.
+const controlTimeout = 20 * time.Second
+
+// seen is one record with the leaf that made it.
+type seen struct {
+	leaf.Record
+	leaf string
+	zone string
+}
+
+// truth is what all upstreams received.
+type truth struct {
+	byQuery  map[uint64][]seen
+	statuses []leaf.Status
+	dropped  uint64
+}
+
+// fetchTruth reads the logs of all leaves.
+func fetchTruth(controls []string) (*truth, error) {
+	t := &truth{byQuery: make(map[uint64][]seen)}
+	for _, control := range controls {
+		var statuses []leaf.Status
+		if err := fetch("http://"+control+"/control/leaves", &statuses); err != nil {
+			return nil, err
+		}
+		t.statuses = append(t.statuses, statuses...)
+		for _, s := range statuses {
+			var page leaf.Truth
+			if err := fetch("http://"+control+"/control/truth?leaf="+s.ID, &page); err != nil {
+				return nil, err
+			}
+			t.add(page)
+		}
+	}
+	return t, nil
+}
+
+func (t *truth) add(page leaf.Truth) {
+	t.dropped += page.Dropped
+	for _, r := range page.Records {
+		t.byQuery[r.Query] = append(t.byQuery[r.Query], seen{Record: r, leaf: page.Leaf, zone: page.Zone})
+	}
+}
+
+func fetch(url string, into any) error {
+	status, body, err := fasthttp.GetTimeout(nil, url, controlTimeout)
+	if err != nil {
+		return &ControlError{URL: url, Err: err}
+	}
+	if status != fasthttp.StatusOK {
+		return &ControlError{URL: url, Err: fmt.Errorf("status %d: %.200s", status, body)}
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return &ControlError{URL: url, Err: err}
+	}
+	return nil
+}
+
+// ControlError reports a control listener that doesn't answer.
+type ControlError struct {
+	URL string
+	Err error
+}
+
+// Error implements error.
+func (e *ControlError) Error() string { return e.URL + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ControlError) Unwrap() error { return e.Err }
+
+// started returns the number of upstream runs of a query by shard.
+func (t *truth) started(digest uint64) map[int]int {
+	out := make(map[int]int)
+	for _, r := range t.byQuery[digest] {
+		if r.Started {
+			out[r.Shard]++
+		}
+	}
+	return out
+}
+
+// answered tells whether an upstream has answered the query's shard from the
+// snapshot.
+func (t *truth) answered(digest uint64, shard int, snapshot string) bool {
+	for _, r := range t.byQuery[digest] {
+		if r.Shard == shard && r.Snapshot == snapshot && r.Outcome == leaf.OutcomeAnswered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/load/try.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Kind is what became of one try.
+type Kind string
+
+// The kinds.
+const (
+	// KindAnswer is a complete HTTP response with an answer.
+	KindAnswer Kind = "answer"
+	// KindRefusal is a complete HTTP response with a refusal.
+	KindRefusal Kind = "refusal"
+	// KindUnreachable is a connection that could not be opened.
+	KindUnreachable Kind = "unreachable"
+	// KindCut is a connection that ended before a complete response.
+	KindCut Kind = "cut"
+	// KindHung is a response that didn't come long after the deadline.
+	KindHung Kind = "hung"
+	// KindGarbled is a response that is neither an answer nor a refusal.
+	KindGarbled Kind = "garbled"
+)
+
+// Try is one request of a caller to one daemon.
+type Try struct {
+	// Operation is shared by the tries of one operation.
+	Operation int
+	Service   *Service
+	Customer  *Customer
+	Daemon    string
+	// Digest identifies the try's query in the upstreams' logs.
+	Digest     uint64
+	Start, End time.Time
+	Kind       Kind
+	Status     int
+	Answer     Answer
+	Refusal    Refusal
+	// Wrong tells what is wrong with an answer. Empty means nothing.
+	Wrong string
+	// Err is the transport's error.
+	Err error
+}
+
+// Answer is a daemon's answer.
+type Answer struct {
+	RequestID string   `json:"request_id"`
+	Verdict   string   `json:"verdict"`
+	Snapshot  string   `json:"snapshot"`
+	Coverage  Coverage `json:"coverage"`
+	Results   []Result `json:"results"`
+}
+
+// Coverage is the part of the shards that answered.
+type Coverage struct {
+	Answered int   `json:"answered"`
+	Total    int   `json:"total"`
+	Missing  []int `json:"missing"`
+}
+
+// Result is one shard's part of an answer.
+type Result struct {
+	Shard int             `json:"shard"`
+	Body  json.RawMessage `json:"body"`
+}
+
+// Refusal is a daemon's refusal.
+type Refusal struct {
+	RequestID    string `json:"request_id"`
+	Code         string `json:"code"`
+	Verdict      string `json:"verdict"`
+	Message      string `json:"message"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+// The verdicts of docs/API.md.
+const (
+	verdictNotRun     = "not_run"
+	verdictMayHaveRun = "may_have_run"
+	verdictRan        = "ran"
+)
+
+// codeUnknownKey is the refusal code of a missing, unknown or withdrawn key.
+const codeUnknownKey = "unknown_key"
+
+// retriable tells whether a caller may send the query again elsewhere.
+func (t *Try) retriable() bool {
+	if t.Kind == KindUnreachable {
+		return true
+	}
+	return t.Kind == KindRefusal && t.Refusal.Verdict == verdictNotRun && t.Status >= 500
+}
