Give the checker's naive tier an HTTP client of its own

Cause: TestCheckerFindsEachFlaw/invents_a_part failed once in 5 runs under the race detector. The naive tiers of all trials shared one HTTP client, which kept connections to ports that a later trial's upstreams got again.

Change: a client for each tier, and the findings in the test's log.

--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -54,6 +54,7 @@
 	found := make(map[Fault]bool)
 	for _, f := range report.Findings {
 		found[f.Fault] = true
+		t.Logf("%s: %s", f.Fault, f.Detail)
 	}
 	var names []string
 	for _, f := range faults {
--- a/internal/standin/load/naive_test.go
+++ b/internal/standin/load/naive_test.go
@@ -20,6 +20,9 @@
 	upstreams []string // by shard
 	keys      map[string]bool
 	flaw      flaw
+	// client is the tier's own: a shared one would keep connections to the
+	// ports of upstreams of earlier trials.
+	client fasthttp.Client
 
 	mu       sync.Mutex
 	attempts int
@@ -140,7 +143,7 @@
 		req.Header.Set("X-Caller", key)
 	}
 	req.SetBody(body)
-	if err := fasthttp.Do(req, resp); err != nil {
+	if err := n.client.Do(req, resp); err != nil {
 		return []byte(`"` + err.Error() + `"`)
 	}
 	return append([]byte(nil), resp.Body()...)
