Add the router: replica choice, shares, cold starts and drains

Cause: traffic goroutines need a scatter.Picker, and the connection pool needs to know how many connections this VM may hold to each upstream.

Change: routing.Router with New, Update, Confirm, Pick, Done, Tick, Status, Connections and the notices between VMs. Limits over all VMs are cut by rendezvous rank: unit k belongs to rank k modulo the number of sharing VMs. That share never grows when a VM joins a list, so the sum holds over differing lists as long as each VM that uses its share is in the others' lists; VMs that left are counted for a hold-down, and a new VM waits for one.

Ruled out: greedy balanced assignment of units. It spreads more evenly, but two VMs with lists two revisions apart can then own the same unit.

The sums, the cold start and the age of the view still need their property tests.

--- /dev/null
+++ b/internal/core/routing/action.go
@@ -0,0 +1,89 @@
+package routing
+
+import "time"
+
+// Action is what the control goroutine carries out for a Router.
+type Action interface{ action() }
+
+// ColdNotice tells the VMs that share an upstream that it was seen cold.
+type ColdNotice struct {
+	Upstream string
+	// Instance is the upstream's incarnation, where it gives one.
+	Instance string
+	// Age is the time from the observation to the sending of the notice.
+	Age time.Duration
+}
+
+// RampNotice tells the VMs that share an upstream how far its ramp has come.
+type RampNotice struct {
+	Upstream string
+	// Instance is the upstream's incarnation, where it gives one.
+	Instance string
+	// Stage counts the doublings of the permits; see Router.
+	Stage int
+	// Age is the time from the begin of the latest request that this stage rests
+	// on to the sending of the notice.
+	Age time.Duration
+}
+
+// RampQuery asks the VMs that share upstreams for their RampNotice of each.
+type RampQuery struct{ Upstreams []string }
+
+// Audit records a change for the audit trail.
+type Audit struct {
+	// At is the time of the change.
+	At time.Time
+	// Subject is an upstream's ID, a zone's name or a VM's ID.
+	Subject string
+	Change  Change
+	Cause   Cause
+}
+
+func (ColdNotice) action() {}
+func (RampNotice) action() {}
+func (RampQuery) action()  {}
+func (Audit) action()      {}
+
+// Change says what happened to the subject of an Audit.
+type Change string
+
+// The changes of an Audit.
+const (
+	ChangeDrained     Change = "drained"
+	ChangeReturned    Change = "returned"
+	ChangeCold        Change = "cold"
+	ChangeRampStage   Change = "ramp_stage"
+	ChangeWarm        Change = "warm"
+	ChangeSuspected   Change = "suspected"
+	ChangeRecovered   Change = "recovered"
+	ChangeShares      Change = "shares_changed"
+	ChangeViewStale   Change = "view_stale"
+	ChangeViewCurrent Change = "view_current"
+)
+
+// Cause says why the subject of an Audit changed.
+type Cause string
+
+// The causes of an Audit.
+const (
+	CauseOperatorUpstream Cause = "operator_drains_upstream"
+	CauseOperatorZone     Cause = "operator_takes_zone_out"
+	CauseOperatorReturn   Cause = "operator_returns"
+	CauseRemoved          Cause = "removed_from_catalog"
+	CauseFirstSeen        Cause = "first_seen"
+	CauseNewInstance      Cause = "new_instance"
+	CauseColdAnswer       Cause = "cold_answer"
+	CauseConnectFailed    Cause = "connect_failed"
+	CauseConnectionLost   Cause = "connection_lost"
+	CauseSlow             Cause = "slow_answers"
+	CauseNoAnswer         Cause = "no_answer"
+	CauseErrors           Cause = "error_answers"
+	CauseUpstreamDrains   Cause = "upstream_says_draining"
+	CauseSilence          Cause = "silence"
+	CauseAnswers          Cause = "good_answers"
+	CauseShed             Cause = "shed"
+	CausePeerNotice       Cause = "peer_notice"
+	CauseVMList           Cause = "vm_list"
+	CauseHoldDownOver     Cause = "hold_down_over"
+	CauseViewAge          Cause = "view_age"
+)
--- /dev/null
+++ b/internal/core/routing/bench_test.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/scatter"
+)
+
+func BenchmarkPickDone(b *testing.B) {
+	r, now := newMature(testList(1, fourZones, 9), 0, testCatalog(fourZones, 130, 3), Config{})
+	now = warm(r, now)
+	report := scatter.Report{Latency: time.Millisecond, Load: 0.3, Instance: "i"}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		shard := i % 130
+		i++
+		target, ok := r.Pick(now, "svc", shard, nil)
+		if !ok {
+			b.Fatal("no replica")
+		}
+		r.Done(now, "svc", shard, target, report)
+	}
+}
+
+func BenchmarkPickDoneParallel(b *testing.B) {
+	r, now := newMature(testList(1, fourZones, 9), 0, testCatalog(fourZones, 130, 3), Config{})
+	now = warm(r, now)
+	report := scatter.Report{Latency: time.Millisecond, Load: 0.3, Instance: "i"}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		i := 0
+		for pb.Next() {
+			shard := i % 130
+			i++
+			target, ok := r.Pick(now, "svc", shard, nil)
+			if ok {
+				r.Done(now, "svc", shard, target, report)
+			}
+		}
+	})
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	zones := make([]string, 20)
+	for i := range zones {
+		zones[i] = fmt.Sprintf("z-%02d", i)
+	}
+	for _, size := range []struct{ vms, shards, replicas int }{
+		{9, 10, 3}, {9, 10, 10}, {9, 130, 8}, {9, 130, 77},
+		{105, 130, 77}, {525, 130, 175}, {2100, 130, 700},
+	} {
+		name := fmt.Sprintf("vms=%d/upstreams=%d", size.vms, size.shards*size.replicas)
+		b.Run(name, func(b *testing.B) {
+			c := testCatalog(zones, size.shards, size.replicas)
+			r, now := newMature(testList(1, zones, size.vms), 0, c, Config{})
+			b.ReportAllocs()
+			revision := uint64(2)
+			for b.Loop() {
+				r.Update(now, c, testList(revision, zones, size.vms-int(revision%2)))
+				r.Tick(now)
+				revision++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/routing/config.go
@@ -0,0 +1,57 @@
+package routing
+
+import "time"
+
+// Config holds the policy of a Router. The zero value of a field stands for
+// its default.
+type Config struct {
+	// HoldDown is the time for which a VM that left the list is still counted,
+	// and for which a new VM holds no shares. It must exceed the difference
+	// between the ages of any two VMs' lists plus the longest deadline.
+	HoldDown time.Duration
+	// MaxViewAge is the age of the control view beyond which nothing is
+	// dispatched.
+	MaxViewAge time.Duration
+	// StrictSlots forbids requests beyond the owned slots. Otherwise an upstream
+	// that does not shed may get as many as the VM's share of connections.
+	StrictSlots bool
+	// RampAnswers is the number of good answers that end a stage of a ramp.
+	RampAnswers int
+	// RampStage is the shortest time for one stage of a ramp.
+	RampStage time.Duration
+	// SilenceLimit is the time without an answer after which an upstream counts
+	// as cold.
+	SilenceLimit time.Duration
+	// NoticeTransit is the longest time that a peer's notice may travel.
+	NoticeTransit time.Duration
+	// Notify is called, if set, after actions were queued outside Tick. It must
+	// not block and must not call the Router.
+	Notify func()
+}
+
+const (
+	defaultHoldDown      = 4 * time.Second
+	defaultMaxViewAge    = 2 * time.Second
+	defaultRampAnswers   = 4
+	defaultRampStage     = 100 * time.Millisecond
+	defaultSilenceLimit  = time.Minute
+	defaultNoticeTransit = 250 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.HoldDown, defaultHoldDown)
+	setDuration(&c.MaxViewAge, defaultMaxViewAge)
+	setDuration(&c.RampStage, defaultRampStage)
+	setDuration(&c.SilenceLimit, defaultSilenceLimit)
+	setDuration(&c.NoticeTransit, defaultNoticeTransit)
+	if c.RampAnswers <= 0 {
+		c.RampAnswers = defaultRampAnswers
+	}
+	return c
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/internal/core/routing/fleet.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// member is a VM that counts in the sharing.
+type member struct {
+	vm     membership.VM
+	hash   uint64
+	goneAt time.Time // zero while the VM is listed
+}
+
+// fleet keeps the VMs that count: those listed, and those that left the list
+// less than a hold-down ago. The control goroutine owns it.
+type fleet struct {
+	self     membership.VM
+	holdDown time.Duration
+	revision uint64
+	members  map[string]*member
+	// listedSince is when the list first named self, without a break since.
+	listedSince time.Time
+	listed      bool
+}
+
+func newFleet(self membership.VM, holdDown time.Duration) *fleet {
+	return &fleet{self: self, holdDown: holdDown, members: make(map[string]*member)}
+}
+
+// update takes in a list and reports whether the counted VMs changed. A list
+// older than the newest one seen is ignored.
+func (f *fleet) update(now time.Time, list membership.List) bool {
+	if list.Revision < f.revision {
+		return false
+	}
+	if list.Revision == f.revision && len(f.members) > 0 {
+		return false
+	}
+	f.revision = list.Revision
+	changed := f.addListed(now, list)
+	f.markGone(now, list)
+	return changed
+}
+
+func (f *fleet) addListed(now time.Time, list membership.List) bool {
+	changed := false
+	wasListed := f.listed
+	f.listed = false
+	for _, vm := range list.VMs {
+		if vm.ID == f.self.ID {
+			f.listed = true
+		}
+		m := f.members[vm.ID]
+		if m == nil {
+			f.members[vm.ID] = &member{vm: vm, hash: hashOf(vm.ID)}
+			changed = true
+			continue
+		}
+		changed = changed || m.vm.Zone != vm.Zone
+		m.vm = vm
+		m.goneAt = time.Time{}
+	}
+	if f.listed && !wasListed {
+		f.listedSince = now
+	}
+	return changed || f.listed != wasListed
+}
+
+func (f *fleet) markGone(now time.Time, list membership.List) {
+	present := make(map[string]bool, len(list.VMs))
+	for _, vm := range list.VMs {
+		present[vm.ID] = true
+	}
+	for id, m := range f.members {
+		if !present[id] && m.goneAt.IsZero() {
+			m.goneAt = now
+		}
+	}
+}
+
+// expire forgets the VMs whose hold-down is over and reports whether it forgot
+// any.
+func (f *fleet) expire(now time.Time) bool {
+	changed := false
+	for id, m := range f.members {
+		if !m.goneAt.IsZero() && now.Sub(m.goneAt) >= f.holdDown {
+			delete(f.members, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// mature reports whether self has been listed for a hold-down. Before, the VMs
+// that counted without it may still use all shares.
+func (f *fleet) mature(now time.Time) bool {
+	return f.listed && now.Sub(f.listedSince) >= f.holdDown
+}
--- /dev/null
+++ b/internal/core/routing/holding.go
@@ -0,0 +1,95 @@
+package routing
+
+import "time"
+
+// shares say which parts of the limits of one upstream belong to this VM.
+type shares struct {
+	// rank is this VM's rank among count sharing VMs; negative: none.
+	rank, count int
+	// connections, slots and coldPermits are the limits over all VMs.
+	connections, slots, coldPermits int
+}
+
+func (s *shares) ownConnections() int {
+	return share(sharedConnections(s.connections), s.rank, s.count)
+}
+
+func (s *shares) ownSlots() int {
+	return share(s.slots, s.rank, s.count)
+}
+
+// permits returns the permits over all VMs at a stage of the ramp.
+func (s *shares) permits(stage int) int {
+	return min(s.coldPermits<<stage, s.slots)
+}
+
+func (s *shares) ownPermits(stage int) int {
+	return share(s.permits(stage), s.rank, s.count)
+}
+
+// lastStage is the first stage at which the permits reach the slots.
+func (s *shares) lastStage() int {
+	stage := 0
+	for s.coldPermits<<stage < s.slots {
+		stage++
+	}
+	return stage
+}
+
+// heldShares are shares that this VM had before the rule changed by which the
+// sharing VMs are chosen. They bind this VM until the other VMs have changed
+// too.
+type heldShares struct {
+	shares shares
+	until  time.Time
+}
+
+// holdShares takes in new shares. What this VM gains by a change of the rule it
+// may use only after until; what it loses it loses at once. The caller holds mu.
+func (u *upstream) holdShares(next shares, until time.Time) {
+	u.held = append(u.held, heldShares{shares: u.shares, until: until})
+	u.shares = next
+}
+
+// releaseHeld forgets held shares whose time is over and reports whether there
+// were any. The caller holds mu.
+func (u *upstream) releaseHeld(now time.Time) bool {
+	kept := u.held[:0]
+	for _, h := range u.held {
+		if now.Before(h.until) {
+			kept = append(kept, h)
+		}
+	}
+	released := len(kept) < len(u.held)
+	u.held = kept
+	return released
+}
+
+// ownConnections returns this VM's share of the connections. The caller holds
+// mu.
+func (u *upstream) ownConnections() int {
+	own := u.shares.ownConnections()
+	for i := range u.held {
+		own = min(own, u.held[i].shares.ownConnections())
+	}
+	return own
+}
+
+// ownSlots returns this VM's share of the slots. The caller holds mu.
+func (u *upstream) ownSlots() int {
+	own := u.shares.ownSlots()
+	for i := range u.held {
+		own = min(own, u.held[i].shares.ownSlots())
+	}
+	return own
+}
+
+// ownPermits returns this VM's share of the permits at a stage of the ramp. The
+// caller holds mu.
+func (u *upstream) ownPermits(stage int) int {
+	own := u.shares.ownPermits(stage)
+	for i := range u.held {
+		own = min(own, u.held[i].shares.ownPermits(stage))
+	}
+	return own
+}
--- /dev/null
+++ b/internal/core/routing/ramp.go
@@ -0,0 +1,105 @@
+package routing
+
+import "time"
+
+// ramp leads an upstream from cold to warm. At stage s all VMs together may run
+// coldPermits * 2^s requests, until that reaches the slots and the upstream
+// counts as warm.
+type ramp struct {
+	warm  bool
+	stage int
+	// instance is the last known incarnation of the upstream.
+	instance string
+	// instanceSeen tells whether instance was learned since coldSince.
+	instanceSeen bool
+	// coldSince is when the upstream last turned cold. Attempts that began
+	// earlier are no evidence.
+	coldSince time.Time
+	// stageSince is when the present stage began.
+	stageSince time.Time
+	// good counts the good answers of the present stage.
+	good int
+	// best is the lowest latency seen since coldSince.
+	best time.Duration
+	// slow counts consecutive answers far slower than those of other replicas.
+	slow int
+	// evidence is the begin of the latest request with a good answer, of this VM
+	// or of the peer that it heard of.
+	evidence time.Time
+	// askAt is when the peers are asked next, and askAfter the interval.
+	askAt    time.Time
+	askAfter time.Duration
+}
+
+const (
+	// goodFactor times the usual latency is the slowest good answer in a ramp.
+	goodFactor = 2
+	// coldFactor times the usual latency is an answer that hints at a cold
+	// upstream.
+	coldFactor = 8
+	// slowLimit is the number of such answers in a row that count as cold.
+	slowLimit = 3
+	// firstAsk and lastAsk bound the interval between two questions to the
+	// peers.
+	firstAsk = 300 * time.Millisecond
+	lastAsk  = 10 * time.Second
+)
+
+func (r *ramp) isFirstStage() bool {
+	return !r.warm && r.stage == 0
+}
+
+// turnCold returns to the first stage.
+func (r *ramp) turnCold(now time.Time) {
+	r.warm = false
+	r.stage = 0
+	r.coldSince = now
+	r.stageSince = now
+	r.good = 0
+	r.best = 0
+	r.slow = 0
+	r.instanceSeen = false
+	r.askAfter = firstAsk
+	r.askAt = now.Add(firstAsk)
+}
+
+// advance goes to a later stage.
+func (r *ramp) advance(now time.Time, stage, last int) {
+	r.stage = min(stage, last)
+	r.warm = stage > last
+	r.stageSince = now
+	r.good = 0
+}
+
+// answeredCold takes in an answer while cold and reports whether the stage is
+// complete.
+func (r *ramp) answeredCold(now time.Time, latency, usual time.Duration, cfg *Config) bool {
+	if now.Add(-latency).Before(r.coldSince) {
+		return false
+	}
+	if r.best == 0 || latency < r.best {
+		r.best = latency
+	}
+	if usual == 0 {
+		usual = r.best
+	}
+	if latency > goodFactor*usual {
+		r.good = 0
+		return false
+	}
+	r.good++
+	r.evidence = now.Add(-latency)
+	return r.good >= cfg.RampAnswers && now.Sub(r.stageSince) >= cfg.RampStage
+}
+
+// answeredWarm takes in an answer while warm and reports whether the upstream
+// must count as cold.
+func (r *ramp) answeredWarm(now time.Time, latency, usual time.Duration) bool {
+	if usual == 0 || latency <= coldFactor*usual {
+		r.slow = 0
+		r.evidence = now.Add(-latency)
+		return false
+	}
+	r.slow++
+	return r.slow >= slowLimit
+}
