--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL    := $(GO) tool -modfile=tools/go.mod
 SOURCES := $(shell git ls-files -co --exclude-standard '*.go')
 
-.PHONY: build test fmt-check lint unit generate
+.PHONY: build test fmt-check lint unit generate demo smoke bench proofs fuzz soak
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -21,6 +21,12 @@
 unit:
 	$(GO) test ./...
 
+demo: build
+	scripts/demo.sh
+
+smoke: build
+	scripts/smoke.sh
+
 # Needs buf and its plugins, which tools/go.mod pins. The generated code is committed.
 generate:
 	$(GO) build -modfile=tools/go.mod -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- /dev/null
+++ b/internal/caller/handle.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/keys"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+	"ryecourse.example/ryecourse/internal/upstream"
+)
+
+// request is one caller's request on its way through the checks.
+type request struct {
+	server *Server
+	ctx    *fasthttp.RequestCtx
+	id     string
+	start  time.Time
+
+	service  *catalog.Service
+	customer *catalog.Customer // nil on a route that is open to all
+	body     queryBody
+}
+
+// serve checks the request in the order of cost and runs its query.
+func (r *request) serve() (*scatter.Answer, *verdict.Refusal) {
+	if refusal := r.check(); refusal != nil {
+		return nil, refusal
+	}
+	deadline := r.start.Add(r.body.deadline(r.service.Deadline))
+	if r.customer != nil {
+		ok, wait := r.server.deps.Limiter.Admit(time.Now(), r.customer.Name)
+		if !ok {
+			return nil, verdict.Refuse(verdict.CodeRateLimited, wait, "The customer's rate is spent.")
+		}
+	}
+	leave, refusal := r.server.deps.Sharer.Enter(r.service, r.customer, deadline)
+	if refusal != nil {
+		return nil, refusal
+	}
+	end := r.run(deadline)
+	leave(end.Refusal != nil && end.Refusal.Code == verdict.CodeOverloaded)
+	return end.Answer, end.Refusal
+}
+
+// check finds the service and the customer, and parses the body.
+func (r *request) check() *verdict.Refusal {
+	if r.server.draining.Load() {
+		r.ctx.SetConnectionClose()
+		return verdict.Refuse(verdict.CodeNotReady, restartRetryAfter, "This VM is shutting down.")
+	}
+	cat := r.server.deps.Config.Catalog(r.start)
+	if cat == nil {
+		return verdict.Refuse(verdict.CodeNotReady, restartRetryAfter, "This VM has no current configuration.")
+	}
+	if !r.ctx.IsPost() {
+		return verdict.Refuse(verdict.CodeBadRequest, 0, "The method must be POST.")
+	}
+	name, ok := serviceOf(r.ctx.Path())
+	if !ok {
+		return verdict.Refuse(verdict.CodeUnknownService, 0, "The path must be /v1/services/NAME/query.")
+	}
+	if refusal := r.authenticate(cat, name); refusal != nil {
+		return refusal
+	}
+	body, refusal := parseBody(r.ctx.PostBody())
+	r.body = body
+	return refusal
+}
+
+// authenticate checks the key of this request against the newest catalog.
+func (r *request) authenticate(cat *catalog.Catalog, name string) *verdict.Refusal {
+	key := keyOf(&r.ctx.Request.Header)
+	if keys.Carries(r.ctx.RequestURI(), key) || keys.Carries(r.ctx.PostBody(), key) {
+		return verdict.Refuse(verdict.CodeKeyExposed, 0, "A key may stand only in the Authorization header. Replace this key.")
+	}
+	service := cat.Services[name]
+	if key == "" && service != nil && service.Open {
+		r.service = service
+		return nil
+	}
+	customer := cat.CustomerByKeyHash(keys.Hash(key))
+	if customer == nil {
+		return verdict.Refuse(verdict.CodeUnknownKey, 0, "The key is missing, unknown or withdrawn.")
+	}
+	if service == nil {
+		return verdict.Refuse(verdict.CodeUnknownService, 0, "The service is unknown.")
+	}
+	if len(customer.Services) > 0 && !slices.Contains(customer.Services, name) {
+		return verdict.Refuse(verdict.CodeForbidden, 0, "The customer may not use this service.")
+	}
+	r.service, r.customer = service, customer
+	return nil
+}
+
+// run runs the query. The body is copied because attempts may outlive the
+// request's buffers.
+func (r *request) run(deadline time.Time) *scatter.Finish {
+	query := r.server.deps.Planner.Plan(r.service, Params{
+		RequestID:   r.id,
+		Deadline:    deadline,
+		MinCoverage: r.body.coverage(),
+		RoutingKey:  r.body.RoutingKey,
+	})
+	x := &run{
+		pool:      r.server.deps.Pool,
+		query:     query,
+		requestID: r.id,
+		service:   r.service.Name,
+		header:    r.forwardedHeader(),
+		body:      slices.Clone([]byte(r.body.Query)),
+		calls:     make(map[int]*upstream.Call, len(r.service.Shards)),
+		notify:    make(chan struct{}, 1),
+	}
+	return x.execute()
+}
+
+// forwardedHeader copies the allowed headers. A header that carries a key is
+// left out.
+func (r *request) forwardedHeader() []upstream.Field {
+	key := keyOf(&r.ctx.Request.Header)
+	var out []upstream.Field
+	for _, name := range forwarded {
+		v := r.ctx.Request.Header.Peek(name)
+		if len(v) == 0 || keys.Carries(v, key) {
+			continue
+		}
+		out = append(out, upstream.Field{Name: name, Value: clean(v)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,195 @@
+// Package caller serves the callers' listener over HTTP and JSON. The interface
+// is in docs/API.md.
+//
+// The goroutine that serves a request runs its query. Every request ends with
+// exactly one answer or refusal, and a request that is given up on is refused
+// at once.
+package caller
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+	"ryecourse.example/ryecourse/internal/settings"
+	"ryecourse.example/ryecourse/internal/telemetry"
+	"ryecourse.example/ryecourse/internal/upstream"
+)
+
+// restartRetryAfter is the advice of a daemon that starts or stops: another
+// daemon can take the request at once.
+const restartRetryAfter = time.Second
+
+// Config gives the newest configuration.
+type Config interface {
+	// Catalog returns the catalog in force at now, or nil when this daemon has
+	// none that it may act on.
+	Catalog(now time.Time) *catalog.Catalog
+}
+
+// Limiter admits requests within the customers' rates and bursts.
+type Limiter interface {
+	// Admit spends one request of the customer's limit. When it refuses, the
+	// duration is the wait after which a request can be admitted.
+	Admit(now time.Time, customer string) (bool, time.Duration)
+}
+
+// Sharer shares the capacity of a service among customers.
+type Sharer interface {
+	// Enter waits for a place until the deadline. The returned function gives
+	// the place back.
+	Enter(s *catalog.Service, customer *catalog.Customer, deadline time.Time) (func(overloaded bool), *verdict.Refusal)
+}
+
+// Planner prepares the queries of a service.
+type Planner interface {
+	// Plan returns the state machine of one query.
+	Plan(s *catalog.Service, p Params) *scatter.Query
+}
+
+// Params are what a caller decides of a query.
+type Params struct {
+	RequestID   string
+	Deadline    time.Time
+	MinCoverage float64
+	RoutingKey  string
+}
+
+// Deps are the parts that a Server uses.
+type Deps struct {
+	Config  Config
+	Limiter Limiter
+	Sharer  Sharer
+	Planner Planner
+	Pool    *upstream.Pool
+	Metrics *telemetry.Metrics
+	Log     zerolog.Logger
+}
+
+// Server is the callers' listener.
+type Server struct {
+	deps     Deps
+	ids      *idSource
+	draining atomic.Bool
+	running  atomic.Int64
+	http     *fasthttp.Server
+}
+
+// New returns a server that is not listening yet.
+func New(deps Deps, limits settings.Limits) *Server {
+	s := &Server{deps: deps, ids: newIDSource()}
+	s.http = &fasthttp.Server{
+		Name:                  "ryecourse",
+		Handler:               s.handle,
+		ErrorHandler:          s.badRequest,
+		ReadBufferSize:        limits.MaxHeaderBytes,
+		MaxRequestBodySize:    limits.MaxBodyBytes,
+		ReadTimeout:           limits.ReadTimeout(),
+		IdleTimeout:           limits.IdleTimeout(),
+		Concurrency:           limits.MaxConnections,
+		CloseOnShutdown:       true,
+		NoDefaultContentType:  true,
+		SecureErrorLogMessage: true,
+		Logger:                silent{},
+	}
+	return s
+}
+
+// silent drops fasthttp's own log lines, which would quote requests.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Serve answers on the listener until Shutdown.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+// Drain refuses new requests and lets running ones end.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Running returns the number of requests in progress.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// Shutdown closes the listener and waits for open requests.
+func (s *Server) Shutdown() error { return s.http.Shutdown() }
+
+// badRequest answers what fasthttp could not read.
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
+	id := s.ids.next()
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	var r *verdict.Refusal
+	switch {
+	case errors.As(err, &small):
+		r = verdict.Refuse(verdict.CodeTooLarge, 0, "The request's headers are too large.")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		r = verdict.Refuse(verdict.CodeTooLarge, 0, "The request's body is too large.")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		r = verdict.Refuse(verdict.CodeBadRequest, 0, "The request took too long to arrive.")
+	default:
+		r = verdict.Refuse(verdict.CodeBadRequest, 0, "The request isn't valid HTTP.")
+	}
+	s.deps.Metrics.Request("", "", string(r.Code))
+	writeRefusal(ctx, id, r)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	start := time.Now()
+	req := &request{server: s, ctx: ctx, id: s.ids.next(), start: start}
+	answer, refusal := req.serve()
+	code := "ok"
+	if refusal != nil {
+		code = string(refusal.Code)
+		writeRefusal(ctx, req.id, refusal)
+	} else {
+		writeAnswer(ctx, req.id, answer)
+	}
+	s.observe(req, answer, code)
+}
+
+// observe counts and logs the end of a request. Only names from the catalog
+// become labels, so that callers can't create metrics.
+func (s *Server) observe(req *request, a *scatter.Answer, code string) {
+	took := time.Since(req.start)
+	service, customer := "", ""
+	if req.service != nil {
+		service = req.service.Name
+		s.deps.Metrics.Latency(service, took)
+	}
+	if req.customer != nil {
+		customer = req.customer.Name
+	}
+	s.deps.Metrics.Request(service, customer, code)
+	if a != nil {
+		s.deps.Metrics.Attempts(service, a.Attempts, a.Hedges)
+		s.deps.Metrics.Missing(service, len(a.Missing))
+	}
+	s.deps.Log.Debug().Str("request_id", req.id).Str("service", service).Str("customer", customer).
+		Str("code", code).Dur("took_ms", took).Msg("request")
+}
+
+// tooManyHeaders tells whether a request carries more than the allowed number.
+func tooManyHeaders(h *fasthttp.RequestHeader, limit int) bool {
+	return h.Len() > limit
+}
+
+// clean drops control characters from a header value that is passed on.
+func clean(v []byte) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return -1
+		}
+		return r
+	}, string(v))
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,69 @@
+// Package cli is the command line of the product.
+//
+// Exit codes: 0 success; 1 the command found problems or failed; 2 the command
+// line is wrong.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of every command.
+const (
+	ExitOK    = 0
+	ExitError = 1
+	ExitUsage = 2
+)
+
+// Version is the version of the product.
+const Version = "0.1.0"
+
+// App returns the root command. It writes to out and errOut.
+func App(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "ryecourse",
+		Usage:                 "a query tier between callers and sharded search back ends",
+		Writer:                out,
+		ErrWriter:             errOut,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Description: "Exit codes: 0 success; 1 problems were found or the command failed;\n" +
+			"2 the command line is wrong.",
+		Commands: []*cli.Command{
+			serveCommand(),
+			statusCommand(),
+			auditCommand(),
+			versionCommand(),
+		},
+	}
+}
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	err := App(out, errOut).Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, err)
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return ExitUsage
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			_, err := fmt.Fprintln(cmd.Root().Writer, "ryecourse", Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/inspect.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/daemon"
+)
+
+// askTimeout bounds a question to a running daemon.
+const askTimeout = 5 * time.Second
+
+func inspectFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "operator", Usage: "the `ADDRESS` of the daemon's operators' listener", Value: "127.0.0.1:7301"},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON for programs"},
+	}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "status",
+		Usage:       "show what a running daemon knows and holds",
+		Description: "Example:\n   ryecourse status --operator 127.0.0.1:7301",
+		Flags:       inspectFlags(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			var st daemon.Status
+			return ask(cmd, "/status", &st, func(w io.Writer) { printStatus(w, &st) })
+		},
+	}
+}
+
+func auditCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "audit",
+		Usage:       "show what a running daemon changed and why",
+		Description: "Example:\n   ryecourse audit --operator 127.0.0.1:7301 --since 120",
+		Flags: append(inspectFlags(),
+			&cli.Uint64Flag{Name: "since", Usage: "only entries after this sequence `NUMBER`"}),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			var entries []audit.Entry
+			path := "/audit?since=" + strconv.FormatUint(cmd.Uint64("since"), 10)
+			return ask(cmd, path, &entries, func(w io.Writer) { printAudit(w, entries) })
+		},
+	}
+}
+
+// ask reads a document from the daemon and prints it as JSON or as a table.
+func ask(cmd *cli.Command, path string, into any, table func(io.Writer)) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+cmd.String("operator")+path, askTimeout)
+	if err != nil {
+		return cli.Exit(fmt.Sprintf("no answer from %s: %v", cmd.String("operator"), err), ExitError)
+	}
+	if status != fasthttp.StatusOK {
+		return cli.Exit(fmt.Sprintf("%s answered %d: %s", cmd.String("operator"), status, body), ExitError)
+	}
+	out := cmd.Root().Writer
+	if cmd.Bool("json") {
+		_, err = out.Write(body)
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return cli.Exit(fmt.Sprintf("the answer can't be read: %v", err), ExitError)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func printAudit(w io.Writer, entries []audit.Entry) {
+	fmt.Fprintln(w, "SEQ\tTIME\tKIND\tSUBJECT\tVERSION\tCAUSE")
+	for _, e := range entries {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%s\n", e.Seq, e.Time.Format(time.RFC3339), e.Kind, e.Subject, e.Version, e.Cause)
+		for _, d := range e.Details {
+			fmt.Fprintf(w, "\t\t\t\t\t%s\n", d)
+		}
+	}
+}
+
+func printStatus(w io.Writer, st *daemon.Status) {
+	fmt.Fprintf(w, "vm\t%s\n", st.VM)
+	fmt.Fprintf(w, "zone\t%s\n", st.Zone)
+	fmt.Fprintf(w, "ready\t%t (%s)\n", st.Ready, st.ReadyReason)
+	fmt.Fprintf(w, "configuration\tversion %d, digest %s\n", st.ConfigVersion, st.ConfigDigest)
+	fmt.Fprintf(w, "vm list\trevision %d, %d VMs, confirmed %d ms ago\n", st.ListRevision, st.VMs, st.ListAgeMs)
+	fmt.Fprintf(w, "platform reads\t%d\n", st.PlatformReads)
+	fmt.Fprintf(w, "running requests\t%d\n", st.Running)
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,39 @@
+package cli
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"ryecourse.example/ryecourse/internal/daemon"
+	"ryecourse.example/ryecourse/internal/settings"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the daemon",
+		Description: "Runs until SIGTERM or SIGINT, then refuses new requests, lets running ones\n" +
+			"end and hands its shares to other daemons.\n\n" +
+			"Example:\n   ryecourse serve --settings /etc/ryecourse/vm.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE` of this process", Required: true},
+		},
+		Action: serve,
+	}
+}
+
+func serve(ctx context.Context, cmd *cli.Command) error {
+	s, err := settings.Load(cmd.String("settings"))
+	if err != nil {
+		return cli.Exit(err.Error(), ExitError)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := daemon.Run(ctx, s, cmd.Root().Writer); err != nil {
+		return cli.Exit(err.Error(), ExitError)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,96 @@
+// Package control owns the control state of a daemon: the configuration, the
+// VM list, and what follows from them.
+//
+// One goroutine, the loop, owns all of it. Other goroutines post functions that
+// run on the loop, one at a time. I/O runs elsewhere and posts its results. The
+// loop publishes immutable views that traffic goroutines read without locks.
+package control
+
+import (
+	"context"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+const (
+	// tickInterval is the time between two ticks of the loop.
+	tickInterval = 50 * time.Millisecond
+	// pauseLimit is the time between two ticks from which on the process is
+	// taken to have been paused.
+	pauseLimit = time.Second
+	// queueLength bounds the functions that wait for the loop.
+	queueLength = 1024
+)
+
+// Loop runs functions one at a time on one goroutine.
+type Loop struct {
+	work chan func(now time.Time)
+	done chan struct{}
+}
+
+// NewLoop returns a loop that is not running yet.
+func NewLoop() *Loop {
+	return &Loop{work: make(chan func(time.Time), queueLength), done: make(chan struct{})}
+}
+
+// Post hands f to the loop. It returns false when the loop has ended.
+func (l *Loop) Post(f func(now time.Time)) bool {
+	select {
+	case l.work <- f:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Call runs f on the loop and waits for it. It returns false when the loop
+// ended before f ran.
+func (l *Loop) Call(f func(now time.Time)) bool {
+	ran := make(chan struct{})
+	posted := l.Post(func(now time.Time) {
+		f(now)
+		close(ran)
+	})
+	if !posted {
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Ticker is told of the passing of time.
+type Ticker interface {
+	// Tick is called on the loop at short intervals.
+	Tick(now time.Time)
+	// Paused is called before Tick when the process has been paused.
+	Paused(now time.Time, pause time.Duration)
+}
+
+// Run owns the loop until the context ends.
+func (l *Loop) Run(ctx context.Context, t Ticker) {
+	defer close(l.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		var f func(time.Time)
+		select {
+		case <-ctx.Done():
+			return
+		case f = <-l.work:
+		case <-ticker.C:
+			f = t.Tick
+		}
+		now := time.Now()
+		if pause := membership.Elapsed(last, now); pause > pauseLimit {
+			t.Paused(now, pause)
+		}
+		last = now
+		f(now)
+	}
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"sync/atomic"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// maxViewAge is how long traffic may act on a view that the control goroutine
+// has not confirmed. The goroutine confirms it on every tick. A process that
+// was paused finds the view too old until the control goroutine has looked for
+// news.
+const maxViewAge = time.Second
+
+// View is what traffic goroutines read of the control state. It is immutable.
+type View struct {
+	Catalog *catalog.Catalog
+	List    membership.List
+}
+
+// State is the published side of the control state. Traffic goroutines read it
+// without locks; only the control goroutine writes it.
+type State struct {
+	view      atomic.Pointer[View]
+	confirmed atomic.Pointer[time.Time]
+}
+
+// View returns the newest view, or nil before the first one.
+func (s *State) View() *View { return s.view.Load() }
+
+// Catalog returns the catalog in force, or nil when there is none or when the
+// view is too old to act on.
+func (s *State) Catalog(now time.Time) *catalog.Catalog {
+	v := s.view.Load()
+	if v == nil || !s.Fresh(now) {
+		return nil
+	}
+	return v.Catalog
+}
+
+// Fresh tells whether the control goroutine has confirmed the view lately, by
+// both the monotonic and the wall clock.
+func (s *State) Fresh(now time.Time) bool {
+	at := s.confirmed.Load()
+	return at != nil && membership.Elapsed(*at, now) <= maxViewAge
+}
+
+func (s *State) confirm(now time.Time) { s.confirmed.Store(&now) }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,186 @@
+// Package daemon wires the parts of one daemon together and runs them until it
+// is told to stop.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/caller"
+	"ryecourse.example/ryecourse/internal/control"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/operator"
+	"ryecourse.example/ryecourse/internal/peer"
+	"ryecourse.example/ryecourse/internal/platform"
+	"ryecourse.example/ryecourse/internal/settings"
+	"ryecourse.example/ryecourse/internal/telemetry"
+	"ryecourse.example/ryecourse/internal/upstream"
+)
+
+const (
+	// drainPoll is the time between two looks at the running requests while the
+	// daemon drains.
+	drainPoll = 10 * time.Millisecond
+	// lameDuck is how long a leaving daemon still answers with refusals, so that
+	// a balancer that reads readiness turns away before the listener closes.
+	lameDuck = 500 * time.Millisecond
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	trail    *audit.Trail
+	metrics  *telemetry.Metrics
+	platform *platform.Client
+	pool     *upstream.Pool
+	quota    *quota.Manager
+	router   *routing.Router
+	control  *control.Control
+	planner  *planner
+	callers  *caller.Server
+	peers    *peer.Server
+	operator *operator.Server
+	leaving  chan struct{}
+}
+
+// Run runs a daemon until the context ends, and then shuts it down gracefully.
+// Logs go to out as JSON lines.
+func Run(ctx context.Context, s *settings.Settings, out io.Writer) error {
+	d, err := New(s, out)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// New builds a daemon that is not running yet.
+func New(s *settings.Settings, out io.Writer) (*Daemon, error) {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	log := zerolog.New(zerolog.SyncWriter(out)).Level(level).With().Timestamp().Str("vm", s.VM).Logger()
+	d := &Daemon{
+		settings: s,
+		log:      log,
+		trail:    audit.New(log),
+		metrics:  telemetry.New(),
+		platform: platform.New(s.Platform),
+		pool:     upstream.NewPool(),
+		leaving:  make(chan struct{}),
+	}
+	d.build()
+	return d, nil
+}
+
+func (d *Daemon) build() {
+	s := d.settings
+	self := control.Self{
+		Fleet:       s.Fleet,
+		VM:          membership.VM{ID: s.VM, Zone: s.Zone, PeerAddress: s.PeerListen},
+		Incarnation: randomUint64(),
+	}
+	identity := peer.Identity{Fleet: s.Fleet, Secret: s.FleetSecret}
+	d.quota = quota.New(quota.Params{Self: self.VM, Incarnation: self.Incarnation, Started: time.Now()})
+	d.router = routing.New(self.VM, rand.New(rand.NewPCG(randomUint64(), randomUint64())), routing.Config{})
+	d.planner = newPlanner(s.Policy, d.pool, d.router)
+	d.control = control.New(control.Deps{
+		Self:     self,
+		Platform: d.platform,
+		Peers:    peer.NewClient(identity),
+		Quota:    d.quota,
+		Trail:    d.trail,
+		Log:      d.log,
+		Router:   d.router,
+		Changed:  d.planner.update,
+	})
+	d.callers = caller.New(caller.Deps{
+		Config:  &d.control.State,
+		Limiter: limiter{d.quota},
+		Sharer:  noSharer{},
+		Planner: d.planner,
+		Pool:    d.pool,
+		Metrics: d.metrics,
+		Log:     d.log,
+	}, s.Limits)
+	d.peers = peer.NewServer(identity, d.control.Peers(), d.stranger)
+	d.operator = operator.New(d, d.trail, d.metrics)
+	d.gauges()
+}
+
+// stranger records a refused sender on the peers' listener.
+func (d *Daemon) stranger(addr, procedure string) {
+	d.metrics.Count("peer_strangers_total", 1)
+	d.trail.Add(audit.Entry{Time: time.Now(), Kind: "peer_refused", Subject: addr, Cause: "not of this fleet: " + procedure})
+}
+
+// Run listens and serves until the context ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	failed := make(chan error, 3)
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	go func() { failed <- d.operator.Serve(listeners.operator) }()
+	go func() { failed <- d.peers.Serve(listeners.peer) }()
+	controlCtx, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	go d.control.Run(controlCtx)
+	go d.planner.refresh(controlCtx)
+	go func() { failed <- d.callers.Serve(listeners.caller) }()
+	d.log.Info().Str("callers", d.settings.CallerListen).Str("peers", d.settings.PeerListen).
+		Str("operators", d.settings.OperatorListen).Msg("serving")
+	select {
+	case err := <-failed:
+		return fmt.Errorf("a listener failed: %w", err)
+	case <-ctx.Done():
+	}
+	return d.shutdown()
+}
+
+// shutdown refuses new requests, lets running ones end, hands shares back and
+// closes the listeners.
+func (d *Daemon) shutdown() error {
+	d.log.Info().Msg("draining")
+	close(d.leaving)
+	d.callers.Drain()
+	d.control.Call(d.control.Leave)
+	deadline := time.Now().Add(d.settings.Limits.Drain())
+	time.Sleep(lameDuck)
+	for d.callers.Running() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+	err := d.callers.Shutdown()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(lameDuck))
+	defer cancel()
+	err = errors.Join(err, d.peers.Shutdown(ctx), d.operator.Shutdown())
+	d.pool.Close()
+	d.log.Info().Msg("stopped")
+	return err
+}
+
+type listeners struct{ caller, peer, operator net.Listener }
+
+func (d *Daemon) listen() (listeners, error) {
+	var out listeners
+	var err error
+	if out.operator, err = net.Listen("tcp", d.settings.OperatorListen); err != nil {
+		return out, err
+	}
+	if out.peer, err = net.Listen("tcp", d.settings.PeerListen); err != nil {
+		return out, err
+	}
+	out.caller, err = net.Listen("tcp", d.settings.CallerListen)
+	return out, err
+}
--- /dev/null
+++ b/internal/daemon/planner.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ryecourse.example/ryecourse/internal/caller"
+	"ryecourse.example/ryecourse/internal/control"
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/settings"
+	"ryecourse.example/ryecourse/internal/upstream"
+)
+
+// limitsInterval is the time between two updates of the shares of connections.
+const limitsInterval = 250 * time.Millisecond
+
+// planner builds the queries of each service and keeps what they share.
+type planner struct {
+	policy   settings.Policy
+	pool     *upstream.Pool
+	router   *routing.Router
+	baseline *randomPicker
+	picker   scatter.Picker
+
+	mu     sync.RWMutex
+	shared map[string]*serviceShared
+}
+
+// serviceShared is what all queries of one service share. It is replaced when
+// the service's number of shards changes.
+type serviceShared struct {
+	shards int
+	shared scatter.Shared
+}
+
+func newPlanner(policy settings.Policy, pool *upstream.Pool, router *routing.Router) *planner {
+	p := &planner{
+		policy:   policy,
+		pool:     pool,
+		router:   router,
+		baseline: &randomPicker{},
+		shared:   make(map[string]*serviceShared),
+	}
+	p.picker = router
+	if policy.RandomReplica {
+		p.picker = p.baseline
+	}
+	return p
+}
+
+// update takes a new view. It runs on the control goroutine.
+func (p *planner) update(now time.Time, v *control.View) {
+	p.baseline.catalog.Store(v.Catalog)
+	p.pool.SetLimits(p.limits(now))
+}
+
+// refresh keeps the pool's shares in step with the router until the context
+// ends.
+func (p *planner) refresh(ctx context.Context) {
+	ticker := time.NewTicker(limitsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if p.baseline.catalog.Load() != nil {
+				p.pool.SetLimits(p.limits(now))
+			}
+		}
+	}
+}
+
+func (p *planner) limits(now time.Time) []upstream.Limit {
+	if p.policy.RandomReplica {
+		return p.baseline.limits()
+	}
+	targets := p.router.Connections(now)
+	out := make([]upstream.Limit, 0, len(targets))
+	for _, t := range targets {
+		out = append(out, upstream.Limit{Address: t.Address, Max: t.Max, Warm: t.Warm})
+	}
+	return out
+}
+
+// Plan implements caller.Planner.
+func (p *planner) Plan(s *catalog.Service, params caller.Params) *scatter.Query {
+	return scatter.New(scatter.Spec{
+		Service:     s.Name,
+		Layout:      s.Shards,
+		RequestID:   params.RequestID,
+		Deadline:    params.Deadline,
+		Idempotent:  s.Idempotent,
+		SingleShard: s.SingleShard,
+		Shard:       shardFor(params.RoutingKey, len(s.Shards)),
+		Snapshots:   s.Snapshots,
+		MinCoverage: params.MinCoverage,
+	}, p.sharedFor(s))
+}
+
+// shardFor maps a routing key to a shard.
+func shardFor(key string, shards int) int {
+	if shards == 0 {
+		return 0
+	}
+	return int(xxhash.Sum64String(key) % uint64(shards))
+}
+
+func (p *planner) sharedFor(s *catalog.Service) scatter.Shared {
+	p.mu.RLock()
+	e := p.shared[s.Name]
+	p.mu.RUnlock()
+	if e != nil && e.shards == len(s.Shards) {
+		return e.shared
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e = p.shared[s.Name]; e != nil && e.shards == len(s.Shards) {
+		return e.shared
+	}
+	e = &serviceShared{shards: len(s.Shards), shared: p.newShared(len(s.Shards))}
+	p.shared[s.Name] = e
+	return e.shared
+}
+
+func (p *planner) newShared(shards int) scatter.Shared {
+	policy := scatter.DefaultPolicy()
+	if !p.policy.HedgeOn() {
+		policy.MaxHedgesPerShard = 0
+	}
+	return scatter.Shared{
+		Picker:  p.picker,
+		Budgets: scatter.NewBudgets(),
+		Latency: scatter.NewLatency(shards),
+		Policy:  policy,
+	}
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+// Status is the document that `ryecourse status` shows.
+type Status struct {
+	VM            string       `json:"vm"`
+	Zone          string       `json:"zone"`
+	Ready         bool         `json:"ready"`
+	ReadyReason   string       `json:"ready_reason"`
+	ConfigVersion uint64       `json:"config_version"`
+	ConfigDigest  string       `json:"config_digest"`
+	ListRevision  uint64       `json:"list_revision"`
+	ListAgeMs     int64        `json:"list_age_ms"`
+	VMs           int          `json:"vms"`
+	PlatformReads uint64       `json:"platform_reads"`
+	Running       int64        `json:"running"`
+	Quota         quota.Status `json:"quota"`
+}
+
+// Ready implements operator.Source.
+func (d *Daemon) Ready() (bool, string) {
+	select {
+	case <-d.leaving:
+		return false, "shutting down"
+	default:
+	}
+	if d.control.State.View() == nil {
+		return false, "no configuration or VM list yet"
+	}
+	if !d.control.State.Fresh(time.Now()) {
+		return false, "the view is too old"
+	}
+	return true, "ready"
+}
+
+// Status implements operator.Source.
+func (d *Daemon) Status() any {
+	st := Status{
+		VM:            d.settings.VM,
+		Zone:          d.settings.Zone,
+		PlatformReads: d.platform.Reads(),
+		Running:       d.callers.Running(),
+	}
+	st.Ready, st.ReadyReason = d.Ready()
+	if v := d.control.State.View(); v != nil {
+		st.ConfigVersion, st.ConfigDigest = v.Catalog.Version, v.Catalog.Digest
+		st.VMs = len(v.List.VMs)
+	}
+	d.control.Call(func(now time.Time) {
+		rev, age := d.control.ListAge(now)
+		st.ListRevision, st.ListAgeMs = rev, age.Milliseconds()
+		st.Quota = d.quota.Status(now)
+	})
+	return st
+}
+
+func (d *Daemon) gauges() {
+	d.metrics.Gauge("running_requests", func() float64 { return float64(d.callers.Running()) })
+	d.metrics.Gauge("platform_reads", func() float64 { return float64(d.platform.Reads()) })
+	d.metrics.Gauge("upstream_dials", func() float64 { return float64(d.pool.Stats.Dials.Load()) })
+	d.metrics.Gauge("upstream_dial_errors", func() float64 { return float64(d.pool.Stats.DialErrors.Load()) })
+	d.metrics.Gauge("upstream_requests", func() float64 { return float64(d.pool.Stats.Requests.Load()) })
+	d.metrics.Gauge("upstream_mismatches", func() float64 { return float64(d.pool.Stats.Mismatches.Load()) })
+	d.metrics.Gauge("upstream_lost", func() float64 { return float64(d.pool.Stats.Lost.Load()) })
+	d.metrics.Gauge("upstream_canceled", func() float64 { return float64(d.pool.Stats.Canceled.Load()) })
+}
+
+// limiter adapts the quota manager to the callers' listener.
+type limiter struct{ quota *quota.Manager }
+
+// Admit implements caller.Limiter.
+func (l limiter) Admit(now time.Time, customer string) (bool, time.Duration) {
+	d := l.quota.Admit(now, customer)
+	return d.OK, d.RetryAfter
+}
+
+// noSharer lets every request in.
+type noSharer struct{}
+
+// Enter implements caller.Sharer.
+func (noSharer) Enter(*catalog.Service, *catalog.Customer, time.Time) (func(bool), *verdict.Refusal) {
+	return func(bool) {}, nil
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // never fails; see crypto/rand
+	return binary.LittleEndian.Uint64(b[:])
+}
--- a/internal/gen/peer/v1/peerv1connect/peer.connect.go
+++ b/internal/gen/peer/v1/peerv1connect/peer.connect.go
@@ -42,6 +42,8 @@
 	PeerServiceLendProcedure = "/peer.v1.PeerService/Lend"
 	// PeerServiceReleaseProcedure is the fully-qualified name of the PeerService's Release RPC.
 	PeerServiceReleaseProcedure = "/peer.v1.PeerService/Release"
+	// PeerServiceNotifyProcedure is the fully-qualified name of the PeerService's Notify RPC.
+	PeerServiceNotifyProcedure = "/peer.v1.PeerService/Notify"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -54,6 +56,8 @@
 	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
 	// Release gives shares back, or hands them over when a daemon leaves.
 	Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error)
+	// Notify tells what the sender saw of upstreams, and asks for the same.
+	Notify(context.Context, *v1.NotifyRequest) (*v1.NotifyResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -91,6 +95,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		notify: connect.NewClient[v1.NotifyRequest, v1.NotifyResponse](
+			httpClient,
+			baseURL+PeerServiceNotifyProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Notify")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -100,6 +110,7 @@
 	fetchFiles *connect.Client[v1.FetchFilesRequest, v1.FetchFilesResponse]
 	lend       *connect.Client[v1.LendRequest, v1.LendResponse]
 	release    *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	notify     *connect.Client[v1.NotifyRequest, v1.NotifyResponse]
 }
 
 // Exchange calls peer.v1.PeerService.Exchange.
@@ -138,6 +149,15 @@
 	return nil, err
 }
 
+// Notify calls peer.v1.PeerService.Notify.
+func (c *peerServiceClient) Notify(ctx context.Context, req *v1.NotifyRequest) (*v1.NotifyResponse, error) {
+	response, err := c.notify.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange trades digests of control state. Both sides learn from it.
@@ -148,6 +168,8 @@
 	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
 	// Release gives shares back, or hands them over when a daemon leaves.
 	Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error)
+	// Notify tells what the sender saw of upstreams, and asks for the same.
+	Notify(context.Context, *v1.NotifyRequest) (*v1.NotifyResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -181,6 +203,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceNotifyHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceNotifyProcedure,
+		svc.Notify,
+		connect.WithSchema(peerServiceMethods.ByName("Notify")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -191,6 +219,8 @@
 			peerServiceLendHandler.ServeHTTP(w, r)
 		case PeerServiceReleaseProcedure:
 			peerServiceReleaseHandler.ServeHTTP(w, r)
+		case PeerServiceNotifyProcedure:
+			peerServiceNotifyHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -215,3 +245,7 @@
 func (UnimplementedPeerServiceHandler) Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Release is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Notify(context.Context, *v1.NotifyRequest) (*v1.NotifyResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Notify is not implemented"))
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,156 @@
+// Package peer carries messages between the daemons of one fleet over
+// connect-go.
+//
+// The listener takes no callers' requests. A message from another fleet, or
+// without the fleet's secret, is refused before its content is looked at.
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
+)
+
+const (
+	// callTimeout bounds one call between daemons.
+	callTimeout = time.Second
+	// maxMessageBytes bounds one message.
+	maxMessageBytes = 32 << 20
+	// readHeaderTimeout bounds the time in which a peer sends its headers.
+	readHeaderTimeout = 2 * time.Second
+	// proofHeader carries the proof that the sender knows the fleet's secret.
+	proofHeader = "X-Fleet-Proof"
+)
+
+// ErrStranger refuses a sender that is not of this fleet.
+var ErrStranger = errors.New("sender is not of this fleet")
+
+// Identity names a fleet and proves membership in it.
+type Identity struct {
+	Fleet  string
+	Secret string
+}
+
+// proof is an HMAC-SHA-256 (RFC 2104) of the fleet's name. It keeps a
+// misdirected daemon out; it doesn't replace a private network.
+func (id Identity) proof() string {
+	mac := hmac.New(sha256.New, []byte(id.Secret))
+	mac.Write([]byte(id.Fleet))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// Server is the peers' listener.
+type Server struct {
+	http *http.Server
+}
+
+// NewServer returns a server for the handler. Refused senders are reported to
+// stranger with their address.
+func NewServer(id Identity, h peerv1connect.PeerServiceHandler, stranger func(addr, procedure string)) *Server {
+	want := []byte(id.proof())
+	guard := func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			got := []byte(req.Header().Get(proofHeader))
+			if !hmac.Equal(got, want) {
+				stranger(req.Peer().Addr, req.Spec().Procedure)
+				return nil, connect.NewError(connect.CodePermissionDenied, ErrStranger)
+			}
+			return next(ctx, req)
+		}
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(guard)),
+		connect.WithReadMaxBytes(maxMessageBytes)))
+	return &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
+}
+
+// Serve answers on the listener until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	err := s.http.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown waits for running calls until the context ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Client calls other daemons. It is safe for concurrent use.
+type Client struct {
+	id    Identity
+	proof string
+	http  *http.Client
+
+	mu    sync.Mutex
+	peers map[string]peerv1connect.PeerServiceClient
+}
+
+// NewClient returns a client of the fleet's daemons.
+func NewClient(id Identity) *Client {
+	return &Client{
+		id:    id,
+		proof: id.proof(),
+		http:  &http.Client{Timeout: callTimeout},
+		peers: make(map[string]peerv1connect.PeerServiceClient),
+	}
+}
+
+func (c *Client) peer(addr string) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[addr]
+	if !ok {
+		p = peerv1connect.NewPeerServiceClient(c.http, fmt.Sprintf("http://%s", addr),
+			connect.WithInterceptors(connect.UnaryInterceptorFunc(c.sign)),
+			connect.WithReadMaxBytes(maxMessageBytes))
+		c.peers[addr] = p
+	}
+	return p
+}
+
+func (c *Client) sign(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		req.Header().Set(proofHeader, c.proof)
+		return next(ctx, req)
+	}
+}
+
+// Exchange trades digests with the daemon at addr.
+func (c *Client) Exchange(addr string, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	return c.peer(addr).Exchange(context.Background(), req)
+}
+
+// FetchFiles pulls configuration files from the daemon at addr.
+func (c *Client) FetchFiles(addr string, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
+	return c.peer(addr).FetchFiles(context.Background(), req)
+}
+
+// Lend asks the daemon at addr for shares.
+func (c *Client) Lend(addr string, req *peerv1.LendRequest) (*peerv1.LendResponse, error) {
+	return c.peer(addr).Lend(context.Background(), req)
+}
+
+// Release gives shares back to the daemon at addr.
+func (c *Client) Release(addr string, req *peerv1.ReleaseRequest) error {
+	_, err := c.peer(addr).Release(context.Background(), req)
+	return err
+}
+
+// Notify tells the daemon at addr what was seen of upstreams.
+func (c *Client) Notify(addr string, req *peerv1.NotifyRequest) (*peerv1.NotifyResponse, error) {
+	return c.peer(addr).Notify(context.Background(), req)
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,325 @@
+// Package upstream holds the connections to upstreams and runs attempts on
+// them. The protocol is in docs/UPSTREAM.md.
+//
+// Each connection has one reader goroutine and carries one request at a time.
+// The goroutine that starts an attempt writes the request itself; the reader
+// parses the answer and delivers the result. The reader also notices at once
+// when the upstream closes an idle connection, so that a request is not sent on
+// a connection known to be closed. The package never retries.
+package upstream
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"ryecourse.example/ryecourse/internal/core/scatter"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 2 * time.Second
+	// maxDials is the number of connections opened at a time.
+	maxDials = 256
+	// maxSends is the number of large requests written at a time.
+	maxSends = 64
+	// inlineWriteBytes is the largest request that the caller's goroutine writes
+	// itself. It fits an empty socket buffer, so the write doesn't block.
+	inlineWriteBytes = 16 << 10
+	// maxAnswerBytes bounds one upstream's answer.
+	maxAnswerBytes = 16 << 20
+	// readBufferBytes is the read buffer of a connection.
+	readBufferBytes = 4 << 10
+)
+
+// Stats counts what the pool saw. The fields are atomic counters.
+type Stats struct {
+	Dials, DialErrors, Requests, Mismatches, Lost, Canceled counter
+}
+
+// Pool holds the connections to all upstreams. It is safe for concurrent use.
+type Pool struct {
+	// Stats may be read at any time.
+	Stats Stats
+
+	dials pond.Pool
+	sends pond.Pool
+
+	mu    sync.RWMutex
+	hosts map[string]*host
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{
+		dials: pond.NewPool(maxDials),
+		sends: pond.NewPool(maxSends),
+		hosts: make(map[string]*host),
+	}
+}
+
+// Limit is the share of an upstream's connections that this VM may hold.
+type Limit struct {
+	Address string
+	// Max is the number of connections; 0 closes idle ones and opens none.
+	Max int
+	// Warm is the number of connections to open ahead.
+	Warm int
+}
+
+// SetLimits sets the shares. An upstream that is not listed keeps its running
+// requests, loses its idle connections and gets no new ones.
+func (p *Pool) SetLimits(limits []Limit) {
+	wanted := make(map[string]Limit, len(limits))
+	for _, l := range limits {
+		wanted[l.Address] = l
+		p.host(l.Address).setLimit(l.Max, l.Warm)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, h := range p.hosts {
+		if _, ok := wanted[addr]; ok {
+			continue
+		}
+		h.setLimit(0, 0)
+		if h.idleAndEmpty() {
+			delete(p.hosts, addr)
+		}
+	}
+}
+
+// Close closes the idle connections and stops opening new ones.
+func (p *Pool) Close() {
+	p.SetLimits(nil)
+	p.dials.Stop()
+	p.sends.Stop()
+}
+
+// Connections returns the number of open connections to the address.
+func (p *Pool) Connections(addr string) int {
+	h := p.host(addr)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.total
+}
+
+func (p *Pool) host(addr string) *host {
+	p.mu.RLock()
+	h := p.hosts[addr]
+	p.mu.RUnlock()
+	if h != nil {
+		return h
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h = p.hosts[addr]; h == nil {
+		h = &host{pool: p, addr: addr}
+		p.hosts[addr] = h
+	}
+	return h
+}
+
+// Start runs an attempt. Its result is delivered exactly once, on another
+// goroutine or on this one.
+func (p *Pool) Start(c *Call) {
+	c.host = p.host(c.Attempt.Target.Address)
+	c.started = time.Now()
+	p.Stats.Requests.Inc()
+	c.host.start(c)
+}
+
+// host is one upstream address with its connections.
+type host struct {
+	pool *Pool
+	addr string
+
+	mu      sync.Mutex
+	idle    []*conn // newest last
+	waiting []*Call // calls without a connection, oldest first
+	total   int     // open and opening connections
+	opening int
+	max     int
+	warm    int
+}
+
+func (h *host) idleAndEmpty() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.total == 0 && len(h.waiting) == 0
+}
+
+// setLimit applies a share, closes surplus idle connections and opens ahead.
+func (h *host) setLimit(limit, warm int) {
+	h.mu.Lock()
+	h.max, h.warm = limit, warm
+	var surplus []*conn
+	for h.total > h.max && len(h.idle) > 0 {
+		cn := h.idle[0]
+		h.idle = h.idle[1:]
+		h.forgetLocked(cn)
+		surplus = append(surplus, cn)
+	}
+	var failed []*Call
+	if h.max == 0 {
+		failed, h.waiting = h.waiting, nil
+	}
+	h.openAheadLocked()
+	h.mu.Unlock()
+	for _, c := range surplus {
+		c.nc.Close()
+	}
+	for _, c := range failed {
+		c.fail(scatter.OutcomeConnectFailed)
+	}
+}
+
+// openAheadLocked opens one connection if fewer than warm are open. The next
+// one follows when it is there, so that an upstream opens one at a time.
+func (h *host) openAheadLocked() {
+	if h.opening > 0 || h.total >= min(h.warm, h.max) {
+		return
+	}
+	h.dialLocked()
+}
+
+func (h *host) dialLocked() {
+	h.total++
+	h.opening++
+	if h.pool.dials.Go(h.dial) != nil { // the pool is closed
+		h.total--
+		h.opening--
+	}
+}
+
+// forgetLocked stops counting a connection. It may be called twice.
+func (h *host) forgetLocked(cn *conn) {
+	if !cn.counted {
+		return
+	}
+	cn.counted = false
+	h.total--
+}
+
+// start gives the call an idle connection, or queues it for the next one.
+func (h *host) start(c *Call) {
+	for {
+		cn, ok := h.takeIdle(c)
+		if !ok {
+			c.fail(scatter.OutcomeConnectFailed)
+			return
+		}
+		if cn == nil || cn.begin(c) != beginClosed {
+			return
+		}
+	}
+}
+
+// takeIdle returns an idle connection, or queues the call and returns nil. It
+// returns false when this VM has no share of the upstream's connections.
+func (h *host) takeIdle(c *Call) (*conn, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.max == 0 {
+		return nil, false
+	}
+	if n := len(h.idle); n > 0 {
+		cn := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		return cn, true
+	}
+	h.waiting = append(h.waiting, c)
+	h.dialForWaitingLocked()
+	return nil, true
+}
+
+func (h *host) dialForWaitingLocked() {
+	if h.total < h.max && h.opening < len(h.waiting) {
+		h.dialLocked()
+	}
+}
+
+// dial opens one connection on a pool worker.
+func (h *host) dial() {
+	h.pool.Stats.Dials.Inc()
+	nc, err := net.DialTimeout("tcp", h.addr, dialTimeout)
+	if err != nil {
+		h.dialFailed()
+		return
+	}
+	cn := newConn(h, nc)
+	h.mu.Lock()
+	h.opening--
+	h.mu.Unlock()
+	h.release(cn)
+	go cn.readLoop()
+}
+
+func (h *host) dialFailed() {
+	h.pool.Stats.DialErrors.Inc()
+	h.mu.Lock()
+	h.opening--
+	h.total--
+	failed := h.waiting
+	h.waiting = nil
+	h.mu.Unlock()
+	for _, c := range failed {
+		c.fail(scatter.OutcomeConnectFailed)
+	}
+}
+
+// release hands a free connection to the oldest waiting call, or keeps it.
+func (h *host) release(cn *conn) {
+	for {
+		c, done := h.nextFor(cn)
+		if done {
+			return
+		}
+		if cn.begin(c) == beginSent {
+			return
+		}
+	}
+}
+
+// nextFor returns the oldest waiting call. It returns true when there is none;
+// the connection is then idle, or closed because the share has shrunk.
+func (h *host) nextFor(cn *conn) (*Call, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.total > h.max {
+		h.forgetLocked(cn)
+		cn.nc.Close()
+		return nil, true
+	}
+	if len(h.waiting) == 0 {
+		h.idle = append(h.idle, cn)
+		h.openAheadLocked()
+		return nil, true
+	}
+	c := h.waiting[0]
+	h.waiting = h.waiting[1:]
+	return c, false
+}
+
+// remove forgets a closed connection and opens another one if calls wait.
+func (h *host) remove(cn *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if i := slices.Index(h.idle, cn); i >= 0 {
+		h.idle = slices.Delete(h.idle, i, i+1)
+	}
+	h.forgetLocked(cn)
+	h.dialForWaitingLocked()
+	h.openAheadLocked()
+}
+
+// forget takes a canceled call out of the queue.
+func (h *host) forget(c *Call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if i := slices.Index(h.waiting, c); i >= 0 {
+		h.waiting = slices.Delete(h.waiting, i, i+1)
+	}
+}
