Mend the linter's findings and offer files to peers

Change: the header count is checked, files and lists are given to peers, the commands config and key are on the command line.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -56,6 +56,9 @@
 	if cat == nil {
 		return verdict.Refuse(verdict.CodeNotReady, restartRetryAfter, "This VM has no current configuration.")
 	}
+	if r.ctx.Request.Header.Len() > r.server.maxHeaders {
+		return verdict.Refuse(verdict.CodeTooLarge, 0, "The request has more than %d headers.", r.server.maxHeaders)
+	}
 	if !r.ctx.IsPost() {
 		return verdict.Refuse(verdict.CodeBadRequest, 0, "The method must be POST.")
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -76,16 +76,18 @@
 
 // Server is the callers' listener.
 type Server struct {
-	deps     Deps
-	ids      *idSource
-	draining atomic.Bool
-	running  atomic.Int64
-	http     *fasthttp.Server
+	deps Deps
+	// maxHeaders is the largest number of headers of a request.
+	maxHeaders int
+	ids        *idSource
+	draining   atomic.Bool
+	running    atomic.Int64
+	http       *fasthttp.Server
 }
 
 // New returns a server that is not listening yet.
 func New(deps Deps, limits settings.Limits) *Server {
-	s := &Server{deps: deps, ids: newIDSource()}
+	s := &Server{deps: deps, maxHeaders: limits.MaxHeaders, ids: newIDSource()}
 	s.http = &fasthttp.Server{
 		Name:                  "ryecourse",
 		Handler:               s.handle,
@@ -179,11 +181,6 @@
 		Str("code", code).Dur("took_ms", took).Msg("request")
 }
 
-// tooManyHeaders tells whether a request carries more than the allowed number.
-func tooManyHeaders(h *fasthttp.RequestHeader, limit int) bool {
-	return h.Len() > limit
-}
-
 // clean drops control characters from a header value that is passed on.
 func clean(v []byte) string {
 	return strings.Map(func(r rune) rune {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,9 @@
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"ryecourse.example/ryecourse/internal/cli/configcmd"
+	"ryecourse.example/ryecourse/internal/cli/keycmd"
 )
 
 // Exit codes of every command.
@@ -36,6 +39,8 @@
 			"2 the command line is wrong.",
 		Commands: []*cli.Command{
 			serveCommand(),
+			configcmd.New(),
+			keycmd.New(),
 			statusCommand(),
 			auditCommand(),
 			versionCommand(),
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -51,6 +51,7 @@
 
 	tracker  membership.Tracker
 	current  *catalog.Catalog
+	files    []catalog.Published // of the current catalog
 	draining bool
 }
 
@@ -115,7 +116,7 @@
 	c.deps.Trail.Add(audit.Entry{
 		Time: now, Kind: "config_accepted", Subject: next.Digest, Cause: "a newer folder", Version: version, Details: details,
 	})
-	c.current = next
+	c.current, c.files = next, files
 	c.carryOut(c.deps.Quota.OnCatalog(now, next))
 	c.publish(now)
 }
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -92,10 +92,6 @@
 	return &peerv1.File{Name: f.Name, Revision: f.Revision, Content: f.Content, Publisher: f.Publisher}
 }
 
-func fileFromWire(f *peerv1.File) catalog.Published {
-	return catalog.Published{Name: f.GetName(), Revision: f.GetRevision(), Content: f.GetContent(), Publisher: f.GetPublisher()}
-}
-
 func releaseFromWire(r *peerv1.ReleaseRequest) quota.Release {
 	return quota.Release{
 		Borrower:    r.GetSender().GetVm(),
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -56,6 +56,10 @@
 			return
 		}
 		c.loop.Post(func(now time.Time) {
+			if resp.GetList() != nil {
+				age := time.Duration(resp.GetDigest().GetListAgeMs()) * time.Millisecond
+				c.onList(now, listFromWire(resp.GetList()), a.AskedAt.Add(-age))
+			}
 			c.carryOut(c.deps.Quota.OnDigest(now, a.AskedAt, quotaDigestFromWire(resp.GetSender(), resp.GetDigest())))
 		})
 	})
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -42,8 +42,26 @@
 }
 
 // FetchFiles implements peerv1connect.PeerServiceHandler.
-func (p *Peers) FetchFiles(context.Context, *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("not offered"))
+func (p *Peers) FetchFiles(_ context.Context, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
+	have := make(map[string]uint64, len(req.GetHave()))
+	for _, h := range req.GetHave() {
+		have[h.GetName()] = h.GetRevision()
+	}
+	out := &peerv1.FetchFilesResponse{}
+	err := p.on(func(time.Time) {
+		c := p.control
+		if c.current == nil {
+			return
+		}
+		out.ConfigVersion = c.current.Version
+		for _, f := range c.files {
+			out.All = append(out.All, &peerv1.FileRevision{Name: f.Name, Revision: f.Revision})
+			if have[f.Name] != f.Revision {
+				out.Files = append(out.Files, fileToWire(f))
+			}
+		}
+	})
+	return out, err
 }
 
 // Lend implements peerv1connect.PeerServiceHandler.
