Add a bench of daemons against stand-in upstreams

Cause: the targets of the answers' tail, of zones and cold starts, and of the tier's own cost need one run that compares with a naive variant.

Ruled out: daemons inside the bench's process; their processor time could not be told from the load's.

--- /dev/null
+++ b/internal/standin/bench/config.go
@@ -0,0 +1,45 @@
+// Package bench measures daemons against stand-in upstreams: the tail under
+// stragglers, a frozen replica, a zone that leaves and returns, cold upstreams,
+// and the tier's own cost. A script starts the processes; this package sends
+// the load and changes the upstreams and the operators' files.
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"ryecourse.example/ryecourse/internal/standin/load"
+)
+
+// Config is one run of the bench against one variant.
+type Config struct {
+	// Daemons are the callers' listeners, host:port.
+	Daemons []string `json:"daemons"`
+	// Controls are the control listeners of the upstreams' processes.
+	Controls []string `json:"controls"`
+	// PIDs are the daemons' processes, whose processor time counts.
+	PIDs []int `json:"pids"`
+	// ZoneFile is the operators' file of the zone that is taken out.
+	ZoneFile string `json:"zone_file"`
+	// Zone is that zone's name.
+	Zone string `json:"zone"`
+	// Frozen are patterns of the upstreams that freeze.
+	Frozen   []string      `json:"frozen"`
+	Service  load.Service  `json:"service"`
+	Customer load.Customer `json:"customer"`
+	Seed     uint64        `json:"seed"`
+}
+
+// ReadConfig reads a Config from a JSON file.
+func ReadConfig(file string) (*Config, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var c Config
+	if err := json.Unmarshal(content, &c); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return &c, nil
+}
--- /dev/null
+++ b/internal/standin/bench/cost.go
@@ -0,0 +1,307 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+	"ryecourse.example/ryecourse/internal/standin/load"
+)
+
+const (
+	// soloTime is the length of each phase with one caller.
+	soloTime = 4 * time.Second
+	// loadTime is the length of each phase under load.
+	loadTime = 6 * time.Second
+	// loadCallers is the number of callers under load; each has one query
+	// running at a time. The bare loop has as many requests running as their
+	// queries have.
+	loadCallers = 16
+	// bareConnections bounds the bare loop's connections to one upstream.
+	bareConnections = 100
+	// ticksPerSecond is the unit of processor time in /proc.
+	ticksPerSecond = 100
+)
+
+// Cost is what the tier adds to upstream requests, beside a bare loop of the
+// HTTP library's client that sends the same requests to the same upstreams.
+type Cost struct {
+	Seed uint64 `json:"seed"`
+	// BareP50MS and TierP50MS are medians with one caller: a fan-out to all
+	// shards, and a query.
+	BareP50MS float64 `json:"bare_p50_ms"`
+	TierP50MS float64 `json:"tier_p50_ms"`
+	// BareMicros and TierMicros are processor time per upstream request under
+	// load, in microseconds, of the whole process.
+	BareMicros float64 `json:"bare_micros"`
+	TierMicros float64 `json:"tier_micros"`
+	// BareRate and TierRate are upstream requests per second under load.
+	BareRate float64 `json:"bare_rate"`
+	TierRate float64 `json:"tier_rate"`
+	// BareFailed counts failed requests of the bare loop.
+	BareFailed uint64 `json:"bare_failed"`
+	// Failures counts the queries without a right answer by their end.
+	Failures []Failure `json:"failures"`
+}
+
+// Failure is a way in which queries ended without a right answer.
+type Failure struct {
+	Name  string `json:"name"`
+	Count int    `json:"count"`
+}
+
+// failures counts the ends of queries. It is safe for concurrent use.
+type failures struct {
+	mu    sync.Mutex
+	found []Failure
+}
+
+func (f *failures) add(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.found {
+		if f.found[i].Name == name {
+			f.found[i].Count++
+			return
+		}
+	}
+	f.found = append(f.found, Failure{Name: name, Count: 1})
+}
+
+// take returns the failures so far and forgets them.
+func (f *failures) take() []Failure {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found := f.found
+	f.found = nil
+	return found
+}
+
+// fanOut sends one request to a replica of each shard and waits for all.
+type fanOut struct {
+	cfg    *Config
+	shards [][]*fasthttp.HostClient
+	ids    atomic.Uint64
+	failed atomic.Uint64
+}
+
+func newFanOut(cfg *Config, all []leaf.Status) *fanOut {
+	f := &fanOut{cfg: cfg, shards: make([][]*fasthttp.HostClient, cfg.Service.Shards)}
+	for _, s := range all {
+		client := &fasthttp.HostClient{Addr: s.Address, MaxConns: bareConnections, NoDefaultUserAgentHeader: true}
+		f.shards[s.Shard] = append(f.shards[s.Shard], client)
+	}
+	return f
+}
+
+// once makes one fan-out.
+func (f *fanOut) once() {
+	id := f.ids.Add(1)
+	var all sync.WaitGroup
+	for shard, replicas := range f.shards {
+		client := replicas[id%uint64(len(replicas))]
+		all.Go(func() { f.ask(client, id, shard) })
+	}
+	all.Wait()
+}
+
+// loop repeats requests for a time, one after the other on each of as many
+// goroutines as the queries under load have requests.
+func (f *fanOut) loop(d time.Duration) {
+	end := time.Now().Add(d)
+	var all sync.WaitGroup
+	for i := range loadCallers * len(f.shards) {
+		shard := i % len(f.shards)
+		replicas := f.shards[shard]
+		all.Go(func() {
+			for n := uint64(i); time.Now().Before(end); n++ {
+				f.ask(replicas[n%uint64(len(replicas))], n, shard)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (f *fanOut) ask(client *fasthttp.HostClient, id uint64, shard int) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	number := strconv.FormatUint(id, 10)
+	req.SetRequestURI("http://" + client.Addr + "/v1/query")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.Header.Set("X-Attempt-Id", number+"."+strconv.Itoa(shard))
+	req.Header.Set("X-Request-Id", number)
+	req.Header.Set("X-Service", f.cfg.Service.Name)
+	req.Header.Set("X-Shard", strconv.Itoa(shard))
+	req.Header.Set("X-Deadline-Ms", strconv.Itoa(f.cfg.Service.DeadlineMS))
+	req.SetBodyString(`{"query":{"text":"` + number + `"},"min_coverage":1,"deadline_ms":500}`)
+	if err := client.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		f.failed.Add(1)
+	}
+}
+
+// closedLoop lets callers repeat an operation for a time. It returns the number
+// of operations and the histogram of their latency.
+func closedLoop(callers int, d time.Duration, operation func(caller int)) (uint64, *hdrhistogram.Histogram) {
+	h := hdrhistogram.New(1, longest, digits)
+	var mu sync.Mutex
+	var n atomic.Uint64
+	var all sync.WaitGroup
+	end := time.Now().Add(d)
+	for caller := range callers {
+		all.Go(func() {
+			own := hdrhistogram.New(1, longest, digits)
+			for start := time.Now(); start.Before(end); start = time.Now() {
+				operation(caller)
+				n.Add(1)
+				_ = own.RecordValue(time.Since(start).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			h.Merge(own)
+		})
+	}
+	all.Wait()
+	return n.Load(), h
+}
+
+// MeasureCost compares one daemon with the bare loop.
+func MeasureCost(cfg *Config) (*Cost, error) {
+	up := &upstreams{controls: cfg.Controls}
+	all, err := up.statuses()
+	if err != nil {
+		return nil, err
+	}
+	c := &Cost{Seed: cfg.Seed}
+	bare := newFanOut(cfg, all)
+	client := load.NewClient(cfg.Daemons[0])
+	var texts atomic.Uint64
+	var failed failures
+	prefix := time.Now().UnixNano()
+	query := func(int) {
+		text := fmt.Sprintf("%d query %d", prefix, texts.Add(1))
+		if t := client.Send(&cfg.Service, &cfg.Customer, text); t.Kind != load.KindAnswer || t.Wrong != "" {
+			failed.add(t.Name() + t.Wrong)
+		}
+	}
+	if err := warmTier(query, &failed); err != nil {
+		return nil, err
+	}
+	if err := c.measure(cfg, up, bare, query); err != nil {
+		return nil, err
+	}
+	c.Failures = failed.take()
+	c.BareFailed = bare.failed.Load()
+	return c, nil
+}
+
+// warmTier queries until a second passes without a failure.
+func warmTier(query func(int), failed *failures) error {
+	for end := time.Now().Add(warmUpLimit); time.Now().Before(end); {
+		failed.take()
+		closedLoop(loadCallers, warmUpStep, query)
+		if len(failed.take()) == 0 {
+			return nil
+		}
+	}
+	return ErrNotWarm
+}
+
+func (c *Cost) measure(cfg *Config, up *upstreams, bare *fanOut, query func(int)) error {
+	bare.loop(warmUpStep)
+	_, h := closedLoop(1, soloTime, func(int) { bare.once() })
+	c.BareP50MS = quantile(h, 50)
+	_, h = closedLoop(1, soloTime, query)
+	c.TierP50MS = quantile(h, 50)
+
+	span, err := up.measure(ownTime, func() { bare.loop(loadTime) })
+	if err != nil {
+		return err
+	}
+	c.BareMicros, c.BareRate = span.micros(), span.rate()
+	daemonTime := func() (time.Duration, error) { return processTime(cfg.PIDs) }
+	span, err = up.measure(daemonTime, func() { closedLoop(loadCallers, loadTime, query) })
+	if err != nil {
+		return err
+	}
+	c.TierMicros, c.TierRate = span.micros(), span.rate()
+	return nil
+}
+
+// usage is processor time and upstream requests over a span of time.
+type usage struct {
+	processor time.Duration
+	requests  uint64
+	elapsed   time.Duration
+}
+
+func (u usage) micros() float64 {
+	return float64(u.processor.Microseconds()) / float64(max(u.requests, 1))
+}
+
+func (u usage) rate() float64 { return float64(u.requests) / u.elapsed.Seconds() }
+
+// measure runs work and returns the processor time that it took and the
+// requests that the upstreams received.
+func (u *upstreams) measure(clock func() (time.Duration, error), work func()) (usage, error) {
+	before, err := u.totals("")
+	if err != nil {
+		return usage{}, err
+	}
+	start := time.Now()
+	from, err := clock()
+	if err != nil {
+		return usage{}, err
+	}
+	work()
+	to, err := clock()
+	if err != nil {
+		return usage{}, err
+	}
+	elapsed := time.Since(start)
+	after, err := u.totals("")
+	return usage{processor: to - from, requests: after.received - before.received, elapsed: elapsed}, err
+}
+
+// ownTime returns the processor time of this process.
+func ownTime() (time.Duration, error) {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return 0, err
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano()), nil
+}
+
+// processTime returns the processor time of other processes.
+func processTime(pids []int) (time.Duration, error) {
+	var sum time.Duration
+	for _, pid := range pids {
+		content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err != nil {
+			return 0, err
+		}
+		// proc(5): utime and stime are fields 14 and 15; the second field is
+		// the name in brackets, which may hold spaces.
+		text := string(content)
+		fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+		for _, f := range fields[11:13] {
+			ticks, err := strconv.ParseInt(f, 10, 64)
+			if err != nil {
+				return 0, err
+			}
+			sum += time.Duration(ticks) * (time.Second / ticksPerSecond)
+		}
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/internal/standin/bench/driver.go
@@ -0,0 +1,137 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/alitto/pond/v2"
+
+	"ryecourse.example/ryecourse/internal/standin/load"
+)
+
+const (
+	// maxOpen bounds the queries that run at a time.
+	maxOpen = 2048
+	// longest and digits size the histograms, in microseconds.
+	longest = int64(time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+// sample is one query.
+type sample struct {
+	start, end time.Time
+	kind       load.Kind
+	coverage   float64
+	wrong      string
+}
+
+// driver sends queries at a fixed rate until its context ends. A caller doesn't
+// try again, so that each refusal counts.
+type driver struct {
+	cfg     *Config
+	clients []*load.Client
+	prefix  int64
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	sent    int
+	samples []sample
+}
+
+func newDriver(cfg *Config) *driver {
+	d := &driver{
+		cfg:    cfg,
+		prefix: time.Now().UnixNano(),
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
+	for _, address := range cfg.Daemons {
+		d.clients = append(d.clients, load.NewClient(address))
+	}
+	return d
+}
+
+// run sends queries and returns after the last one has ended.
+func (d *driver) run(ctx context.Context) {
+	pool := pond.NewPool(maxOpen)
+	interval := time.Duration(float64(time.Second) / d.cfg.Service.Rate)
+	// Queries start at fixed times, also when the machine is late: a late
+	// start is never skipped.
+	next := time.Now()
+	for ctx.Err() == nil {
+		if wait := time.Until(next); wait > 0 {
+			time.Sleep(wait)
+		}
+		next = next.Add(interval)
+		pool.Submit(d.query)
+	}
+	pool.StopAndWait()
+}
+
+func (d *driver) query() {
+	d.mu.Lock()
+	d.sent++
+	text := fmt.Sprintf("%d query %d", d.prefix, d.sent)
+	client := d.clients[d.rng.IntN(len(d.clients))]
+	d.mu.Unlock()
+	t := client.Send(&d.cfg.Service, &d.cfg.Customer, text)
+	s := sample{start: t.Start, end: t.End, kind: t.Kind, wrong: t.Wrong}
+	if t.Kind == load.KindAnswer {
+		s.coverage = float64(t.Answer.Coverage.Answered) / float64(t.Answer.Coverage.Total)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.samples = append(d.samples, s)
+}
+
+// Window is what was measured over queries that began in a span of time.
+type Window struct {
+	Queries  int `json:"queries"`
+	Answered int `json:"answered"`
+	// Complete counts the answers that cover all shards.
+	Complete int     `json:"complete"`
+	Wrong    int     `json:"wrong"`
+	Coverage float64 `json:"coverage"`
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	MaxMS    float64 `json:"max_ms"`
+}
+
+// window measures the queries that began from one time until before another.
+// A refused query counts as one without coverage; the latency is that of the
+// answered ones.
+func (d *driver) window(from, to time.Time) Window {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := hdrhistogram.New(1, longest, digits)
+	var w Window
+	for _, s := range d.samples {
+		if s.start.Before(from) || !s.start.Before(to) {
+			continue
+		}
+		w.Queries++
+		w.Coverage += s.coverage
+		if s.wrong != "" {
+			w.Wrong++
+		}
+		if s.coverage == 1 {
+			w.Complete++
+		}
+		if s.kind == load.KindAnswer {
+			w.Answered++
+			_ = h.RecordValue(s.end.Sub(s.start).Microseconds())
+		}
+	}
+	w.Coverage /= float64(max(w.Queries, 1))
+	w.P50MS = quantile(h, 50)
+	w.P99MS = quantile(h, 99)
+	w.MaxMS = quantile(h, 100)
+	return w
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+}
--- /dev/null
+++ b/internal/standin/bench/scenarios.go
@@ -0,0 +1,265 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+// The lengths of the phases.
+const (
+	warmUpLimit   = 20 * time.Second
+	warmUpStep    = time.Second
+	healthyTime   = 4 * time.Second
+	stragglerTime = 8 * time.Second
+	freezeTime    = 7 * time.Second
+	freezeGrace   = 2 * time.Second
+	settleTime    = 3 * time.Second
+	steadyTime    = 4 * time.Second
+	outTime       = 8 * time.Second
+	outGrace      = 3 * time.Second
+	returnTime    = 6 * time.Second
+	coldTime      = 12 * time.Second
+	coldStep      = 100 * time.Millisecond
+	// fullService is the part of the queries that a warm tier answers.
+	fullService = 0.99
+)
+
+// Policies of the upstreams in the phases.
+const (
+	noStragglers = `{"straggler_fraction":0}`
+	stragglers   = `{"straggler_fraction":0.02,"straggler_factor":20}`
+	startsCold   = `{"start_cold":true}`
+)
+
+// Result is what one run of a variant measured.
+type Result struct {
+	Seed uint64 `json:"seed"`
+	// WarmUpS is the time until a new daemon gives full service, in seconds.
+	WarmUpS float64 `json:"warm_up_s"`
+
+	Healthy Window `json:"healthy"`
+
+	Stragglers Window `json:"stragglers"`
+	// ExtraRequests is the part of upstream requests beyond one for each shard.
+	ExtraRequests float64 `json:"extra_requests"`
+
+	// Frozen is measured from two seconds after the freeze on.
+	Frozen Window `json:"frozen"`
+	// FrozenStart is measured in those two seconds.
+	FrozenStart Window `json:"frozen_start"`
+
+	Steady Window `json:"steady"`
+	// ZoneOut is measured from the change of the zone's file until it is in
+	// again, ZoneReturn from then on.
+	ZoneOut    Window `json:"zone_out"`
+	ZoneReturn Window `json:"zone_return"`
+	// ZoneLate counts what the zone's upstreams received from three seconds
+	// after the change on.
+	ZoneLate uint64 `json:"zone_late"`
+	// ZoneBefore counts what they received in the steady phase.
+	ZoneBefore uint64 `json:"zone_before"`
+
+	Cold Window `json:"cold"`
+	// Overruns counts starts beyond the bearable load of cold upstreams.
+	Overruns       uint64 `json:"overruns"`
+	MaxRunningCold int    `json:"max_running_cold"`
+	// FullServiceS is the time from the cold restart to full service, in
+	// seconds; negative: not reached.
+	FullServiceS float64 `json:"full_service_s"`
+}
+
+// run is one run of the scenarios.
+type run struct {
+	cfg       *Config
+	driver    *driver
+	upstreams *upstreams
+	result    Result
+}
+
+// ErrNotWarm reports daemons that never gave full service.
+var ErrNotWarm = errors.New("no full service within the time for the warm-up")
+
+// Run goes through all scenarios against the daemons.
+func Run(ctx context.Context, cfg *Config) (*Result, error) {
+	r := &run{
+		cfg:       cfg,
+		driver:    newDriver(cfg),
+		upstreams: &upstreams{controls: cfg.Controls},
+		result:    Result{Seed: cfg.Seed},
+	}
+	ctx, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.driver.run(ctx)
+	}()
+	err := r.phases()
+	stop()
+	<-ended
+	if err != nil {
+		return nil, err
+	}
+	return &r.result, nil
+}
+
+func (r *run) phases() error {
+	for _, phase := range []func() error{
+		r.warmUp, r.healthy, r.stragglers, r.frozen, r.zone, r.cold,
+	} {
+		if err := phase(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// warmUp waits for a step in which all queries are answered. A variant that
+// never gets there goes on; its time is the limit.
+func (r *run) warmUp() error {
+	start := time.Now()
+	for time.Since(start) < warmUpLimit {
+		from := time.Now()
+		time.Sleep(warmUpStep)
+		w := r.driver.window(from, time.Now().Add(-warmUpStep/4))
+		if w.Queries > 0 && float64(w.Answered) >= fullService*float64(w.Queries) {
+			r.result.WarmUpS = from.Sub(start).Seconds()
+			return nil
+		}
+	}
+	return ErrNotWarm
+}
+
+// measure measures the queries of the next span of time, once they have ended.
+func (r *run) measure(d time.Duration) Window {
+	from := time.Now()
+	time.Sleep(d)
+	to := time.Now()
+	time.Sleep(time.Duration(r.cfg.Service.DeadlineMS) * time.Millisecond)
+	return r.driver.window(from, to)
+}
+
+func (r *run) healthy() error {
+	if err := r.upstreams.policy(noStragglers); err != nil {
+		return err
+	}
+	r.result.Healthy = r.measure(healthyTime)
+	return nil
+}
+
+func (r *run) stragglers() error {
+	if err := r.upstreams.policy(stragglers); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	before, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	from := time.Now()
+	time.Sleep(stragglerTime)
+	to := time.Now()
+	after, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Duration(r.cfg.Service.DeadlineMS) * time.Millisecond)
+	r.result.Stragglers = r.driver.window(from, to)
+	needed := float64(r.result.Stragglers.Answered * r.cfg.Service.Shards)
+	r.result.ExtraRequests = float64(after.received-before.received)/max(needed, 1) - 1
+	return r.upstreams.policy(noStragglers)
+}
+
+func (r *run) frozen() error {
+	time.Sleep(settleTime)
+	from := time.Now()
+	if err := r.eachFrozen(leaf.ActionFreeze); err != nil {
+		return err
+	}
+	time.Sleep(freezeGrace)
+	r.result.Frozen = r.measure(freezeTime)
+	r.result.FrozenStart = r.driver.window(from, from.Add(freezeGrace))
+	return r.eachFrozen(leaf.ActionThaw)
+}
+
+func (r *run) eachFrozen(a leaf.Action) error {
+	for _, pattern := range r.cfg.Frozen {
+		if err := r.upstreams.do(leaf.Command{Leaf: pattern, Action: a}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) zone() error {
+	time.Sleep(settleTime)
+	before, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	r.result.Steady = r.measure(steadyTime)
+	steady, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	r.result.ZoneBefore = steady.inZone - before.inZone
+	out := time.Now()
+	if err := r.cfg.setZone(true); err != nil {
+		return err
+	}
+	time.Sleep(outGrace)
+	grace, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	time.Sleep(outTime - outGrace)
+	late, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	r.result.ZoneLate = late.inZone - grace.inZone
+	back := time.Now()
+	if err := r.cfg.setZone(false); err != nil {
+		return err
+	}
+	r.result.ZoneReturn = r.measure(returnTime)
+	r.result.ZoneOut = r.driver.window(out, back)
+	return nil
+}
+
+func (r *run) cold() error {
+	before, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	if err := r.upstreams.policy(startsCold); err != nil {
+		return err
+	}
+	start := time.Now()
+	if err := r.upstreams.do(leaf.Command{Leaf: "*", Action: leaf.ActionRestart}); err != nil {
+		return err
+	}
+	r.result.Cold = r.measure(coldTime)
+	after, err := r.upstreams.totals(r.cfg.Zone)
+	if err != nil {
+		return err
+	}
+	r.result.Overruns = after.overruns - before.overruns
+	r.result.MaxRunningCold = after.maxRunningCold
+	r.result.FullServiceS = r.fullService(start)
+	return nil
+}
+
+// fullService returns the time from start to the first second with full
+// service.
+func (r *run) fullService(start time.Time) float64 {
+	for at := start; at.Before(start.Add(coldTime - time.Second)); at = at.Add(coldStep) {
+		w := r.driver.window(at, at.Add(time.Second))
+		if w.Queries > 0 && float64(w.Answered) >= fullService*float64(w.Queries) {
+			return at.Sub(start).Seconds()
+		}
+	}
+	return -1
+}
--- a/internal/standin/load/config.go
+++ b/internal/standin/load/config.go
@@ -34,6 +34,9 @@
 	Idempotent  bool   `json:"idempotent"`
 	DeadlineMS  int    `json:"deadline_ms"`
 	AnswerBytes int    `json:"answer_bytes"`
+	// MinCoverage is the least coverage that the callers accept. Zero means a
+	// complete answer.
+	MinCoverage float64 `json:"min_coverage"`
 	// Rate is the number of queries per second over all daemons.
 	Rate float64 `json:"rate"`
 }
@@ -48,6 +51,13 @@
 	Weight int `json:"weight"`
 }
 
+func (s *Service) minCoverage() float64 {
+	if s.MinCoverage == 0 {
+		return 1
+	}
+	return s.MinCoverage
+}
+
 func (c *Config) grace() time.Duration {
 	return time.Duration(c.GraceMS) * time.Millisecond
 }
--- a/internal/standin/load/generator.go
+++ b/internal/standin/load/generator.go
@@ -103,7 +103,7 @@
 	for n := range maxTries {
 		c := order[n%len(order)]
 		text := fmt.Sprintf("%d operation %d try %d", g.started.UnixNano(), p.operation, n)
-		t := c.send(s, p.customer, text)
+		t := c.Send(s, p.customer, text)
 		t.Operation = p.operation
 		g.keep(t)
 		if !t.retriable() {
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -125,7 +125,7 @@
 func (r *Report) kinds() string {
 	counts := make(map[string]int)
 	for _, t := range r.Tries {
-		counts[t.name()]++
+		counts[t.Name()]++
 	}
 	var out []string
 	for name, n := range counts {
--- a/internal/standin/load/timeline.go
+++ b/internal/standin/load/timeline.go
@@ -45,7 +45,7 @@
 		if t.Kind == KindAnswer {
 			out[i].answered++
 		} else {
-			out[i].others[t.name()]++
+			out[i].others[t.Name()]++
 		}
 	}
 	return out
@@ -70,8 +70,8 @@
 	return out.String()
 }
 
-// name is the try's kind, with the code and verdict of a refusal.
-func (t *Try) name() string {
+// Name is the try's kind, with the code and verdict of a refusal.
+func (t *Try) Name() string {
 	if t.Kind != KindRefusal {
 		return string(t.Kind)
 	}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -141,12 +141,12 @@
 	curl -fsS --max-time 2 -o /dev/null -d "$2" "http://$1/control"
 }
 
-# start_daemon ID ZONE INDEX
+# start_daemon ID ZONE INDEX; POLICY switches decisions off.
 start_daemon() {
 	cat >"$RUN_DIR/$1.json" <<-JSON
 		{"fleet": "demo", "vm": "$1", "zone": "$2", "caller_listen": "$(address $((100 + $3)))",
 		 "peer_listen": "$(address $((200 + $3)))", "operator_listen": "$(address $((300 + $3)))",
-		 "platform": ["http://$PLATFORM_A", "http://$PLATFORM_B"], "log_level": "info"}
+		 "platform": ["http://$PLATFORM_A", "http://$PLATFORM_B"], "log_level": "${LOG_LEVEL:-info}", "policy": ${POLICY:-{\}}}
 	JSON
 	start_child "$1" "$BIN/ryecourse" serve --settings "$RUN_DIR/$1.json"
 }
