--- a/internal/core/routing/action.go
+++ b/internal/core/routing/action.go
@@ -26,9 +26,6 @@
 	Age time.Duration
 }
 
-// RampQuery asks the VMs that share upstreams for their RampNotice of each.
-type RampQuery struct{ Upstreams []string }
-
 // Audit records a change for the audit trail.
 type Audit struct {
 	// At is the time of the change.
@@ -41,7 +38,6 @@
 
 func (ColdNotice) action() {}
 func (RampNotice) action() {}
-func (RampQuery) action()  {}
 func (Audit) action()      {}
 
 // Change says what happened to the subject of an Audit.
--- /dev/null
+++ b/internal/core/routing/asking.go
@@ -0,0 +1,157 @@
+package routing
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// maxAsked bounds the upstreams that one Tick asks for.
+	maxAsked = 256
+	// wantedFor is the time for which a refused pick counts as demand.
+	wantedFor = time.Second
+)
+
+// RampQuery asks one VM what it knows of upstreams that are not warm here.
+type RampQuery struct {
+	// To is the ID of the VM that is asked.
+	To string
+	// At is when the question was made. It is handed back to OnRampAnswers and
+	// need not travel.
+	At        time.Time
+	Questions []RampQuestion
+}
+
+// RampQuestion asks for one upstream.
+type RampQuestion struct {
+	Upstream string
+	// WantPermit tells whether a request was refused lately for want of a
+	// permit.
+	WantPermit bool
+}
+
+// RampAnswer answers one RampQuestion.
+type RampAnswer struct {
+	Upstream string
+	// Notice is set if the VM has evidence of the ramp.
+	Notice *RampNotice
+	// Lent is the number of permits of the first stage that the asker may use
+	// for a fixed term from when it asked.
+	Lent int
+}
+
+func (RampQuery) action() {}
+
+// askPeers queues the questions whose turn has come, one RampQuery for each VM
+// that is asked.
+func (r *Router) askPeers(now time.Time) {
+	t := r.table.Load()
+	at := int64(now.Sub(t.epoch))
+	byVM := make(map[string][]RampQuestion)
+	asked := 0
+	for _, u := range t.upstreams {
+		if asked >= maxAsked {
+			break
+		}
+		q, to, ok := u.takeQuestion(now, at, r.self.ID, mix(r.ticket.Add(1)))
+		if !ok {
+			continue
+		}
+		asked++
+		for _, vm := range to {
+			byVM[vm] = append(byVM[vm], q)
+		}
+	}
+	r.queueQueries(now, byVM)
+}
+
+func (r *Router) queueQueries(now time.Time, byVM map[string][]RampQuestion) {
+	vms := make([]string, 0, len(byVM))
+	for vm := range byVM {
+		vms = append(vms, vm)
+	}
+	sort.Strings(vms)
+	for _, vm := range vms {
+		questions := byVM[vm]
+		sort.Slice(questions, func(i, j int) bool {
+			return questions[i].Upstream < questions[j].Upstream
+		})
+		r.queue(now, RampQuery{To: vm, At: now, Questions: questions})
+	}
+}
+
+// takeQuestion returns the question for the upstream and whom to ask, if it is
+// due: the warmer, who has a permit to lend, and one other VM at random.
+func (u *upstream) takeQuestion(now time.Time, at int64, self string, random uint64) (RampQuestion, []string, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.active || u.ramp.warm || now.Before(u.ramp.askAt) || len(u.sharers) == 0 {
+		return RampQuestion{}, nil, false
+	}
+	refusedAt := u.shard.refusedAt.Load()
+	wanted := refusedAt > 0 && at-refusedAt < int64(wantedFor) && u.allowed() == 0
+	u.ramp.scheduleAsk(now, wanted)
+	var to []string
+	if u.warmer != self {
+		to = append(to, u.warmer)
+	}
+	other := u.sharers[random%uint64(len(u.sharers))].id
+	if other != self && other != u.warmer {
+		to = append(to, other)
+	}
+	return RampQuestion{Upstream: u.id, WantPermit: wanted}, to, len(to) > 0
+}
+
+// OnRampQuery answers a peer's questions. Permits that it lends are given up
+// before it returns.
+func (r *Router) OnRampQuery(now time.Time, questions []RampQuestion) []RampAnswer {
+	var out []RampAnswer
+	for _, q := range questions {
+		u := r.lookup(q.Upstream)
+		if u == nil {
+			continue
+		}
+		a := u.answer(now, q)
+		if a.Notice != nil || a.Lent > 0 {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (u *upstream) answer(now time.Time, q RampQuestion) RampAnswer {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	a := RampAnswer{Upstream: u.id}
+	if !u.health.suspected && u.ramp.evidence.After(u.ramp.coldSince) {
+		n := u.notice(now)
+		a.Notice = &n
+	}
+	if q.WantPermit && (a.Notice == nil || a.Notice.Stage == 0) {
+		a.Lent = u.lend(now)
+	}
+	return a
+}
+
+// OnRampAnswers takes in the answers to the RampQuery that was made at askedAt.
+func (r *Router) OnRampAnswers(now, askedAt time.Time, answers []RampAnswer) {
+	for _, a := range answers {
+		if a.Notice != nil {
+			r.takeNotice(now, askedAt, *a.Notice)
+		}
+		if a.Lent > 0 {
+			r.takeLoan(now, askedAt, a)
+		}
+	}
+}
+
+func (r *Router) takeLoan(now, askedAt time.Time, a RampAnswer) {
+	t := r.table.Load()
+	u := r.lookup(a.Upstream)
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.borrow(now, askedAt, t.epoch, a.Lent)
+}
--- /dev/null
+++ b/internal/core/routing/build.go
@@ -0,0 +1,262 @@
+package routing
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+// builder makes a table from the control state. It lives for one rebuild.
+type builder struct {
+	now        time.Time
+	catalog    *catalog.Catalog
+	oldCatalog *catalog.Catalog
+	domains    *domains
+	self       sharer
+	old        *table
+	out        *table
+	router     *Router
+}
+
+func (b *builder) build() *table {
+	for name, svc := range b.catalog.Services {
+		b.out.services[name] = b.service(name, svc)
+	}
+	b.keepRunning()
+	return b.out
+}
+
+func (b *builder) service(name string, svc *catalog.Service) *serviceTable {
+	old := b.old.services[name]
+	st := &serviceTable{shards: make([]shardTable, len(svc.Shards))}
+	if old != nil {
+		st.stats = old.stats
+	} else {
+		st.stats = &serviceStats{}
+	}
+	for i := range svc.Shards {
+		sb := shardBuilder{
+			builder: b,
+			svc:     svc,
+			shard:   &svc.Shards[i],
+			index:   i,
+			stats:   st.stats,
+			out:     &st.shards[i],
+		}
+		if old != nil && i < len(old.shards) {
+			sb.old = &old.shards[i]
+		}
+		sb.build(name)
+	}
+	return st
+}
+
+// keepRunning keeps the state of removed upstreams until their requests ended.
+func (b *builder) keepRunning() {
+	for id, u := range b.old.upstreams {
+		kept := b.out.upstreams[id]
+		if kept == u {
+			continue
+		}
+		b.router.deactivate(b.now, u)
+		if kept == nil && u.gate.running() > 0 {
+			b.out.upstreams[id] = u
+		}
+	}
+}
+
+// shardBuilder makes the table of one shard.
+type shardBuilder struct {
+	*builder
+	svc     *catalog.Service
+	shard   *catalog.Shard
+	index   int
+	stats   *serviceStats
+	old     *shardTable
+	out     *shardTable
+	domains *shardDomains
+	// ruleChanged tells whether the sharing VMs are chosen by another rule than
+	// in the old table.
+	ruleChanged bool
+}
+
+func (s *shardBuilder) build(service string) {
+	s.domains = s.builder.domains.forShard(s.svc, s.shard)
+	s.out.ruleKey = s.ruleKey()
+	if s.old != nil {
+		s.out.state = s.old.state
+		s.ruleChanged = s.old.ruleKey != s.out.ruleKey
+	} else {
+		s.out.state = &shardState{service: service, shard: s.index}
+	}
+	groups := s.groups()
+	for _, g := range groups {
+		s.group(g)
+	}
+	s.out.assured = s.assured(groups)
+}
+
+// ruleKey names everything but the VM list that the ranking of the sharing VMs
+// depends on.
+func (s *shardBuilder) ruleKey() string {
+	h := uint64(0)
+	for i := range s.shard.Replicas {
+		u := &s.shard.Replicas[i]
+		h = mix(h ^ hashOf(u.ID) ^ mix(hashOf(u.Zone)))
+	}
+	return s.domains.key + "#" + strconv.FormatUint(h, 36)
+}
+
+// replicaGroup is the replicas of one zone, or of all zones in a small fleet,
+// with the VMs that share them.
+type replicaGroup struct {
+	domain   *domain
+	replicas []*catalog.Upstream
+}
+
+// groups returns the groups in which this VM is a sharer.
+func (s *shardBuilder) groups() []replicaGroup {
+	byZone := make(map[string]int)
+	var out []replicaGroup
+	for i := range s.shard.Replicas {
+		u := &s.shard.Replicas[i]
+		zone := u.Zone
+		if s.domains.wide {
+			zone = ""
+		}
+		at, ok := byZone[zone]
+		if !ok {
+			at = -1
+			if d := s.domains.zone(zone); d.contains(s.self) {
+				at = len(out)
+				out = append(out, replicaGroup{domain: d})
+			}
+			byZone[zone] = at
+		}
+		if at >= 0 {
+			out[at].replicas = append(out[at].replicas, u)
+		}
+	}
+	for _, g := range out {
+		sort.Slice(g.replicas, func(i, j int) bool { return g.replicas[i].ID < g.replicas[j].ID })
+	}
+	return out
+}
+
+// group adds the replicas of one group.
+func (s *shardBuilder) group(g replicaGroup) {
+	shardHash := hashOf(s.out.state.service) ^ mix(uint64(s.index))
+	home := newRing(s.self, g.domain.home, shardHash)
+	visitors := newRing(s.self, g.domain.visitors, mix(shardHash))
+	for i, replica := range g.replicas {
+		at := spacedPosition(i, len(g.replicas))
+		sh := s.shares(&home, &visitors, at, replica.Zone)
+		if u := s.upstream(replica, sh); u != nil {
+			u.setSharers(g.domain.home, home.first(at, replica.Zone))
+			s.out.add(u, s.self.zone)
+		}
+	}
+}
+
+func (s *shardBuilder) shares(home, visitors *ring, at uint64, zone string) shares {
+	parts := zoneParts(s.svc.Connections)
+	if s.domains.wide {
+		parts = wideParts(s.svc.Connections)
+	}
+	slots := max(s.svc.Slots, 1)
+	sh := shares{
+		rank:        -1,
+		slots:       slots,
+		coldPermits: min(max(s.svc.ColdPermits, 1), slots),
+	}
+	if home.selfIn {
+		sh.rank = home.rank(at, zone)
+		sh.count = len(home.sharers)
+		sh.connections = parts.home
+		return sh
+	}
+	sh.visitor = true
+	sh.rank = visitors.rank(at, zone)
+	sh.count = len(visitors.sharers)
+	sh.connections = parts.visitors
+	return sh
+}
+
+// upstream updates or adds the state of one upstream. It returns nil when this
+// VM has no share of it.
+func (s *shardBuilder) upstream(replica *catalog.Upstream, sh shares) *upstream {
+	u := s.builder.old.upstreams[replica.ID]
+	hasShare := sh.ownConnections() > 0
+	if u == nil && !hasShare {
+		return nil
+	}
+	isNew := u == nil || !u.is(replica, s.out.state)
+	if isNew {
+		u = newUpstream(replica, s.stats, s.out.state, s.now)
+	}
+	s.builder.out.upstreams[replica.ID] = u
+	hold := s.ruleChanged && !s.isNewInCatalog(replica.ID)
+	s.router.setShares(s.now, u, sh, isNew, hold, causeOfInactivity(s.catalog, replica))
+	if !hasShare {
+		return nil
+	}
+	return u
+}
+
+// isNewInCatalog reports whether the old catalog lacks the upstream, so that no
+// VM can have had a share of it.
+func (s *shardBuilder) isNewInCatalog(id string) bool {
+	if s.oldCatalog == nil {
+		return true
+	}
+	svc := s.oldCatalog.Services[s.svc.Name]
+	if svc == nil || s.index >= len(svc.Shards) {
+		return true
+	}
+	for i := range svc.Shards[s.index].Replicas {
+		if svc.Shards[s.index].Replicas[i].ID == id {
+			return false
+		}
+	}
+	return true
+}
+
+// assured returns this VM's part of the slots of all replicas of its home, at
+// least one.
+func (s *shardBuilder) assured(groups []replicaGroup) int32 {
+	for _, g := range groups {
+		if !containsSharer(g.domain.home, s.self) {
+			continue
+		}
+		slots := 0
+		for _, u := range g.replicas {
+			if causeOfInactivity(s.catalog, u) == "" {
+				slots += max(s.svc.Slots, 1)
+			}
+		}
+		return int32(max(slots/len(g.domain.home), 1))
+	}
+	return 0
+}
+
+func (d *domain) contains(vm sharer) bool {
+	return containsSharer(d.home, vm) || containsSharer(d.visitors, vm)
+}
+
+func containsSharer(list []sharer, vm sharer) bool {
+	i := sort.Search(len(list), func(i int) bool { return list[i].hash >= vm.hash })
+	return i < len(list) && list[i].hash == vm.hash
+}
+
+// causeOfInactivity says why an upstream gets no work. Empty means that it may.
+func causeOfInactivity(c *catalog.Catalog, u *catalog.Upstream) Cause {
+	if u.Draining {
+		return CauseOperatorUpstream
+	}
+	if isZoneOut(c, u.Zone) {
+		return CauseOperatorZone
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/routing/coldstart.go
@@ -0,0 +1,109 @@
+package routing
+
+import "time"
+
+// turnCold returns an upstream to the first stage of its ramp. The caller holds
+// mu.
+func (r *Router) turnCold(now time.Time, u *upstream, cause Cause) {
+	if !u.ramp.isFirstStage() {
+		r.audit(now, u.id, ChangeCold, cause)
+	}
+	u.ramp.turnCold(now)
+	u.spare = 0
+	u.scheduleTrials()
+	u.refreshLimit()
+}
+
+// seenCold returns the upstream to the first stage and tells the other VMs,
+// unless it is there already. The caller holds mu.
+func (r *Router) seenCold(now time.Time, u *upstream, cause Cause) {
+	if !u.ramp.isFirstStage() {
+		r.queue(now, ColdNotice{Upstream: u.id, Instance: u.ramp.instance})
+	}
+	r.turnCold(now, u, cause)
+}
+
+// advance goes to another stage of the ramp. The caller holds mu.
+func (r *Router) advance(now time.Time, u *upstream, stage int, cause Cause) {
+	u.ramp.advance(now, stage, u.shares.lastStage())
+	change := ChangeRampStage
+	if u.ramp.warm {
+		change = ChangeWarm
+		u.spare = spareUnit
+	}
+	u.scheduleTrials()
+	u.refreshLimit()
+	r.audit(now, u.id, change, cause)
+}
+
+// scheduleTrials sets when the upstream gets requests out of turn: never while
+// warm, at once on a ramp. A suspicion sets its own time. The caller holds mu.
+func (u *upstream) scheduleTrials() {
+	if u.health.suspected {
+		return
+	}
+	if u.ramp.warm {
+		u.trialAt.Store(0)
+		return
+	}
+	u.trialAt.Store(1)
+}
+
+// notice tells how far the ramp is. The caller holds mu.
+func (u *upstream) notice(now time.Time) RampNotice {
+	stage := u.ramp.stage
+	if u.ramp.warm {
+		stage = u.shares.lastStage() + 1
+	}
+	return RampNotice{
+		Upstream: u.id,
+		Instance: u.ramp.instance,
+		Stage:    stage,
+		Age:      now.Sub(u.ramp.evidence),
+	}
+}
+
+// OnColdNotice takes in a peer's ColdNotice.
+func (r *Router) OnColdNotice(now time.Time, n ColdNotice) {
+	u := r.lookup(n.Upstream)
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ramp.isFirstStage() || now.Add(-n.Age).Before(u.ramp.coldSince) {
+		return
+	}
+	r.turnCold(now, u, CausePeerNotice)
+}
+
+// OnRampNotice takes in a peer's RampNotice that was sent unasked. It counts
+// only if its evidence is later than this VM's own observation that the
+// upstream is cold, even if it traveled for Config.NoticeTransit.
+func (r *Router) OnRampNotice(now time.Time, n RampNotice) {
+	r.takeNotice(now, now.Add(-r.cfg.NoticeTransit), n)
+}
+
+// takeNotice takes in a notice that was sent at sentAt or later.
+func (r *Router) takeNotice(now, sentAt time.Time, n RampNotice) {
+	u := r.lookup(n.Upstream)
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ramp.warm || n.Stage <= u.ramp.stage {
+		return
+	}
+	evidence := sentAt.Add(-n.Age)
+	if !evidence.After(u.ramp.coldSince) {
+		return
+	}
+	if u.ramp.instanceSeen && n.Instance != u.ramp.instance {
+		return
+	}
+	u.ramp.learnInstance(n.Instance)
+	u.ramp.evidence = evidence
+	u.health.lastAnswer = now
+	r.advance(now, u, n.Stage, CausePeerNotice)
+}
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -12,9 +12,6 @@
 	// MaxViewAge is the age of the control view beyond which nothing is
 	// dispatched.
 	MaxViewAge time.Duration
-	// StrictSlots forbids requests beyond the owned slots. Otherwise an upstream
-	// that does not shed may get as many as the VM's share of connections.
-	StrictSlots bool
 	// RampAnswers is the number of good answers that end a stage of a ramp.
 	RampAnswers int
 	// RampStage is the shortest time for one stage of a ramp.
--- a/internal/core/routing/domain.go
+++ b/internal/core/routing/domain.go
@@ -7,95 +7,125 @@
 	"ryecourse.example/ryecourse/internal/core/catalog"
 )
 
-// domain is the set of VMs that share an upstream.
+// domain is the set of VMs that share the upstreams of a shard in one zone, or
+// in all zones if the fleet is small.
 type domain struct {
-	// key identifies the rule by which the VMs were chosen.
-	key     string
-	sharers []sharer
+	// home are the VMs that send here as a rule, and visitors those that send
+	// here when their own zone fails them.
+	home, visitors []sharer
 }
 
-// fleetWide is the key of the domain that holds every VM.
-const fleetWide = "*"
+// shardDomains are the domains of one shard by zone.
+type shardDomains struct {
+	// key identifies the rule by which the VMs were chosen.
+	key    string
+	wide   bool
+	all    domain
+	byZone map[string]*domain
+}
 
-// minWideConnections is the share of connections that every VM must have at
-// least for all VMs to share an upstream.
-const minWideConnections = 2
+func (s *shardDomains) zone(zone string) *domain {
+	if s.wide {
+		return &s.all
+	}
+	if d := s.byZone[zone]; d != nil {
+		return d
+	}
+	return &domain{}
+}
 
 // domains works out which VMs share which upstreams.
 //
 // A small fleet shares every upstream among all VMs. In a fleet with too many
 // VMs for that, the VMs of a zone share the zone's upstreams; a VM whose zone
-// cannot serve a shard joins another zone that can, by rendezvous.
+// cannot serve a shard has its home in another zone that can, chosen by
+// rendezvous. Each VM also visits one further zone.
 type domains struct {
-	all   []sharer
-	zones map[string]map[string]domain // serving zones -> zone -> domain
+	all     []sharer
+	wide    *shardDomains
+	bySet   map[string]*shardDomains // key: serving zones
+	catalog *catalog.Catalog
 }
 
-func newDomains(f *fleet) *domains {
-	d := &domains{zones: make(map[string]map[string]domain)}
-	for _, m := range f.members {
-		d.all = append(d.all, sharer{hash: m.hash, zone: m.vm.Zone})
+func newDomains(f *fleet, c *catalog.Catalog) *domains {
+	d := &domains{bySet: make(map[string]*shardDomains), catalog: c}
+	for id, m := range f.members {
+		d.all = append(d.all, sharer{id: id, zone: m.vm.Zone, hash: m.hash})
 	}
 	sort.Slice(d.all, func(i, j int) bool { return d.all[i].hash < d.all[j].hash })
+	d.wide = &shardDomains{key: "*", wide: true, all: domain{home: d.all}}
 	return d
 }
 
 // isWide reports whether all VMs share the upstreams of the service.
 func (d *domains) isWide(svc *catalog.Service) bool {
-	return len(d.all)*minWideConnections <= sharedConnections(svc.Connections)
+	return len(d.all)*minWideConnections <= wideParts(svc.Connections).home
 }
 
-// forShard returns the domain of each zone for one shard.
-func (d *domains) forShard(c *catalog.Catalog, shard *catalog.Shard) map[string]domain {
-	serving := servingZones(c, shard)
+// forShard returns the domains of one shard.
+func (d *domains) forShard(svc *catalog.Service, shard *catalog.Shard) *shardDomains {
+	if d.isWide(svc) {
+		return d.wide
+	}
+	serving := servingZones(d.catalog, shard)
 	key := strings.Join(serving, "\x00")
-	byZone, ok := d.zones[key]
-	if !ok {
-		byZone = d.split(serving, key)
-		d.zones[key] = byZone
+	s := d.bySet[key]
+	if s == nil {
+		s = d.split(serving, key)
+		d.bySet[key] = s
 	}
-	return byZone
+	return s
 }
 
-func (d *domains) split(serving []string, key string) map[string]domain {
-	byZone := make(map[string]domain, len(serving))
+func (d *domains) split(serving []string, key string) *shardDomains {
+	s := &shardDomains{key: key, byZone: make(map[string]*domain, len(serving))}
 	hashes := make([]uint64, len(serving))
 	for i, zone := range serving {
 		hashes[i] = hashOf(zone)
-		byZone[zone] = domain{key: key}
+		s.byZone[zone] = &domain{}
 	}
 	for _, vm := range d.all {
-		zone := homeZone(vm, serving, hashes)
-		dom := byZone[zone]
-		dom.sharers = append(dom.sharers, vm)
-		byZone[zone] = dom
+		home, second := homeZones(vm, serving, hashes)
+		if home != "" {
+			s.byZone[home].home = append(s.byZone[home].home, vm)
+		}
+		if second != "" {
+			s.byZone[second].visitors = append(s.byZone[second].visitors, vm)
+		}
 	}
-	return byZone
+	return s
 }
 
-// homeZone returns the VM's own zone if it serves, and else the serving zone
-// with the highest weight.
-func homeZone(vm sharer, serving []string, hashes []uint64) string {
-	best, bestWeight := "", uint64(0)
+// homeZones returns the zone where the VM is at home and the one that it
+// visits: its own zone if it serves, and then those of the highest weight.
+func homeZones(vm sharer, serving []string, hashes []uint64) (home, second string) {
+	var homeWeight, secondWeight uint64
 	for i, zone := range serving {
+		w := weight(vm.hash, hashes[i])
 		if zone == vm.zone {
-			return zone
+			w = ^uint64(0)
 		}
-		if w := weight(vm.hash, hashes[i]); best == "" || w > bestWeight {
-			best, bestWeight = zone, w
+		switch {
+		case home == "" || w > homeWeight:
+			second, secondWeight = home, homeWeight
+			home, homeWeight = zone, w
+		case second == "" || w > secondWeight:
+			second, secondWeight = zone, w
 		}
 	}
-	return best
+	return home, second
 }
 
 // servingZones lists the zones with a replica that may get work, in order.
 func servingZones(c *catalog.Catalog, shard *catalog.Shard) []string {
 	var zones []string
+	last := ""
 	for i := range shard.Replicas {
 		u := &shard.Replicas[i]
-		if u.Draining || isZoneOut(c, u.Zone) {
+		if u.Zone == last || u.Draining || isZoneOut(c, u.Zone) {
 			continue
 		}
+		last = u.Zone
 		at := sort.SearchStrings(zones, u.Zone)
 		if at < len(zones) && zones[at] == u.Zone {
 			continue
--- a/internal/core/routing/done.go
+++ b/internal/core/routing/done.go
@@ -14,22 +14,26 @@
 		return
 	}
 	u := t.upstreams[target.Upstream]
-	if u == nil || u.address != target.Address {
+	if u == nil || u.address != target.Address || u.shard.shard != shard || u.shard.service != service {
 		return
 	}
-	left := u.running.Add(-1)
-	invariant.Check(left >= 0, "routing_running_not_negative")
-	at := int64(now.Sub(t.epoch))
+	running := u.gate.leave()
+	invariant.Check(running, "routing_done_without_pick")
+	if !running {
+		return
+	}
+	u.shard.running.Add(-1)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	r.observe(now, at, u, &rep)
+	r.observe(now, int64(now.Sub(t.epoch)), u, &rep)
 	u.refreshLimit()
 }
 
 // observe learns from the end of an attempt. The caller holds mu.
 func (r *Router) observe(now time.Time, at int64, u *upstream, rep *scatter.Report) {
+	u.loans.lastUse = now
 	if rep.Load >= 0 {
-		u.load.Store(int32(min(rep.Load, maxLoadHint) * 1000))
+		u.load.Store(int32(min(rep.Load, maxLoadHint) * thousandth))
 	}
 	switch rep.Outcome {
 	case scatter.OutcomeAnswered, scatter.OutcomeSnapshotMissing:
@@ -39,11 +43,13 @@
 	case scatter.OutcomeDraining:
 		r.suspect(now, at, u, CauseUpstreamDrains)
 	case scatter.OutcomeConnectFailed:
-		r.lost(now, at, u, CauseConnectFailed)
+		r.seenCold(now, u, CauseConnectFailed)
+		r.suspect(now, at, u, CauseConnectFailed)
 	case scatter.OutcomeConnectionLost:
-		r.lost(now, at, u, CauseConnectionLost)
+		r.seenCold(now, u, CauseConnectionLost)
+		r.failed(now, at, u, CauseConnectionLost)
 	case scatter.OutcomeMismatch, scatter.OutcomeFailed:
-		r.failed(now, at, u)
+		r.failed(now, at, u, CauseErrors)
 	case scatter.OutcomeCanceled:
 		r.canceled(now, at, u, rep)
 	}
@@ -51,43 +57,41 @@
 
 func (r *Router) answered(now time.Time, u *upstream, rep *scatter.Report) {
 	silence := now.Sub(u.health.lastAnswer)
-	suspectedFor := now.Sub(u.health.suspectedAt)
-	if u.health.answered(now) {
-		u.probeAt.Store(0)
-		r.audit(now, u.id, ChangeRecovered, CauseAnswers)
-		if u.ramp.warm && suspectedFor >= suspectedColdAfter {
-			r.seenCold(now, u, CauseSilence)
-		}
-	}
-	if cause := coldCause(u, rep, silence, r.cfg.SilenceLimit); cause != "" {
+	r.recover(now, u)
+	if cause := u.coldCause(rep, silence, &r.cfg); cause != "" {
 		r.seenCold(now, u, cause)
 	}
 	u.ramp.learnInstance(rep.Instance)
 	if rep.Outcome == scatter.OutcomeAnswered {
 		r.learnLatency(now, u, rep)
 	}
-	u.growSpare(rep.Load, r.cfg.StrictSlots)
+	u.adjustSpare(rep.Load)
 }
 
-// seenCold returns the upstream to the first stage and tells the other VMs,
-// unless it is there already. The caller holds mu.
-func (r *Router) seenCold(now time.Time, u *upstream, cause Cause) {
-	if !u.ramp.isFirstStage() {
-		r.announceCold(now, u)
+// recover ends a suspicion. An upstream that was suspected for long counts as
+// cold. The caller holds mu.
+func (r *Router) recover(now time.Time, u *upstream) {
+	suspectedFor := now.Sub(u.health.suspectedAt)
+	if !u.health.answered(now) {
+		return
+	}
+	r.audit(now, u.id, ChangeRecovered, CauseAnswers)
+	u.scheduleTrials()
+	if u.ramp.warm && suspectedFor >= suspectedColdAfter {
+		r.seenCold(now, u, CauseSilence)
 	}
-	r.turnCold(now, u, cause)
 }
 
 // coldCause says why an answer shows a cold upstream. Empty means that it does
 // not.
-func coldCause(u *upstream, rep *scatter.Report, silence, limit time.Duration) Cause {
+func (u *upstream) coldCause(rep *scatter.Report, silence time.Duration, cfg *Config) Cause {
 	known := u.ramp.instance
 	switch {
 	case known != "" && rep.Instance != "" && known != rep.Instance:
 		return CauseNewInstance
 	case rep.Cold:
 		return CauseColdAnswer
-	case u.ramp.warm && silence > limit:
+	case u.ramp.warm && silence > cfg.SilenceLimit:
 		return CauseSilence
 	}
 	return ""
@@ -101,7 +105,7 @@
 	}
 	if !wasWarm && !rep.Cold && u.ramp.answeredCold(now, rep.Latency, usual, &r.cfg) {
 		r.advance(now, u, u.ramp.stage+1, CauseAnswers)
-		r.announce(now, u)
+		r.queue(now, u.notice(now))
 	}
 	sample := rep.Latency
 	if usual > 0 {
@@ -113,26 +117,28 @@
 	}
 }
 
-// growSpare adds to the requests beyond the owned slots while the upstream
-// reports room, or nothing.
-func (u *upstream) growSpare(load float64, strict bool) {
-	if strict || load >= 1 || !u.ramp.warm {
+// adjustSpare lets the spare requests grow while the upstream reports room, or
+// nothing, and shrink while it reports none. The caller holds mu.
+func (u *upstream) adjustSpare(load float64) {
+	if !u.ramp.warm {
+		return
+	}
+	if load >= 1 {
+		u.spare = max(u.spare-1, 0)
 		return
 	}
-	most := (u.ownConnections() - u.ownSlots()) * spareUnit
-	u.spare = max(min(u.spare+1, most), 0)
+	u.spare = min(u.spare+1, u.ownConnections()*spareUnit)
 }
 
-// shedPause is the time without a request after a shed that names none, and
-// maxShedPause the longest that an upstream may ask for.
 const (
-	shedPause    = 20 * time.Millisecond
+	// shedPause is the time without a request after a shed that names none.
+	shedPause = 20 * time.Millisecond
+	// maxShedPause is the longest pause that an upstream may ask for.
 	maxShedPause = time.Second
 )
 
 func (r *Router) shed(now time.Time, at int64, u *upstream, rep *scatter.Report) {
-	u.health.answered(now)
-	u.probeAt.Store(0)
+	r.recover(now, u)
 	u.spare = 0
 	pause := rep.RetryAfter
 	if pause <= 0 {
@@ -144,15 +150,10 @@
 	}
 }
 
-func (r *Router) lost(now time.Time, at int64, u *upstream, cause Cause) {
-	r.seenCold(now, u, cause)
-	r.suspect(now, at, u, cause)
-}
-
-func (r *Router) failed(now time.Time, at int64, u *upstream) {
+func (r *Router) failed(now time.Time, at int64, u *upstream, cause Cause) {
 	u.health.failures++
 	if u.health.failures >= failureLimit || u.health.suspected {
-		r.suspect(now, at, u, CauseErrors)
+		r.suspect(now, at, u, cause)
 	}
 }
 
@@ -172,7 +173,7 @@
 	}
 }
 
-// suspect takes the upstream out of the choice until a probe is answered. The
+// suspect takes the upstream out of the choice until a trial is answered. The
 // caller holds mu.
 func (r *Router) suspect(now time.Time, at int64, u *upstream, cause Cause) {
 	if !u.health.suspected {
@@ -180,7 +181,7 @@
 	}
 	u.health.suspect(now)
 	u.spare = 0
-	u.probeAt.Store(at + int64(u.health.backoff))
+	u.trialAt.Store(at + int64(u.health.backoff))
 }
 
 // OnConnectionsLost tells that the upstream closed the last connection of this
--- /dev/null
+++ b/internal/core/routing/gate.go
@@ -0,0 +1,74 @@
+package routing
+
+import "sync/atomic"
+
+// gate holds a count of running requests and their limit in one word, so that a
+// request is admitted under the limit of that very moment. It is safe for
+// concurrent use.
+type gate struct{ word atomic.Uint64 }
+
+const gateShift = 32
+
+func (g *gate) load() (running, limit int32) {
+	return unpackGate(g.word.Load())
+}
+
+func (g *gate) running() int32 {
+	running, _ := g.load()
+	return running
+}
+
+func unpackGate(word uint64) (running, limit int32) {
+	return int32(uint32(word)), int32(word >> gateShift)
+}
+
+func packGate(running, limit int32) uint64 {
+	return uint64(limit)<<gateShift | uint64(uint32(running))
+}
+
+// enter admits a request if fewer than the limit and than most are running.
+func (g *gate) enter(most int32) bool {
+	for {
+		word := g.word.Load()
+		running, limit := unpackGate(word)
+		if running >= min(limit, most) {
+			return false
+		}
+		if g.word.CompareAndSwap(word, packGate(running+1, limit)) {
+			return true
+		}
+	}
+}
+
+// leave ends a request and reports whether one was running.
+func (g *gate) leave() bool {
+	for {
+		word := g.word.Load()
+		running, limit := unpackGate(word)
+		if running <= 0 {
+			return false
+		}
+		if g.word.CompareAndSwap(word, packGate(running-1, limit)) {
+			return true
+		}
+	}
+}
+
+// setLimit changes the limit. Requests beyond a lower one go on.
+func (g *gate) setLimit(limit int32) {
+	for {
+		word := g.word.Load()
+		running, _ := unpackGate(word)
+		if g.word.CompareAndSwap(word, packGate(running, limit)) {
+			return
+		}
+	}
+}
+
+// setLimitIfIdle changes the limit if nothing is running, and reports whether
+// it did.
+func (g *gate) setLimitIfIdle(limit int32) bool {
+	word := g.word.Load()
+	running, _ := unpackGate(word)
+	return running == 0 && g.word.CompareAndSwap(word, packGate(0, limit))
+}
--- a/internal/core/routing/holding.go
+++ b/internal/core/routing/holding.go
@@ -6,16 +6,16 @@
 type shares struct {
 	// rank is this VM's rank among count sharing VMs; negative: none.
 	rank, count int
-	// connections, slots and coldPermits are the limits over all VMs.
-	connections, slots, coldPermits int
+	// visitor tells whether the VM's home is elsewhere.
+	visitor bool
+	// connections is the part of the connections that the count VMs share.
+	connections int
+	// slots and coldPermits are limits over all VMs.
+	slots, coldPermits int
 }
 
 func (s *shares) ownConnections() int {
-	return share(sharedConnections(s.connections), s.rank, s.count)
-}
-
-func (s *shares) ownSlots() int {
-	return share(s.slots, s.rank, s.count)
+	return share(s.connections, s.rank, s.count)
 }
 
 // permits returns the permits over all VMs at a stage of the ramp.
@@ -23,7 +23,12 @@
 	return min(s.coldPermits<<stage, s.slots)
 }
 
+// ownPermits returns this VM's share of the permits at a stage of the ramp.
+// Visitors have none.
 func (s *shares) ownPermits(stage int) int {
+	if s.visitor {
+		return 0
+	}
 	return share(s.permits(stage), s.rank, s.count)
 }
 
@@ -75,15 +80,6 @@
 	return own
 }
 
-// ownSlots returns this VM's share of the slots. The caller holds mu.
-func (u *upstream) ownSlots() int {
-	own := u.shares.ownSlots()
-	for i := range u.held {
-		own = min(own, u.held[i].shares.ownSlots())
-	}
-	return own
-}
-
 // ownPermits returns this VM's share of the permits at a stage of the ramp. The
 // caller holds mu.
 func (u *upstream) ownPermits(stage int) int {
--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -30,73 +30,112 @@
 	if svc == nil || shard < 0 || shard >= len(svc.shards) {
 		return scatter.Target{}, false
 	}
-	at := int64(now.Sub(t.epoch))
-	candidates := &svc.shards[shard]
+	s := &svc.shards[shard]
+	c := choice{at: int64(now.Sub(t.epoch)), tried: tried}
 	for range pickAttempts {
-		u := r.choose(candidates, at, tried)
+		c.beyondAssured = s.state.running.Load() >= s.assured
+		u := r.choose(s, &c)
 		if u == nil {
 			break
 		}
-		if u.reserve() {
+		u.endLoanIfDue(now, c.at)
+		if u.reserve(c.beyondAssured) {
 			return scatter.Target{Upstream: u.id, Address: u.address}, true
 		}
 	}
+	s.state.refusedAt.Store(c.at)
 	return scatter.Target{}, false
 }
 
-// choose prefers the own zone unless another zone is much cheaper. A suspected
-// upstream whose probe is due gets a first attempt.
-func (r *Router) choose(s *shardTable, at int64, tried []string) *upstream {
-	if u := dueProbe(s, at, tried); u != nil {
+// choice is one look for a replica.
+type choice struct {
+	// at is an offset from the router's epoch in nanoseconds.
+	at int64
+	// tried lists upstreams that must not be chosen.
+	tried []string
+	// beyondAssured tells whether the shard already runs what it is assured of.
+	beyondAssured bool
+	// near, far and cold are draws of two: warm upstreams of the own zone, warm
+	// ones of others, and those on a ramp.
+	near, far, cold draw
+}
+
+// choose prefers a warm upstream of the own zone, unless one of another zone is
+// much cheaper. Cold ones come last, but for the trials that are due.
+func (r *Router) choose(s *shardTable, c *choice) *upstream {
+	c.near, c.far, c.cold = draw{}, draw{}, draw{}
+	if u := r.consider(s.near, c, &c.near); u != nil {
 		return u
 	}
-	near := r.twoChoices(s.near, at, tried)
-	far := r.twoChoices(s.far, at, tried)
-	if near == nil {
-		return far
+	if u := r.consider(s.far, c, &c.far); u != nil {
+		return u
 	}
-	if far != nil && near.cost() > farFactor*far.cost() {
+	near, far := c.near.cheaper(), c.far.cheaper()
+	switch {
+	case near == nil && far == nil:
+		return c.cold.cheaper()
+	case near == nil:
+		return far
+	case far != nil && near.cost() > farFactor*far.cost():
 		return far
 	}
 	return near
 }
 
-// twoChoices takes the cheaper of two usable upstreams drawn at random.
-func (r *Router) twoChoices(from []*upstream, at int64, tried []string) *upstream {
-	var first, second *upstream
-	seen := uint64(0)
-	random := uint64(0)
+// consider adds the usable upstreams to their draws. It returns one whose trial
+// is due at once.
+func (r *Router) consider(from []*upstream, c *choice, warm *draw) *upstream {
 	for _, u := range from {
-		if !u.isUsable(at) || slices.Contains(tried, u.id) {
-			continue
+		if u.isTrialDue(c.at) && len(c.tried) == 0 && u.takeTrial(c.at) {
+			return u
 		}
-		seen++
-		switch seen {
-		case 1:
-			first = u
-			continue
-		case 2:
-			second = u
-			random = mix(r.ticket.Add(1))
+		if !u.isUsable(c.at, c.beyondAssured) || slices.Contains(c.tried, u.id) {
 			continue
 		}
-		// Reservoir sampling (Vitter, 1985) of two.
-		switch random % seen {
-		case 0:
-			first = u
-		case 1:
-			second = u
+		if u.cold.Load() {
+			c.cold.add(r, u)
+			continue
 		}
-		random = mix(random)
+		warm.add(r, u)
 	}
-	if second == nil {
-		return first
+	return nil
+}
+
+// draw holds two upstreams drawn at random out of those added: reservoir
+// sampling (Vitter, 1985).
+type draw struct {
+	first, second *upstream
+	seen, random  uint64
+}
+
+func (d *draw) add(r *Router, u *upstream) {
+	d.seen++
+	switch d.seen {
+	case 1:
+		d.first = u
+		return
+	case 2:
+		d.second = u
+		d.random = mix(r.ticket.Add(1))
+		return
 	}
-	if random&1 != 0 {
-		first, second = second, first
+	switch d.random % d.seen {
+	case 0:
+		d.first = u
+	case 1:
+		d.second = u
+	}
+	d.random = mix(d.random)
+}
+
+// cheaper returns the better of the two, or nil. A tie goes to either.
+func (d *draw) cheaper() *upstream {
+	if d.second == nil {
+		return d.first
 	}
-	if second.cost() < first.cost() {
-		return second
+	first, second := d.first.cost(), d.second.cost()
+	if first == second && d.random&1 != 0 || second < first {
+		return d.second
 	}
-	return first
+	return d.first
 }
--- a/internal/core/routing/ramp.go
+++ b/internal/core/routing/ramp.go
@@ -41,8 +41,10 @@
 	slowLimit = 3
 	// firstAsk and lastAsk bound the interval between two questions to the
 	// peers.
-	firstAsk = 300 * time.Millisecond
+	firstAsk = 25 * time.Millisecond
 	lastAsk  = 10 * time.Second
+	// wantedAsk is the longest interval while requests are refused.
+	wantedAsk = 100 * time.Millisecond
 )
 
 func (r *ramp) isFirstStage() bool {
@@ -63,6 +65,24 @@
 	r.askAt = now.Add(firstAsk)
 }
 
+// scheduleAsk sets the time of the next question to the peers.
+func (r *ramp) scheduleAsk(now time.Time, wanted bool) {
+	r.askAfter = min(2*r.askAfter, lastAsk)
+	if wanted {
+		r.askAfter = min(r.askAfter, wantedAsk)
+	}
+	r.askAt = now.Add(r.askAfter)
+}
+
+// learnInstance remembers the upstream's incarnation.
+func (r *ramp) learnInstance(instance string) {
+	if instance == "" {
+		return
+	}
+	r.instance = instance
+	r.instanceSeen = true
+}
+
 // advance goes to a later stage.
 func (r *ramp) advance(now time.Time, stage, last int) {
 	r.stage = min(stage, last)
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -12,9 +12,10 @@
 
 // Router chooses replicas and keeps this VM within its shares.
 //
-// Update, Tick, Confirm and the On methods belong to the control goroutine.
-// Pick and Done may be called by any number of traffic goroutines at the same
-// time; they read an immutable table and take one upstream's lock at most.
+// Update, Tick, Confirm, Connections, Status and the methods for peers' messages
+// belong to the control goroutine. Pick, Done and OnConnectionsLost may be
+// called by any number of traffic goroutines at the same time; they read an
+// immutable table and take one upstream's lock at most.
 type Router struct {
 	cfg  Config
 	self membership.VM
@@ -34,13 +35,8 @@
 	pending   []pendingAction
 }
 
-// pendingAction is an action that waits for the next Tick.
-type pendingAction struct {
-	at     time.Time
-	action Action
-}
-
-// New returns a Router that dispatches nothing before its first Update.
+// New returns a Router that dispatches nothing before its first Update. The
+// random numbers only break ties.
 func New(self membership.VM, rng *rand.Rand, cfg Config) *Router {
 	r := &Router{cfg: cfg.withDefaults(), self: self}
 	r.fleet = newFleet(self, r.cfg.HoldDown)
@@ -49,21 +45,23 @@
 }
 
 // Update takes in the newest catalog and VM list and confirms the view. What is
-// known of surviving upstreams is kept.
+// known of surviving upstreams is kept. An older catalog or list is ignored.
 func (r *Router) Update(now time.Time, c *catalog.Catalog, list membership.List) {
 	if r.catalog != nil && c.Version < r.catalog.Version {
 		c = r.catalog
 	}
-	r.catalog = c
 	r.fleet.update(now, list)
 	r.fleet.expire(now)
-	r.rebuild(now)
+	r.rebuild(now, c)
 	r.Confirm(now)
 }
 
 // Confirm states that the present catalog and list are the newest that can be
 // had. Without it Pick refuses after Config.MaxViewAge.
 func (r *Router) Confirm(now time.Time) {
+	if !r.viewCurrent(now) {
+		r.expireLoans(now)
+	}
 	r.confirmed.Store(&now)
 	if r.viewAged {
 		r.viewAged = false
@@ -71,53 +69,69 @@
 	}
 }
 
-func (r *Router) rebuild(now time.Time) {
+// expireLoans ends loans that ran out during a pause.
+func (r *Router) expireLoans(now time.Time) {
+	t := r.table.Load()
+	if t == nil {
+		return
+	}
+	for _, u := range t.upstreams {
+		u.mu.Lock()
+		u.expireLoans(now)
+		u.mu.Unlock()
+	}
+}
+
+func (r *Router) rebuild(now time.Time, c *catalog.Catalog) {
 	old := r.table.Load()
 	if old == nil {
 		old = &table{epoch: now}
 	}
 	r.mature = r.fleet.mature(now)
 	b := builder{
-		now:     now,
-		catalog: r.catalog,
-		fleet:   r.fleet,
-		domains: newDomains(r.fleet),
-		self:    sharer{hash: hashOf(r.self.ID), zone: r.self.Zone},
-		old:     old,
-		router:  r,
+		now:        now,
+		catalog:    c,
+		oldCatalog: r.catalog,
+		domains:    newDomains(r.fleet, c),
+		self:       sharer{id: r.self.ID, zone: r.self.Zone, hash: hashOf(r.self.ID)},
+		old:        old,
+		router:     r,
 	}
 	b.out = &table{
 		epoch:     old.epoch,
-		services:  make(map[string]*serviceTable, len(r.catalog.Services)),
+		services:  make(map[string]*serviceTable, len(c.Services)),
 		upstreams: make(map[string]*upstream, len(old.upstreams)),
 	}
+	r.catalog = c
 	r.table.Store(b.build())
 }
 
-// setShares applies a rebuilt table to one upstream.
-func (r *Router) setShares(now time.Time, u *upstream, next shares, isNew, ruleChanged bool, inactive Cause) {
+// setShares applies a rebuilt table to one upstream. With hold, what this VM
+// gains is usable only after a hold-down.
+func (r *Router) setShares(now time.Time, u *upstream, next shares, isNew, hold bool, inactive Cause) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if ruleChanged {
+	if hold {
 		u.holdShares(next, now.Add(r.cfg.HoldDown))
 	} else {
 		u.shares = next
 	}
 	u.releaseHeld(now)
-	r.setActive(now, u, isNew, inactive)
+	u.visiting.Store(next.visitor)
+	u.active = inactive == "" && r.mature
+	if isNew || inactive != u.inactive {
+		r.setInactive(now, u, isNew, inactive)
+	}
 	u.refreshLimit()
 }
 
-// setActive applies what the catalog says of an upstream. The caller holds mu.
-func (r *Router) setActive(now time.Time, u *upstream, isNew bool, inactive Cause) {
-	u.active = inactive == "" && r.mature
-	if inactive == u.inactive && !isNew {
-		return
-	}
-	u.inactive = inactive
+// setInactive records what the catalog says of an upstream. The caller holds
+// mu.
+func (r *Router) setInactive(now time.Time, u *upstream, isNew bool, cause Cause) {
+	u.inactive = cause
 	switch {
-	case inactive != "":
-		r.audit(now, u.id, ChangeDrained, inactive)
+	case cause != "":
+		r.audit(now, u.id, ChangeDrained, cause)
 	case isNew:
 		r.audit(now, u.id, ChangeCold, CauseFirstSeen)
 	default:
@@ -127,28 +141,27 @@
 }
 
 // deactivate stops work to an upstream that left the catalog.
-func (r *Router) deactivate(now time.Time, u *upstream, cause Cause) {
+func (r *Router) deactivate(now time.Time, u *upstream) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.inactive == cause {
+	if u.inactive == CauseRemoved {
 		return
 	}
 	u.active = false
-	u.inactive = cause
+	u.inactive = CauseRemoved
 	u.refreshLimit()
-	r.audit(now, u.id, ChangeDrained, cause)
+	r.audit(now, u.id, ChangeDrained, CauseRemoved)
 }
 
 // Tick runs what depends on time and returns the queued actions in order. The
 // control goroutine calls it several times a second, and after Config.Notify.
 func (r *Router) Tick(now time.Time) []Action {
-	t := r.table.Load()
-	if t == nil {
+	if r.table.Load() == nil {
 		return r.takeActions(now)
 	}
 	expired := r.fleet.expire(now)
 	if expired || r.fleet.mature(now) != r.mature {
-		r.rebuild(now)
+		r.rebuild(now, r.catalog)
 		r.audit(now, r.self.ID, ChangeShares, CauseHoldDownOver)
 	}
 	for _, u := range r.table.Load().upstreams {
@@ -176,9 +189,19 @@
 	if u.releaseHeld(now) {
 		u.refreshLimit()
 	}
+	u.expireLoans(now)
 	if u.ramp.warm && now.Sub(u.health.lastAnswer) > r.cfg.SilenceLimit {
 		r.turnCold(now, u, CauseSilence)
-		r.announceCold(now, u)
+	}
+	u.forgetSlowness()
+}
+
+// forgetSlowness moves a high latency towards that of the service. An upstream
+// that is avoided for its latency gives no new samples.
+func (u *upstream) forgetSlowness() {
+	latency, usual := u.latency.Load(), u.service.latency.Load()
+	if usual > 0 && latency > usual {
+		u.latency.Store(latency - (latency-usual)>>latencyShift)
 	}
 }
 
@@ -187,40 +210,10 @@
 	return confirmed != nil && elapsed(*confirmed, now) <= r.cfg.MaxViewAge
 }
 
-func (r *Router) audit(now time.Time, subject string, change Change, cause Cause) {
-	r.queue(now, Audit{At: now, Subject: subject, Change: change, Cause: cause})
-}
-
-// queue keeps an action for the next Tick.
-func (r *Router) queue(now time.Time, a Action) {
-	r.pendingMu.Lock()
-	r.pending = append(r.pending, pendingAction{at: now, action: a})
-	r.pendingMu.Unlock()
-	if r.cfg.Notify != nil {
-		r.cfg.Notify()
-	}
-}
-
-func (r *Router) takeActions(now time.Time) []Action {
-	r.pendingMu.Lock()
-	defer r.pendingMu.Unlock()
-	out := make([]Action, 0, len(r.pending))
-	for _, p := range r.pending {
-		out = append(out, aged(p.action, now.Sub(p.at)))
+func (r *Router) lookup(id string) *upstream {
+	t := r.table.Load()
+	if t == nil {
+		return nil
 	}
-	r.pending = nil
-	return out
-}
-
-// aged adds the time that a notice waited to its age.
-func aged(a Action, waited time.Duration) Action {
-	switch n := a.(type) {
-	case ColdNotice:
-		n.Age += waited
-		return n
-	case RampNotice:
-		n.Age += waited
-		return n
-	}
-	return a
+	return t.upstreams[id]
 }
--- a/internal/core/routing/share.go
+++ b/internal/core/routing/share.go
@@ -2,10 +2,10 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// sharer identifies one VM in the ranking of an upstream.
+// sharer identifies one VM among those that share an upstream.
 type sharer struct {
-	hash uint64
-	zone string
+	id, zone string
+	hash     uint64
 }
 
 // share returns how many of limit units belong to the sharer of the given rank
@@ -21,58 +21,114 @@
 	return (limit - rank + count - 1) / count
 }
 
-// rankOf returns the rank of self among the VMs of a domain for one upstream.
-// VMs of the upstream's own zone come first; hashes decide within a zone.
-func rankOf(self sharer, domain []sharer, upstreamHash uint64, upstreamZone string) int {
-	own := weight(self.hash, upstreamHash)
-	ownNear := self.zone == upstreamZone
+// ring places the VMs of a domain and the replicas of a shard on a circle. The
+// VMs closest to a replica come first in its ranking.
+//
+// Replicas are spaced evenly, so that each VM has one nearby. The ranking of a
+// replica is a fixed order of all possible VMs: it does not depend on which of
+// them are listed, and a VM that joins or leaves moves others by one rank.
+type ring struct {
+	self      sharer
+	selfAt    uint64
+	sharers   []sharer
+	positions []uint64
+	// selfIn tells whether self is one of the sharers.
+	selfIn bool
+}
+
+func newRing(self sharer, sharers []sharer, shardHash uint64) ring {
+	r := ring{
+		self:      self,
+		selfAt:    weight(self.hash, shardHash),
+		sharers:   sharers,
+		positions: make([]uint64, len(sharers)),
+	}
+	for i := range sharers {
+		r.positions[i] = weight(sharers[i].hash, shardHash)
+		r.selfIn = r.selfIn || sharers[i].hash == self.hash
+	}
+	return r
+}
+
+// rank returns the rank of self for the replica at a position. VMs of the
+// replica's own zone come first. It is negative if self is not a sharer.
+func (r *ring) rank(at uint64, zone string) int {
+	if !r.selfIn {
+		return -1
+	}
+	own := distance(r.selfAt, at)
+	ownNear := r.self.zone == zone
 	rank := 0
-	for i := range domain {
-		vm := &domain[i]
-		if vm.hash == self.hash {
-			continue
-		}
-		near := vm.zone == upstreamZone
+	for i, position := range r.positions {
+		vm := &r.sharers[i]
+		near := vm.zone == zone
 		if near != ownNear {
 			if near {
 				rank++
 			}
 			continue
 		}
-		if weight(vm.hash, upstreamHash) > own {
+		if distance(position, at) < own && vm.hash != r.self.hash {
 			rank++
 		}
 	}
 	return rank
 }
 
+// first returns the sharer of rank zero for the replica at a position, or nil.
+func (r *ring) first(at uint64, zone string) *sharer {
+	var best *sharer
+	for i, position := range r.positions {
+		vm := &r.sharers[i]
+		if best == nil || isCloser(vm, position, best, r.positionOf(best), at, zone) {
+			best = vm
+		}
+	}
+	return best
+}
+
+func (r *ring) positionOf(vm *sharer) uint64 {
+	for i := range r.sharers {
+		if &r.sharers[i] == vm {
+			return r.positions[i]
+		}
+	}
+	return 0
+}
+
+func isCloser(a *sharer, aAt uint64, b *sharer, bAt uint64, at uint64, zone string) bool {
+	aNear, bNear := a.zone == zone, b.zone == zone
+	if aNear != bNear {
+		return aNear
+	}
+	return distance(aAt, at) < distance(bAt, at)
+}
+
+// spacedPosition returns the position of the replica with the given index among
+// count.
+func spacedPosition(index, count int) uint64 {
+	return uint64(index) * (^uint64(0)/uint64(count) + 1)
+}
+
+// distance is the length of the shorter arc between two positions.
+func distance(a, b uint64) uint64 {
+	d := a - b
+	return min(d, -d)
+}
+
 func hashOf(s string) uint64 {
 	return xxhash.Sum64String(s)
 }
 
-// weight mixes two hashes into a rendezvous weight. The finalizer is that of
-// SplitMix64 (Steele, Lea and Flood, 2014).
+// weight mixes two hashes into a rendezvous weight.
 func weight(a, b uint64) uint64 {
 	return mix(a ^ mix(b))
 }
 
+// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
-
-// connectionRoom is the part of a connection limit, one in connectionRoom, that
-// belongs to nobody: connections of replaced VMs may linger at an upstream.
-const connectionRoom = 10
-
-// sharedConnections returns how many of an upstream's connections are shared
-// out.
-func sharedConnections(limit int) int {
-	if limit <= 1 {
-		return limit
-	}
-	room := (limit + connectionRoom - 1) / connectionRoom
-	return limit - room
-}
--- a/internal/core/routing/status.go
+++ b/internal/core/routing/status.go
@@ -38,7 +38,8 @@
 		return target
 	}
 	target.Max = u.ownConnections()
-	target.Warm = int(u.limit.Load())
+	_, limit := u.gate.load()
+	target.Warm = min(int(limit), max(u.spare/spareUnit, 1)+1)
 	return target
 }
 
@@ -67,9 +68,17 @@
 	Running   int
 	// Limit is the number of requests that this VM may run now.
 	Limit int
-	// Slots and Connections are this VM's shares.
-	Slots, Connections int
-	Latency            time.Duration
+	// Spare is the number of requests that may run beyond what the shard
+	// assures.
+	Spare int
+	// Permits is this VM's share of the permits at the present stage.
+	Permits int
+	// Connections is this VM's share of the connections.
+	Connections int
+	// Lent and Borrowed are permits of the first stage that other VMs use, and
+	// that this VM uses of others.
+	Lent, Borrowed int
+	Latency        time.Duration
 }
 
 // Status returns the present state, in order of the upstreams' IDs. It belongs
@@ -97,6 +106,7 @@
 func (u *upstream) status() UpstreamStatus {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	running, limit := u.gate.load()
 	return UpstreamStatus{
 		Upstream:    u.id,
 		Zone:        u.zone,
@@ -104,9 +114,12 @@
 		Suspected:   u.health.suspected,
 		Warm:        u.ramp.warm,
 		Stage:       u.ramp.stage,
-		Running:     int(u.running.Load()),
-		Limit:       int(u.limit.Load()),
-		Slots:       u.ownSlots(),
+		Running:     int(running),
+		Limit:       int(limit),
+		Spare:       int(u.spareLimit.Load()),
+		Permits:     u.ownPermits(u.ramp.stage),
+		Lent:        u.loans.lent,
+		Borrowed:    u.loans.borrowed,
 		Connections: u.ownConnections(),
 		Latency:     time.Duration(u.latency.Load()),
 	}
--- /dev/null
+++ b/internal/core/routing/trial.go
@@ -0,0 +1,49 @@
+package routing
+
+import "time"
+
+// warmupInterval is the time between two requests that a cold upstream gets out
+// of turn while warm replicas could take them. It bounds how many queries meet
+// a slow answer, and is how a ramp goes on beside warm replicas.
+const warmupInterval = 25 * time.Millisecond
+
+func (u *upstream) isTrialDue(at int64) bool {
+	due := u.trialAt.Load()
+	return due != 0 && at >= due && u.blockedUntil.Load() <= at
+}
+
+// takeTrial claims a due trial for the caller, who then reserves. Only a first
+// attempt makes a trial, because a hedge can cover for it.
+func (u *upstream) takeTrial(at int64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.isTrialDue(at) {
+		return false
+	}
+	running := int(u.gate.running())
+	if u.health.suspected {
+		if running > 0 || u.allowed() < 1 {
+			return false
+		}
+		u.trialAt.Store(at + int64(u.health.backoff))
+		u.gate.setLimit(1)
+		return true
+	}
+	if u.ramp.warm || running >= u.allowed() {
+		return false
+	}
+	u.trialAt.Store(at + int64(warmupInterval))
+	return true
+}
+
+// endLoanIfDue ends borrowed permits before a reservation, if their time is
+// over.
+func (u *upstream) endLoanIfDue(now time.Time, at int64) {
+	ends := u.loanEnds.Load()
+	if ends == 0 || at < ends {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.expireLoans(now)
+}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -1,8 +1,12 @@
 package routing
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
 )
 
 // upstream is what this VM knows of one upstream that it has a share of.
@@ -12,11 +16,16 @@
 type upstream struct {
 	id, address, zone string
 	service           *serviceStats
+	shard             *shardState
+	// visiting tells whether this VM's home is elsewhere.
+	visiting atomic.Bool
 
-	// running is the number of requests of this VM that are reserved.
-	running atomic.Int32
-	// limit is the number of requests that this VM may run now.
-	limit atomic.Int32
+	// gate admits this VM's requests.
+	gate gate
+	// spareLimit is the number that it may run beyond what the shard assures.
+	spareLimit atomic.Int32
+	// cold tells whether the upstream is on its ramp.
+	cold atomic.Bool
 	// latency is a moving average in nanoseconds. Zero means unknown.
 	latency atomic.Int64
 	// load is the upstream's reported running requests over its slots, in
@@ -25,27 +34,54 @@
 	// blockedUntil is an offset from the router's epoch in nanoseconds, before
 	// which the upstream gets nothing.
 	blockedUntil atomic.Int64
-	// probeAt is an offset from the router's epoch in nanoseconds, at which a
-	// suspected upstream gets one request. Zero means not suspected.
-	probeAt atomic.Int64
+	// loanEnds is an offset from the router's epoch in nanoseconds, at which
+	// borrowed permits end. Zero means none.
+	loanEnds atomic.Int64
+	// trialAt is an offset from the router's epoch in nanoseconds, at which a
+	// suspected or cold upstream gets one request out of turn. Zero means none.
+	trialAt atomic.Int64
 
 	mu     sync.Mutex
 	shares shares
 	// held holds earlier shares that still bind this VM; see holdShares.
-	held []heldShares
+	held  []heldShares
+	loans loans
 	// active is false while the upstream drains, its zone is out, or it is not
-	// in the catalog.
+	// in the catalog, and while this VM is new.
 	active bool
 	// inactive says why the catalog keeps work away. Empty: it does not.
 	inactive Cause
 	ramp     ramp
 	health   health
-	// spare is the number of requests beyond the owned slots, in units of
-	// spareUnit.
+	// spare is the number of requests beyond the assured ones that the upstream
+	// has shown room for, in units of 1/spareUnit.
 	spare int
+	// sharers are the VMs whose home the upstream is, and warmer is the one of
+	// rank zero. The slice is immutable.
+	sharers []sharer
+	warmer  string
+}
+
+func newUpstream(replica *catalog.Upstream, stats *serviceStats, shard *shardState, now time.Time) *upstream {
+	u := &upstream{
+		id:      replica.ID,
+		address: replica.Address,
+		zone:    replica.Zone,
+		service: stats,
+		shard:   shard,
+	}
+	u.ramp.turnCold(now)
+	u.cold.Store(true)
+	u.health.lastAnswer = now
+	return u
 }
 
-// spareUnit is the resolution of the spare requests.
+// is reports whether the state belongs to the replica of the catalog.
+func (u *upstream) is(replica *catalog.Upstream, shard *shardState) bool {
+	return u.address == replica.Address && u.zone == replica.Zone && u.shard == shard
+}
+
+// spareUnit is the number of answers that make room for one more request.
 const spareUnit = 8
 
 // refreshLimit recomputes the number of requests that this VM may run. The
@@ -55,7 +91,9 @@
 	if u.health.suspected {
 		limit = 0
 	}
-	u.limit.Store(int32(limit))
+	u.gate.setLimit(int32(limit))
+	u.spareLimit.Store(int32(min(limit, u.spare/spareUnit)))
+	u.cold.Store(!u.ramp.warm)
 }
 
 // allowed returns the number of requests that this VM may run while the
@@ -64,29 +102,36 @@
 	if !u.active {
 		return 0
 	}
-	if !u.ramp.warm {
-		return min(u.ownPermits(u.ramp.stage), u.ownConnections())
+	if u.ramp.warm {
+		return u.ownConnections()
 	}
-	return min(u.ownSlots()+u.spare/spareUnit, u.ownConnections())
+	own := u.ownPermits(u.ramp.stage) - u.loans.lent + u.loans.borrowed
+	return max(min(own, u.ownConnections()), 0)
 }
 
 // reserve takes one of the running requests that the limit allows.
-func (u *upstream) reserve() bool {
-	for {
-		n := u.running.Load()
-		if n >= u.limit.Load() {
-			return false
-		}
-		if u.running.CompareAndSwap(n, n+1) {
-			return true
-		}
+func (u *upstream) reserve(beyondAssured bool) bool {
+	if !u.gate.enter(u.most(beyondAssured)) {
+		return false
+	}
+	u.shard.running.Add(1)
+	return true
+}
+
+// most bounds the running requests besides the limit. On a ramp the permits
+// alone decide.
+func (u *upstream) most(beyondAssured bool) int32 {
+	if (beyondAssured || u.visiting.Load()) && !u.cold.Load() {
+		return u.spareLimit.Load()
 	}
+	return math.MaxInt32
 }
 
 // isUsable reports whether a request may go to the upstream at an offset from
 // the router's epoch.
-func (u *upstream) isUsable(at int64) bool {
-	return u.running.Load() < u.limit.Load() && u.blockedUntil.Load() <= at
+func (u *upstream) isUsable(at int64, beyondAssured bool) bool {
+	running, limit := u.gate.load()
+	return running < min(limit, u.most(beyondAssured)) && u.blockedUntil.Load() <= at
 }
 
 // cost ranks upstreams for a choice: the expected time until one more request
@@ -96,19 +141,16 @@
 	if latency == 0 {
 		latency = u.service.latency.Load()
 	}
-	busy := int64(u.running.Load()+1) * 1000
-	hint := int64(min(max(u.load.Load(), 0), maxLoadHint))
-	return (latency + 1) / 1000 * (busy + hint)
+	busy := int64(u.gate.running()+1) * thousandth
+	hint := int64(min(max(u.load.Load(), 0), maxLoadHint*thousandth))
+	return (latency/thousandth + 1) * (busy + hint)
 }
 
-// maxLoadHint bounds how much a reported load weighs, in thousandths.
-const maxLoadHint = 1000
-
-// serviceStats is what the replicas of a service have in common.
-type serviceStats struct {
-	// latency is a moving average over all warm replicas in nanoseconds.
-	latency atomic.Int64
-}
+const (
+	thousandth = 1000
+	// maxLoadHint bounds how much a reported load weighs: as one request.
+	maxLoadHint = 1
+)
 
 // latencyShift is the weight of a new sample in a moving average, as a power of
 // two.
@@ -124,3 +166,14 @@
 	}
 	a.Store(max(old+(sample-old)>>latencyShift, 1))
 }
+
+// setSharers remembers whom to ask about the upstream.
+func (u *upstream) setSharers(home []sharer, warmer *sharer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sharers = home
+	u.warmer = ""
+	if warmer != nil {
+		u.warmer = warmer.id
+	}
+}
