Prove the sums over lagging views; make a new VM wait longer

Cause: a random run found 11 connections at an upstream that allows 9. A new VM never saw the VMs that had left just before it came; it counted fewer VMs than the others, took the fleet for small enough to share all upstreams, and used those shares before the others had changed too.

Ruled out: wrong ranks (a rank only grows with the list) and the held shares of a changed rule (the others did hold theirs).

Change: a new VM uses no shares for one and a half hold-downs; a hold-down must be twice the longest lag. Property tests drive a fleet with lagging views, restarts, joins, crashes, drains and lost, late and reordered messages, and check running requests at cold upstreams and connections. Upstreams are visited in order, so that a run repeats.

--- a/internal/core/routing/asking.go
+++ b/internal/core/routing/asking.go
@@ -49,7 +49,7 @@
 	at := int64(now.Sub(t.epoch))
 	byVM := make(map[string][]RampQuestion)
 	asked := 0
-	for _, u := range t.upstreams {
+	for _, u := range t.ordered {
 		if asked >= maxAsked {
 			break
 		}
--- a/internal/core/routing/build.go
+++ b/internal/core/routing/build.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -21,10 +23,11 @@
 }
 
 func (b *builder) build() *table {
-	for name, svc := range b.catalog.Services {
-		b.out.services[name] = b.service(name, svc)
+	for _, name := range slices.Sorted(maps.Keys(b.catalog.Services)) {
+		b.out.services[name] = b.service(name, b.catalog.Services[name])
 	}
 	b.keepRunning()
+	b.out.order()
 	return b.out
 }
 
@@ -55,7 +58,8 @@
 
 // keepRunning keeps the state of removed upstreams until their requests ended.
 func (b *builder) keepRunning() {
-	for id, u := range b.old.upstreams {
+	for _, u := range b.old.ordered {
+		id := u.id
 		kept := b.out.upstreams[id]
 		if kept == u {
 			continue
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -5,9 +5,10 @@
 // Config holds the policy of a Router. The zero value of a field stands for
 // its default.
 type Config struct {
-	// HoldDown is the time for which a VM that left the list is still counted,
-	// and for which a new VM holds no shares. It must exceed the difference
-	// between the ages of any two VMs' lists plus the longest deadline.
+	// HoldDown is the time for which a VM that left the list is still counted. A
+	// new VM uses no shares for one and a half hold-downs. It must be at least
+	// twice the lag between any two VMs' views, and at least that lag plus the
+	// longest deadline.
 	HoldDown time.Duration
 	// MaxViewAge is the age of the control view beyond which nothing is
 	// dispatched.
--- a/internal/core/routing/fleet.go
+++ b/internal/core/routing/fleet.go
@@ -93,8 +93,15 @@
 	return changed
 }
 
-// mature reports whether self has been listed for a hold-down. Before, the VMs
-// that counted without it may still use all shares.
+// mature reports whether self may use its shares. For a hold-down after it was
+// listed, the other VMs may not count it yet. For the longest lag after that,
+// they may still count a VM that left before self was listed, and so choose
+// another rule of sharing than self.
 func (f *fleet) mature(now time.Time) bool {
-	return f.listed && now.Sub(f.listedSince) >= f.holdDown
+	return f.listed && now.Sub(f.listedSince) >= maturity(f.holdDown)
+}
+
+// maturity is the time for which a new VM uses no shares.
+func maturity(holdDown time.Duration) time.Duration {
+	return holdDown + holdDown/2
 }
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -75,7 +75,7 @@
 	if t == nil {
 		return
 	}
-	for _, u := range t.upstreams {
+	for _, u := range t.ordered {
 		u.mu.Lock()
 		u.expireLoans(now)
 		u.mu.Unlock()
@@ -164,7 +164,7 @@
 		r.rebuild(now, r.catalog)
 		r.audit(now, r.self.ID, ChangeShares, CauseHoldDownOver)
 	}
-	for _, u := range r.table.Load().upstreams {
+	for _, u := range r.table.Load().ordered {
 		r.tickUpstream(now, u)
 	}
 	r.askPeers(now)
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -18,6 +18,9 @@
 	flag.Parse()
 	for name, value := range map[string]string{
 		"rapid.seed":       "20261204",
+		"rapid.checks":     "2000",
+		"rapid.steps":      "80",
+		"rapid.shrinktime": "500ms",
 		"rapid.nofailfile": "true",
 	} {
 		if !isSet(name) {
@@ -83,7 +86,7 @@
 func newMature(list membership.List, self int, c *catalog.Catalog, cfg Config) (*Router, time.Time) {
 	r := New(list.VMs[self], newTestRNG(uint64(self)+1), cfg)
 	r.Update(testStart, c, list)
-	now := testStart.Add(r.cfg.HoldDown)
+	now := testStart.Add(maturity(r.cfg.HoldDown))
 	r.Tick(now)
 	r.Confirm(now)
 	return r, now
@@ -106,7 +109,7 @@
 	if _, ok := r.Pick(testStart, "svc", 0, nil); ok {
 		t.Fatal("picked before the hold-down was over")
 	}
-	now := testStart.Add(r.cfg.HoldDown)
+	now := testStart.Add(maturity(r.cfg.HoldDown))
 	r.Tick(now)
 	r.Confirm(now)
 	if _, ok := r.Pick(now, "svc", 0, nil); !ok {
--- a/internal/core/routing/status.go
+++ b/internal/core/routing/status.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // ConnTarget says how many connections this VM may hold to an upstream.
 type ConnTarget struct {
@@ -22,11 +19,10 @@
 	if t == nil {
 		return nil
 	}
-	out := make([]ConnTarget, 0, len(t.upstreams))
-	for _, u := range t.upstreams {
+	out := make([]ConnTarget, 0, len(t.ordered))
+	for _, u := range t.ordered {
 		out = append(out, u.connTarget())
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Upstream < out[j].Upstream })
 	return out
 }
 
@@ -94,12 +90,9 @@
 	if t == nil {
 		return s
 	}
-	for _, u := range t.upstreams {
+	for _, u := range t.ordered {
 		s.Upstreams = append(s.Upstreams, u.status())
 	}
-	sort.Slice(s.Upstreams, func(i, j int) bool {
-		return s.Upstreams[i].Upstream < s.Upstreams[j].Upstream
-	})
 	return s
 }
 
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -14,6 +16,17 @@
 	// upstreams holds every upstream that this VM has a share of or has
 	// requests running at.
 	upstreams map[string]*upstream
+	// ordered holds the same upstreams in order of their IDs.
+	ordered []*upstream
+}
+
+// order fills ordered.
+func (t *table) order() {
+	t.ordered = make([]*upstream, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		t.ordered = append(t.ordered, u)
+	}
+	slices.SortFunc(t.ordered, func(a, b *upstream) int { return strings.Compare(a.id, b.id) })
 }
 
 type serviceTable struct {
