Make the test of the found failure see it

Change: the departed VMs are in another zone than the VM that holds most connections. With the old waiting time the test now reports 10 connections at an upstream that allows 9; with the new one it passes.

--- a/internal/core/routing/sums_test.go
+++ b/internal/core/routing/sums_test.go
@@ -161,15 +161,18 @@
 // VM never saw the VMs that left before it came, and took the fleet for small
 // enough to share all upstreams while the others did not yet.
 func TestNewVMCountsFewerVMsThanOthers(t *testing.T) {
-	c := testCatalog(fourZones[:1], 1, 3)
+	c := testCatalog(fourZones[:2], 1, 3)
 	c.Services["svc"].Connections = 9
-	m := newFleetModel(c, fourZones[:1], 5, tampering{})
+	m := newFleetModel(c, fourZones[:1], 1, tampering{})
+	for range 4 {
+		m.join(fourZones[1])
+	}
 	m.advance(maturity(m.cfg.HoldDown))
 	for range 2 {
-		m.unlist(m.vms[0].vm.ID)
-		m.vms = m.vms[1:]
+		m.unlist(m.vms[1].vm.ID)
+		m.vms = slices.Delete(m.vms, 1, 2)
 	}
-	m.join(fourZones[0])
+	m.join(fourZones[1])
 	for range 150 {
 		m.advance(100 * time.Millisecond)
 		if bad := m.violation(); bad != "" {
