Join spreading, lending, ramps and fair sharing to the daemon

Cause: the daemon read the platform alone, lent nothing and let every request in; a configuration reached each daemon by its own watch. Ruled out: one message for all peer traffic. Claims of owners count from when they were asked, digests of configuration don't, so they are apart. Change: the control goroutine carries out the actions of spread, quota and routing; admission shares each service among customers; a daemon that was paused serves nothing until peers or the platform have answered; a leaving daemon hands its slots over.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -42,7 +42,7 @@
 		return nil, refusal
 	}
 	end := r.run(deadline)
-	leave(end.Refusal != nil && end.Refusal.Code == verdict.CodeOverloaded)
+	leave(end.Refusal)
 	return end.Answer, end.Refusal
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -44,11 +44,14 @@
 
 // Sharer shares the capacity of a service among customers.
 type Sharer interface {
-	// Enter waits for a place until the deadline. The returned function gives
-	// the place back.
-	Enter(s *catalog.Service, customer *catalog.Customer, deadline time.Time) (func(overloaded bool), *verdict.Refusal)
+	// Enter waits for a place until the deadline. A nil customer stands for a
+	// caller without a key.
+	Enter(s *catalog.Service, customer *catalog.Customer, deadline time.Time) (Leave, *verdict.Refusal)
 }
 
+// Leave gives a place back with the refusal that ended the query, or nil.
+type Leave func(*verdict.Refusal)
+
 // Planner prepares the queries of a service.
 type Planner interface {
 	// Plan returns the state machine of one query.
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -92,6 +92,8 @@
 	fmt.Fprintf(w, "ready\t%t (%s)\n", st.Ready, st.ReadyReason)
 	fmt.Fprintf(w, "configuration\tversion %d, digest %s\n", st.ConfigVersion, st.ConfigDigest)
 	fmt.Fprintf(w, "vm list\trevision %d, %d VMs, confirmed %d ms ago\n", st.ListRevision, st.VMs, st.ListAgeMs)
-	fmt.Fprintf(w, "platform reads\t%d\n", st.PlatformReads)
+	fmt.Fprintf(w, "platform reads\t%d, reader of its zone: %t\n", st.PlatformReads, st.Reader)
+	fmt.Fprintf(w, "quota\tslots %v, settled %t, supported by peers %t\n", st.Quota.Slots, st.Quota.Settled, st.Quota.Supported)
+	fmt.Fprintf(w, "routing\tshares in force %t, view current %t\n", st.Routing.Mature, st.Routing.ViewCurrent)
 	fmt.Fprintf(w, "running requests\t%d\n", st.Running)
 }
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -4,122 +4,183 @@
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/lease"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
-	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/spread"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 )
 
-func curveToWire(s quota.Share) *peerv1.Curve {
-	return &peerv1.Curve{Rate: s.Rate, Capacity: s.Capacity, Tokens: s.Tokens}
+// convert returns the converted elements of a list.
+func convert[A, B any](in []A, f func(A) B) []B {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make([]B, len(in))
+	for i, a := range in {
+		out[i] = f(a)
+	}
+	return out
 }
 
-func curveFromWire(c *peerv1.Curve) quota.Share {
-	return quota.Share{Rate: c.GetRate(), Capacity: c.GetCapacity(), Tokens: c.GetTokens()}
+// ceilMs rounds up, so that an age never looks smaller than it is.
+func ceilMs(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
 }
 
-func lendToWire(s *peerv1.Sender, r quota.LendRequest) *peerv1.LendRequest {
-	out := &peerv1.LendRequest{Sender: s, Id: r.ID}
-	for _, w := range r.Wants {
-		out.Wants = append(out.Wants, &peerv1.Want{Customer: w.Customer, Want: curveToWire(w.Want), Have: curveToWire(w.Have)})
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+const unknownAgeMs = -1
+
+func digestToWire(d spread.Digest) *peerv1.Digest {
+	age := int64(unknownAgeMs)
+	if d.ListAge != spread.UnknownAge {
+		age = ceilMs(d.ListAge)
 	}
-	return out
+	return &peerv1.Digest{ConfigVersion: d.Version, ConfigDigest: d.Digest, ListRevision: d.ListRevision, ListAgeMs: age}
 }
 
-func lendFromWire(r *peerv1.LendRequest) quota.LendRequest {
-	out := quota.LendRequest{Borrower: r.GetSender().GetVm(), Incarnation: r.GetSender().GetIncarnation(), ID: r.GetId()}
-	for _, w := range r.GetWants() {
-		out.Wants = append(out.Wants, quota.Want{Customer: w.GetCustomer(), Want: curveFromWire(w.GetWant()), Have: curveFromWire(w.GetHave())})
+func digestFromWire(d *peerv1.Digest) spread.Digest {
+	age := spread.UnknownAge
+	if d.GetListAgeMs() >= 0 {
+		age = milliseconds(d.GetListAgeMs())
 	}
-	return out
+	return spread.Digest{Version: d.GetConfigVersion(), Digest: d.GetConfigDigest(), ListRevision: d.GetListRevision(), ListAge: age}
 }
 
-func grantsToWire(grants []quota.Grant) []*peerv1.Grant {
-	var out []*peerv1.Grant
-	for _, g := range grants {
-		out = append(out, &peerv1.Grant{Customer: g.Customer, Share: curveToWire(g.Share), Spare: g.Spare})
-	}
-	return out
+func listToWire(l *membership.List) *peerv1.VMList {
+	return &peerv1.VMList{Revision: l.Revision, Vms: convert(l.VMs, func(v membership.VM) *peerv1.VM {
+		return &peerv1.VM{Id: v.ID, Zone: v.Zone, PeerAddress: v.PeerAddress, Leaving: v.Leaving}
+	})}
 }
 
-func grantsFromWire(grants []*peerv1.Grant) []quota.Grant {
-	var out []quota.Grant
-	for _, g := range grants {
-		out = append(out, quota.Grant{Customer: g.GetCustomer(), Share: curveFromWire(g.GetShare()), Spare: g.GetSpare()})
-	}
-	return out
+func listFromWire(l *peerv1.VMList) *membership.List {
+	return &membership.List{Revision: l.GetRevision(), VMs: convert(l.GetVms(), func(v *peerv1.VM) membership.VM {
+		return membership.VM{ID: v.GetId(), Zone: v.GetZone(), PeerAddress: v.GetPeerAddress(), Leaving: v.GetLeaving()}
+	})}
 }
 
-func lendResponseToWire(r quota.LendResponse) *peerv1.LendResponse {
-	return &peerv1.LendResponse{Id: r.ID, TermMs: r.Term.Milliseconds(), Grants: grantsToWire(r.Grants)}
+func revisionsToWire(in []catalog.FileRevision) []*peerv1.FileRevision {
+	return convert(in, func(r catalog.FileRevision) *peerv1.FileRevision {
+		return &peerv1.FileRevision{Name: r.Name, Revision: r.Revision}
+	})
 }
 
-func lendResponseFromWire(r *peerv1.LendResponse) quota.LendResponse {
-	return quota.LendResponse{
-		ID:     r.GetId(),
-		Term:   time.Duration(r.GetTermMs()) * time.Millisecond,
-		Grants: grantsFromWire(r.GetGrants()),
-	}
+func revisionsFromWire(in []*peerv1.FileRevision) []catalog.FileRevision {
+	return convert(in, func(r *peerv1.FileRevision) catalog.FileRevision {
+		return catalog.FileRevision{Name: r.GetName(), Revision: r.GetRevision()}
+	})
+}
+
+func filesToWire(in []catalog.Published) []*peerv1.File {
+	return convert(in, func(f catalog.Published) *peerv1.File {
+		return &peerv1.File{Name: f.Name, Revision: f.Revision, Content: f.Content, Publisher: f.Publisher}
+	})
+}
+
+func filesFromWire(in []*peerv1.File) []catalog.Published {
+	return convert(in, func(f *peerv1.File) catalog.Published {
+		return catalog.Published{Name: f.GetName(), Revision: f.GetRevision(), Content: f.GetContent(), Publisher: f.GetPublisher()}
+	})
+}
+
+func curveToWire(s lease.Share) *peerv1.Curve {
+	return &peerv1.Curve{Rate: s.Rate, Capacity: s.Capacity, Tokens: s.Tokens}
+}
+
+func curveFromWire(c *peerv1.Curve) lease.Share {
+	return lease.Share{Rate: c.GetRate(), Capacity: c.GetCapacity(), Tokens: c.GetTokens()}
+}
+
+func claimToWire(d lease.Digest) *peerv1.Claim {
+	return &peerv1.Claim{ListRevision: d.Revision, Settled: d.Settled, Draining: d.Draining}
 }
 
-func quotaDigestFromWire(s *peerv1.Sender, d *peerv1.Digest) quota.Digest {
-	return quota.Digest{
+func claimFromWire(s *peerv1.Sender, c *peerv1.Claim) lease.Digest {
+	return lease.Digest{
 		VM:          s.GetVm(),
 		Incarnation: s.GetIncarnation(),
-		Revision:    d.GetListRevision(),
-		Settled:     d.GetSettled(),
-		Draining:    d.GetDraining(),
+		Revision:    c.GetListRevision(),
+		Settled:     c.GetSettled(),
+		Draining:    c.GetDraining(),
 	}
 }
 
-func listToWire(l *membership.List) *peerv1.VMList {
-	out := &peerv1.VMList{Revision: l.Revision}
-	for _, v := range l.VMs {
-		out.Vms = append(out.Vms, &peerv1.VM{Id: v.ID, Zone: v.Zone, PeerAddress: v.PeerAddress, Leaving: v.Leaving})
+func handoverToWire(s *peerv1.Sender, h lease.Handover) *peerv1.HandoverRequest {
+	return &peerv1.HandoverRequest{
+		Sender:      s,
+		Claim:       claimToWire(h.Giver),
+		To:          h.To,
+		ListSettled: h.ListSettled,
+		Slots: convert(h.Slots, func(s lease.SlotHandover) *peerv1.SlotHandover {
+			out := &peerv1.SlotHandover{Slot: int32(s.Slot), Withheld: make(map[string]*peerv1.Curve, len(s.Withheld))}
+			for name, share := range s.Withheld {
+				out.Withheld[name] = curveToWire(share)
+			}
+			return out
+		}),
 	}
-	return out
 }
 
-func listFromWire(l *peerv1.VMList) membership.List {
-	vms := make([]membership.VM, 0, len(l.GetVms()))
-	for _, v := range l.GetVms() {
-		vms = append(vms, membership.VM{ID: v.GetId(), Zone: v.GetZone(), PeerAddress: v.GetPeerAddress(), Leaving: v.GetLeaving()})
+func handoverFromWire(r *peerv1.HandoverRequest) lease.Handover {
+	return lease.Handover{
+		Giver:       claimFromWire(r.GetSender(), r.GetClaim()),
+		To:          r.GetTo(),
+		ListSettled: r.GetListSettled(),
+		Slots: convert(r.GetSlots(), func(s *peerv1.SlotHandover) lease.SlotHandover {
+			out := lease.SlotHandover{Slot: int(s.GetSlot()), Withheld: make(map[string]lease.Share, len(s.GetWithheld()))}
+			for name, curve := range s.GetWithheld() {
+				out.Withheld[name] = curveFromWire(curve)
+			}
+			return out
+		}),
 	}
-	return membership.List{Revision: l.GetRevision(), VMs: vms}
 }
 
-func fileToWire(f catalog.Published) *peerv1.File {
-	return &peerv1.File{Name: f.Name, Revision: f.Revision, Content: f.Content, Publisher: f.Publisher}
+func lendToWire(s *peerv1.Sender, r quota.LendRequest) *peerv1.LendRequest {
+	return &peerv1.LendRequest{Sender: s, Id: r.ID, Wants: convert(r.Wants, func(w lease.Want) *peerv1.Want {
+		return &peerv1.Want{Customer: w.Limit, Want: curveToWire(w.Want), Have: curveToWire(w.Have)}
+	})}
 }
 
-func releaseFromWire(r *peerv1.ReleaseRequest) quota.Release {
-	return quota.Release{
+func lendFromWire(r *peerv1.LendRequest) quota.LendRequest {
+	return quota.LendRequest{
 		Borrower:    r.GetSender().GetVm(),
 		Incarnation: r.GetSender().GetIncarnation(),
 		ID:          r.GetId(),
-		Returned:    grantsFromWire(r.GetReturned()),
+		Wants: convert(r.GetWants(), func(w *peerv1.Want) lease.Want {
+			return lease.Want{Limit: w.GetCustomer(), Want: curveFromWire(w.GetWant()), Have: curveFromWire(w.GetHave())}
+		}),
 	}
 }
 
-func coldToWire(n routing.ColdNotice) *peerv1.ColdNotice {
-	return &peerv1.ColdNotice{Upstream: n.Upstream, Instance: n.Instance, AgeMs: n.Age.Milliseconds()}
+func grantsToWire(in []quota.Grant) []*peerv1.Grant {
+	return convert(in, func(g quota.Grant) *peerv1.Grant {
+		return &peerv1.Grant{Customer: g.Customer, Share: curveToWire(g.Share), Spare: g.Spare}
+	})
+}
+
+func grantsFromWire(in []*peerv1.Grant) []quota.Grant {
+	return convert(in, func(g *peerv1.Grant) quota.Grant {
+		return quota.Grant{Customer: g.GetCustomer(), Share: curveFromWire(g.GetShare()), Spare: g.GetSpare()}
+	})
 }
 
-func coldFromWire(n *peerv1.ColdNotice) routing.ColdNotice {
-	return routing.ColdNotice{Upstream: n.GetUpstream(), Instance: n.GetInstance(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond}
+// lendResponseToWire rounds the term down, so that a borrower never counts a
+// longer one than the lender.
+func lendResponseToWire(r quota.LendResponse) *peerv1.LendResponse {
+	return &peerv1.LendResponse{Id: r.ID, TermMs: r.Term.Milliseconds(), Grants: grantsToWire(r.Grants)}
 }
 
-// rampToWire rounds the age up, so that evidence never looks newer than it is.
-func rampToWire(n routing.RampNotice) *peerv1.RampNotice {
-	age := (n.Age + time.Millisecond - 1).Milliseconds()
-	return &peerv1.RampNotice{Upstream: n.Upstream, Instance: n.Instance, Stage: int32(n.Stage), AgeMs: age}
+func lendResponseFromWire(r *peerv1.LendResponse) quota.LendResponse {
+	return quota.LendResponse{ID: r.GetId(), Term: milliseconds(r.GetTermMs()), Grants: grantsFromWire(r.GetGrants())}
 }
 
-func rampFromWire(n *peerv1.RampNotice) routing.RampNotice {
-	return routing.RampNotice{
-		Upstream: n.GetUpstream(),
-		Instance: n.GetInstance(),
-		Stage:    int(n.GetStage()),
-		Age:      time.Duration(n.GetAgeMs()) * time.Millisecond,
+func releaseFromWire(r *peerv1.ReleaseRequest) quota.Release {
+	return quota.Release{
+		Borrower:    r.GetSender().GetVm(),
+		Incarnation: r.GetSender().GetIncarnation(),
+		ID:          r.GetId(),
+		Returned:    grantsFromWire(r.GetReturned()),
 	}
 }
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -1,22 +1,26 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/lease"
 	"ryecourse.example/ryecourse/internal/core/quota"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 )
 
-// carryOut runs the actions of the quota manager. Peer calls run on the call
-// pool and post their results back.
-func (c *Control) carryOut(actions []quota.Action) {
+// quotaActions carries out what the quota manager decided. Peer calls run on
+// the call pool and post their results back.
+func (c *Control) quotaActions(actions []quota.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case quota.SendLend:
 			c.sendLend(a)
 		case quota.SendRelease:
 			c.sendRelease(a)
+		case quota.SendHandover:
+			c.sendHandover(a)
 		case quota.Probe:
 			c.probe(a)
 		case quota.Audit:
@@ -34,7 +38,7 @@
 				c.deps.Quota.OnLendFailed(now, a.To.ID, a.Request.ID)
 				return
 			}
-			c.carryOut(c.deps.Quota.OnGranted(now, a.To.ID, lendResponseFromWire(resp)))
+			c.quotaActions(c.deps.Quota.OnGranted(now, a.To.ID, lendResponseFromWire(resp)))
 		})
 	})
 }
@@ -48,19 +52,24 @@
 	})
 }
 
+func (c *Control) sendHandover(a quota.SendHandover) {
+	req := handoverToWire(c.sender(), a.Handover)
+	c.calls.Go(func() {
+		if err := c.deps.Peers.Handover(a.To.PeerAddress, req); err != nil {
+			c.deps.Log.Debug().Err(err).Str("peer", a.To.ID).Msg("handover lost")
+		}
+	})
+}
+
 func (c *Control) probe(a quota.Probe) {
-	req := &peerv1.ExchangeRequest{Sender: c.sender(), Digest: c.digest(time.Now())}
+	req := &peerv1.ProbeRequest{Sender: c.sender(), Claim: claimToWire(c.deps.Quota.Digest())}
 	c.calls.Go(func() {
-		resp, err := c.deps.Peers.Exchange(a.To.PeerAddress, req)
+		resp, err := c.deps.Peers.Probe(a.To.PeerAddress, req)
 		if err != nil {
 			return
 		}
 		c.loop.Post(func(now time.Time) {
-			if resp.GetList() != nil {
-				age := time.Duration(resp.GetDigest().GetListAgeMs()) * time.Millisecond
-				c.onList(now, listFromWire(resp.GetList()), a.AskedAt.Add(-age))
-			}
-			c.carryOut(c.deps.Quota.OnDigest(now, a.AskedAt, quotaDigestFromWire(resp.GetSender(), resp.GetDigest())))
+			c.quotaActions(c.deps.Quota.OnDigest(now, a.AskedAt, claimFromWire(resp.GetSender(), resp.GetClaim())))
 		})
 	})
 }
@@ -72,3 +81,19 @@
 	}
 	c.deps.Trail.Add(audit.Entry{Time: a.At, Kind: string(a.Event), Subject: subject, Cause: quotaCause(a)})
 }
+
+// quotaCause describes a change of shares for the audit trail.
+func quotaCause(a quota.Audit) string {
+	switch {
+	case a.Peer != "":
+		return fmt.Sprintf("with %s: %s", a.Peer, curveText(a.Share))
+	case a.Slot >= 0:
+		return fmt.Sprintf("slot %d of the zone", a.Slot)
+	}
+	return curveText(a.Share)
+}
+
+func curveText(s lease.Share) string {
+	const micro = 1e6
+	return fmt.Sprintf("rate %.3f requests/s, capacity %.3f requests", float64(s.Rate)/micro, float64(s.Capacity)/micro)
+}
--- /dev/null
+++ b/internal/control/ramps.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+)
+
+// maxNotified bounds the daemons that hear a notice: the whole fleet while it
+// is small, and some of the zone's daemons beyond that.
+const maxNotified = 32
+
+// routerActions carries out what the router decided. All notices of one tick go
+// out in one message to each peer.
+func (c *Control) routerActions(actions []routing.Action) {
+	req := &peerv1.NotifyRequest{}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case routing.ColdNotice:
+			req.Cold = append(req.Cold, coldToWire(a))
+		case routing.RampNotice:
+			req.Ramps = append(req.Ramps, rampToWire(a))
+		case routing.RampQuery:
+			c.askRamps(a)
+		case routing.Audit:
+			c.deps.Trail.Add(audit.Entry{
+				Time: a.At, Kind: "upstream_" + string(a.Change), Subject: a.Subject, Cause: string(a.Cause),
+			})
+		}
+	}
+	if len(req.Cold)+len(req.Ramps) > 0 {
+		c.notify(req)
+	}
+}
+
+// notify sends the notices to daemons that share upstreams with this one. A
+// notice that is lost is made up for by the questions of the others.
+func (c *Control) notify(req *peerv1.NotifyRequest) {
+	req.Sender = c.sender()
+	for _, vm := range c.notified() {
+		c.calls.Go(func() {
+			if err := c.deps.Peers.Notify(vm.PeerAddress, req); err != nil {
+				c.deps.Log.Debug().Err(err).Str("peer", vm.ID).Msg("notice lost")
+			}
+		})
+	}
+}
+
+func (c *Control) notified() []membership.VM {
+	list := c.deps.Spread.List()
+	if list == nil {
+		return nil
+	}
+	others := membership.Without(list.VMs, c.deps.Self.VM.ID)
+	if len(others) <= maxNotified {
+		return others
+	}
+	zone := membership.InZone(others, c.deps.Self.VM.Zone)
+	return membership.RendezvousN("notices/"+c.deps.Self.VM.ID, zone, maxNotified)
+}
+
+func (c *Control) askRamps(a routing.RampQuery) {
+	list := c.deps.Spread.List()
+	if list == nil {
+		return
+	}
+	i := slices.IndexFunc(list.VMs, func(vm membership.VM) bool { return vm.ID == a.To })
+	if i < 0 {
+		return
+	}
+	addr := list.VMs[i].PeerAddress
+	req := &peerv1.AskRampsRequest{Sender: c.sender(), Questions: questionsToWire(a.Questions)}
+	c.calls.Go(func() {
+		resp, err := c.deps.Peers.AskRamps(addr, req)
+		if err != nil {
+			return
+		}
+		c.loop.Post(func(now time.Time) {
+			c.deps.Router.OnRampAnswers(now, a.At, answersFromWire(resp.GetAnswers()))
+		})
+	})
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -7,7 +7,7 @@
 
 	"connectrpc.com/connect"
 
-	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/catalog"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 )
 
@@ -21,8 +21,8 @@
 func (c *Control) Peers() *Peers { return &Peers{control: c} }
 
 // on runs f on the control goroutine.
-func (p *Peers) on(f func(now time.Time)) error {
-	if !p.control.loop.Call(f) {
+func (p *Peers) on(f func(now time.Time, c *Control)) error {
+	if !p.control.loop.Call(func(now time.Time) { f(now, p.control) }) {
 		return connect.NewError(connect.CodeUnavailable, errStopping)
 	}
 	return nil
@@ -31,11 +31,13 @@
 // Exchange implements peerv1connect.PeerServiceHandler.
 func (p *Peers) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 	out := &peerv1.ExchangeResponse{}
-	err := p.on(func(now time.Time) {
-		c := p.control
-		out.Sender, out.Digest = c.sender(), c.digest(now)
-		if list := c.tracker.List(); list != nil && list.Revision > req.GetDigest().GetListRevision() {
-			out.List = listToWire(list)
+	err := p.on(func(now time.Time, c *Control) {
+		s := c.deps.Spread
+		c.spreadActions(s.OnPeerDigest(now, req.GetSender().GetVm(), digestFromWire(req.GetDigest())))
+		answer := s.Digest(now)
+		out.Sender, out.Digest = c.sender(), digestToWire(answer)
+		if answer.ListRevision > req.GetDigest().GetListRevision() {
+			out.List = listToWire(s.List())
 		}
 	})
 	return out, err
@@ -43,33 +45,42 @@
 
 // FetchFiles implements peerv1connect.PeerServiceHandler.
 func (p *Peers) FetchFiles(_ context.Context, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
-	have := make(map[string]uint64, len(req.GetHave()))
-	for _, h := range req.GetHave() {
-		have[h.GetName()] = h.GetRevision()
+	var set *catalog.FileSet
+	if err := p.on(func(_ time.Time, c *Control) { set = c.deps.Spread.Files() }); err != nil {
+		return nil, err
 	}
-	out := &peerv1.FetchFilesResponse{}
-	err := p.on(func(time.Time) {
-		c := p.control
-		if c.current == nil {
-			return
-		}
-		out.ConfigVersion = c.current.Version
-		for _, f := range c.files {
-			out.All = append(out.All, &peerv1.FileRevision{Name: f.Name, Revision: f.Revision})
-			if have[f.Name] != f.Revision {
-				out.Files = append(out.Files, fileToWire(f))
-			}
-		}
+	return &peerv1.FetchFilesResponse{
+		ConfigVersion: set.Version,
+		All:           revisionsToWire(set.All),
+		Files:         filesToWire(set.Lacking(revisionsFromWire(req.GetHave()))),
+	}, nil
+}
+
+// Probe implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Probe(_ context.Context, req *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	out := &peerv1.ProbeResponse{}
+	err := p.on(func(now time.Time, c *Control) {
+		claim, actions := c.deps.Quota.OnProbe(now, claimFromWire(req.GetSender(), req.GetClaim()))
+		c.quotaActions(actions)
+		out.Sender, out.Claim = c.sender(), claimToWire(claim)
 	})
 	return out, err
 }
 
+// Handover implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Handover(_ context.Context, req *peerv1.HandoverRequest) (*peerv1.HandoverResponse, error) {
+	err := p.on(func(now time.Time, c *Control) {
+		c.quotaActions(c.deps.Quota.OnHandover(now, handoverFromWire(req)))
+	})
+	return &peerv1.HandoverResponse{}, err
+}
+
 // Lend implements peerv1connect.PeerServiceHandler.
 func (p *Peers) Lend(_ context.Context, req *peerv1.LendRequest) (*peerv1.LendResponse, error) {
 	var out *peerv1.LendResponse
-	err := p.on(func(now time.Time) {
-		resp, actions := p.control.deps.Quota.OnLend(now, lendFromWire(req))
-		p.control.carryOut(actions)
+	err := p.on(func(now time.Time, c *Control) {
+		resp, actions := c.deps.Quota.OnLend(now, lendFromWire(req))
+		c.quotaActions(actions)
 		out = lendResponseToWire(resp)
 	})
 	return out, err
@@ -77,26 +88,30 @@
 
 // Release implements peerv1connect.PeerServiceHandler.
 func (p *Peers) Release(_ context.Context, req *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
-	err := p.on(func(now time.Time) {
-		p.control.carryOut(p.control.deps.Quota.OnRelease(now, releaseFromWire(req)))
+	err := p.on(func(now time.Time, c *Control) {
+		c.quotaActions(c.deps.Quota.OnRelease(now, releaseFromWire(req)))
 	})
 	return &peerv1.ReleaseResponse{}, err
 }
 
 // Notify implements peerv1connect.PeerServiceHandler.
 func (p *Peers) Notify(_ context.Context, req *peerv1.NotifyRequest) (*peerv1.NotifyResponse, error) {
-	out := &peerv1.NotifyResponse{}
-	err := p.on(func(now time.Time) {
-		r := p.control.deps.Router
+	err := p.on(func(now time.Time, c *Control) {
 		for _, n := range req.GetCold() {
-			r.OnColdNotice(now, coldFromWire(n))
+			c.deps.Router.OnColdNotice(now, coldFromWire(n))
 		}
 		for _, n := range req.GetRamps() {
-			r.OnRampNotice(now, rampFromWire(n))
-		}
-		for _, n := range r.OnRampQuery(now, routing.RampQuery{Upstreams: req.GetAsked()}) {
-			out.Ramps = append(out.Ramps, rampToWire(n))
+			c.deps.Router.OnRampNotice(now, rampFromWire(n))
 		}
 	})
+	return &peerv1.NotifyResponse{}, err
+}
+
+// AskRamps implements peerv1connect.PeerServiceHandler.
+func (p *Peers) AskRamps(_ context.Context, req *peerv1.AskRampsRequest) (*peerv1.AskRampsResponse, error) {
+	out := &peerv1.AskRampsResponse{}
+	err := p.on(func(now time.Time, c *Control) {
+		out.Answers = answersToWire(c.deps.Router.OnRampQuery(now, questionsFromWire(req.GetQuestions())))
+	})
 	return out, err
 }
--- /dev/null
+++ b/internal/control/spread.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/spread"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+	"ryecourse.example/ryecourse/internal/platform"
+)
+
+// spreadActions carries out what the spread state machine decided. Reads and
+// calls run on their pools and post their results back.
+func (c *Control) spreadActions(actions []spread.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case spread.WatchConfig:
+			c.watchConfig(a)
+		case spread.WatchList:
+			c.watchList(a)
+		case spread.FetchFile:
+			c.fetchFile(a)
+		case spread.Exchange:
+			c.exchange(a)
+		case spread.PullFiles:
+			c.pullFiles(a)
+		default:
+			c.spreadChange(time.Now(), a)
+		}
+	}
+}
+
+// spreadChange takes a change of what is in force.
+func (c *Control) spreadChange(now time.Time, a spread.Action) {
+	switch a := a.(type) {
+	case spread.Accept:
+		c.auditDecision(now, a.Decision)
+		c.quotaActions(c.deps.Quota.OnCatalog(now, a.Decision.Catalog))
+		c.publish(now)
+	case spread.Ignore:
+		c.auditDecision(now, a.Decision)
+	case spread.AdoptList:
+		c.auditList(now, a.List)
+		c.quotaActions(c.deps.Quota.OnList(now, a.List, now))
+		c.publish(now)
+	case spread.Ready:
+		c.serving = true
+		c.State.confirm(now)
+		c.auditSelf(now, "ready", fmt.Sprintf("confirmed by peers or platform: %t", a.Confirmed))
+	case spread.NotReady:
+		c.serving = false
+		c.State.distrust()
+		c.auditSelf(now, "not_ready", "paused for "+a.Gap.String())
+	}
+}
+
+// read runs f on the pool of platform reads and its result on the loop.
+func (c *Control) read(f func() func(now time.Time) []spread.Action) {
+	c.reads.Go(func() {
+		report := f()
+		c.loop.Post(func(now time.Time) { c.spreadActions(report(now)) })
+	})
+}
+
+// since returns the revision for a watch; zero asks for the state at once.
+func since(revision uint64) int64 {
+	if revision == 0 {
+		return -1
+	}
+	return int64(revision)
+}
+
+func (c *Control) watchConfig(a spread.WatchConfig) {
+	c.read(func() func(time.Time) []spread.Action {
+		index, err := c.deps.Platform.Index(since(a.Since), a.Wait)
+		s := c.deps.Spread
+		switch {
+		case errors.Is(err, platform.ErrNotModified):
+			return func(now time.Time) []spread.Action { return s.OnFolderUnchanged(now, a.Seq) }
+		case err != nil:
+			return func(now time.Time) []spread.Action { return s.OnServiceError(now, a.Seq) }
+		}
+		all := make([]catalog.FileRevision, 0, len(index.Files))
+		for _, f := range index.Files {
+			all = append(all, catalog.FileRevision{Name: f.Name, Revision: f.Revision})
+		}
+		return func(now time.Time) []spread.Action { return s.OnFolder(now, a.Seq, index.Revision, all) }
+	})
+}
+
+func (c *Control) watchList(a spread.WatchList) {
+	c.read(func() func(time.Time) []spread.Action {
+		list, err := c.deps.Platform.VMs(since(a.Since), a.Wait)
+		s := c.deps.Spread
+		switch {
+		case errors.Is(err, platform.ErrNotModified):
+			return func(now time.Time) []spread.Action { return s.OnListUnchanged(now, a.Seq) }
+		case err != nil:
+			return func(now time.Time) []spread.Action { return s.OnServiceError(now, a.Seq) }
+		}
+		return func(now time.Time) []spread.Action { return s.OnList(now, a.Seq, &list) }
+	})
+}
+
+func (c *Control) fetchFile(a spread.FetchFile) {
+	c.read(func() func(time.Time) []spread.Action {
+		file, err := c.deps.Platform.File(a.Name)
+		s := c.deps.Spread
+		if err != nil {
+			gone := errors.Is(err, platform.ErrDeleted)
+			return func(now time.Time) []spread.Action { return s.OnFileError(now, a.Name, gone) }
+		}
+		return func(now time.Time) []spread.Action { return s.OnFile(now, file) }
+	})
+}
+
+func (c *Control) exchange(a spread.Exchange) {
+	req := &peerv1.ExchangeRequest{Sender: c.sender(), Digest: digestToWire(a.Digest)}
+	c.calls.Go(func() {
+		resp, err := c.deps.Peers.Exchange(a.Peer.PeerAddress, req)
+		c.loop.Post(func(now time.Time) {
+			s := c.deps.Spread
+			if err != nil {
+				c.spreadActions(s.OnPeerError(now, a.Seq, a.Peer.ID))
+				return
+			}
+			var list *membership.List
+			if resp.GetList() != nil {
+				list = listFromWire(resp.GetList())
+			}
+			c.spreadActions(s.OnPeerAnswer(now, a.Seq, a.Peer.ID, digestFromWire(resp.GetDigest()), list))
+		})
+	})
+}
+
+func (c *Control) pullFiles(a spread.PullFiles) {
+	req := &peerv1.FetchFilesRequest{Sender: c.sender(), Have: revisionsToWire(a.Have)}
+	c.calls.Go(func() {
+		resp, err := c.deps.Peers.FetchFiles(a.Peer.PeerAddress, req)
+		c.loop.Post(func(now time.Time) {
+			s := c.deps.Spread
+			if err != nil {
+				c.spreadActions(s.OnPullError(now, a.Peer.ID))
+				return
+			}
+			all, files := revisionsFromWire(resp.GetAll()), filesFromWire(resp.GetFiles())
+			c.spreadActions(s.OnFiles(now, a.Peer.ID, resp.GetConfigVersion(), all, files))
+		})
+	})
+}
+
+func (c *Control) auditSelf(now time.Time, kind, cause string) {
+	c.deps.Trail.Add(audit.Entry{Time: now, Kind: kind, Subject: c.deps.Self.VM.ID, Cause: cause})
+}
+
+func (c *Control) auditList(now time.Time, list *membership.List) {
+	c.deps.Trail.Add(audit.Entry{
+		Time: now, Kind: "vm_list", Subject: c.deps.Self.Fleet, Version: list.Revision,
+		Cause: fmt.Sprintf("a newer list of %d VMs", len(list.VMs)),
+	})
+}
+
+// auditDecision records what was accepted or rejected, name by name.
+func (c *Control) auditDecision(now time.Time, d catalog.Decision) {
+	e := audit.Entry{
+		Time: now, Kind: "config_" + d.Outcome.String(), Subject: "folder", Version: d.Version,
+		Cause: "offered by " + d.Source.String(), Publisher: c.publishers(d.Files),
+	}
+	for _, ch := range d.Changes {
+		e.Details = append(e.Details, ch.String())
+	}
+	c.deps.Trail.Add(e)
+	for _, p := range d.Problems {
+		c.deps.Trail.Add(audit.Entry{
+			Time: now, Kind: "config_rejected", Subject: p.File, Version: d.Version, Cause: p.Error(),
+			Publisher: c.publisher(p.File),
+		})
+	}
+}
+
+// publishers names who published the changed files, where known.
+func (c *Control) publishers(changes []catalog.FileChange) string {
+	var out string
+	for _, ch := range changes {
+		if p := c.publisher(ch.Name); p != "" && out != p {
+			out = joinNames(out, p)
+		}
+	}
+	return out
+}
+
+func (c *Control) publisher(file string) string {
+	for _, f := range c.deps.Spread.Files().Contents {
+		if f.Name == file {
+			return f.Publisher
+		}
+	}
+	return ""
+}
+
+func joinNames(a, b string) string {
+	if a == "" {
+		return b
+	}
+	return a + ", " + b
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -47,4 +47,7 @@
 	return at != nil && membership.Elapsed(*at, now) <= maxViewAge
 }
 
+// distrust makes the view too old to act on until the next confirm.
+func (s *State) distrust() { s.confirmed.Store(nil) }
+
 func (s *State) confirm(now time.Time) { s.confirmed.Store(&now) }
--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -27,8 +27,6 @@
 	need Share
 	// exhausted holds until when a lender isn't asked, on the monotonic clock.
 	exhausted map[string]time.Duration
-	// active tells whether the last tick saw demand or loans.
-	active bool
 }
 
 // size works out the need from the demand. The capacity grows faster than the
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -19,6 +18,7 @@
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
 	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/spread"
 	"ryecourse.example/ryecourse/internal/operator"
 	"ryecourse.example/ryecourse/internal/peer"
 	"ryecourse.example/ryecourse/internal/platform"
@@ -46,6 +46,7 @@
 	pool     *upstream.Pool
 	quota    *quota.Manager
 	router   *routing.Router
+	spread   *spread.Spread
 	control  *control.Control
 	planner  *planner
 	callers  *caller.Server
@@ -93,12 +94,14 @@
 	}
 	identity := peer.Identity{Fleet: s.Fleet, Secret: s.FleetSecret}
 	d.quota = quota.New(quota.Params{Self: self.VM, Incarnation: self.Incarnation, Started: time.Now()})
-	d.router = routing.New(self.VM, rand.New(rand.NewPCG(randomUint64(), randomUint64())), routing.Config{})
+	d.spread = spread.New(spread.Settings{Self: self.VM, Seeds: seeds(s.Seeds)}, newRand())
+	d.router = routing.New(self.VM, newRand(), routing.Config{})
 	d.planner = newPlanner(s.Policy, d.pool, d.router)
 	d.control = control.New(control.Deps{
 		Self:     self,
 		Platform: d.platform,
 		Peers:    peer.NewClient(identity),
+		Spread:   d.spread,
 		Quota:    d.quota,
 		Trail:    d.trail,
 		Log:      d.log,
@@ -108,7 +111,7 @@
 	d.callers = caller.New(caller.Deps{
 		Config:  &d.control.State,
 		Limiter: limiter{d.quota},
-		Sharer:  noSharer{},
+		Sharer:  newSharer(&d.control.State),
 		Planner: d.planner,
 		Pool:    d.pool,
 		Metrics: d.metrics,
@@ -162,6 +165,8 @@
 		time.Sleep(drainPoll)
 	}
 	err := d.callers.Shutdown()
+	d.control.Call(d.control.Close)
+	d.control.Flush()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(lameDuck))
 	defer cancel()
 	err = errors.Join(err, d.peers.Shutdown(ctx), d.operator.Shutdown())
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -137,6 +137,7 @@
 		Picker:  p.picker,
 		Budgets: scatter.NewBudgets(),
 		Latency: scatter.NewLatency(shards),
+		Recent:  &scatter.Recent{},
 		Policy:  policy,
 	}
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -3,28 +3,34 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	mathrand "math/rand/v2"
 	"time"
 
-	"ryecourse.example/ryecourse/internal/core/quota"
-	"ryecourse.example/ryecourse/internal/core/verdict"
-
 	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/spread"
 )
 
 // Status is the document that `ryecourse status` shows.
 type Status struct {
-	VM            string       `json:"vm"`
-	Zone          string       `json:"zone"`
-	Ready         bool         `json:"ready"`
-	ReadyReason   string       `json:"ready_reason"`
-	ConfigVersion uint64       `json:"config_version"`
-	ConfigDigest  string       `json:"config_digest"`
-	ListRevision  uint64       `json:"list_revision"`
-	ListAgeMs     int64        `json:"list_age_ms"`
-	VMs           int          `json:"vms"`
-	PlatformReads uint64       `json:"platform_reads"`
-	Running       int64        `json:"running"`
-	Quota         quota.Status `json:"quota"`
+	VM            string         `json:"vm"`
+	Zone          string         `json:"zone"`
+	Ready         bool           `json:"ready"`
+	ReadyReason   string         `json:"ready_reason"`
+	ConfigVersion uint64         `json:"config_version"`
+	ConfigDigest  string         `json:"config_digest"`
+	ListRevision  uint64         `json:"list_revision"`
+	ListAgeMs     int64          `json:"list_age_ms"` // negative: unknown
+	VMs           int            `json:"vms"`
+	PlatformReads uint64         `json:"platform_reads"`
+	Running       int64          `json:"running"`
+	Reader        bool           `json:"reader"` // reads the platform for its zone
+	Spread        spread.Counts  `json:"spread"`
+	Decisions     catalog.Counts `json:"decisions"`
+	Quota         quota.Status   `json:"quota"`
+	Routing       routing.Status `json:"routing"`
 }
 
 // Ready implements operator.Source.
@@ -54,11 +60,17 @@
 	st.Ready, st.ReadyReason = d.Ready()
 	if v := d.control.State.View(); v != nil {
 		st.ConfigVersion, st.ConfigDigest = v.Catalog.Version, v.Catalog.Digest
-		st.VMs = len(v.List.VMs)
+		st.ListRevision, st.VMs = v.List.Revision, len(v.List.VMs)
 	}
 	d.control.Call(func(now time.Time) {
-		rev, age := d.control.ListAge(now)
-		st.ListRevision, st.ListAgeMs = rev, age.Milliseconds()
+		st.ListAgeMs = -1
+		if age, ok := d.spread.ListAge(now); ok {
+			st.ListAgeMs = age.Milliseconds()
+		}
+		st.Reader = d.spread.Reader()
+		st.Spread = d.spread.Counts()
+		st.Decisions = d.spread.Decisions()
+		st.Routing = d.router.Status(now)
 		st.Quota = d.quota.Status(now)
 	})
 	return st
@@ -84,12 +96,17 @@
 	return d.OK, d.RetryAfter
 }
 
-// noSharer lets every request in.
-type noSharer struct{}
+// seeds are peers that are known by their address alone.
+func seeds(addresses []string) []membership.VM {
+	var out []membership.VM
+	for _, a := range addresses {
+		out = append(out, membership.VM{PeerAddress: a})
+	}
+	return out
+}
 
-// Enter implements caller.Sharer.
-func (noSharer) Enter(*catalog.Service, *catalog.Customer, time.Time) (func(bool), *verdict.Refusal) {
-	return func(bool) {}, nil
+func newRand() *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(randomUint64(), randomUint64()))
 }
 
 func randomUint64() uint64 {
--- a/internal/gen/peer/v1/peerv1connect/peer.connect.go
+++ b/internal/gen/peer/v1/peerv1connect/peer.connect.go
@@ -42,6 +42,12 @@
 	PeerServiceLendProcedure = "/peer.v1.PeerService/Lend"
 	// PeerServiceReleaseProcedure is the fully-qualified name of the PeerService's Release RPC.
 	PeerServiceReleaseProcedure = "/peer.v1.PeerService/Release"
+	// PeerServiceProbeProcedure is the fully-qualified name of the PeerService's Probe RPC.
+	PeerServiceProbeProcedure = "/peer.v1.PeerService/Probe"
+	// PeerServiceHandoverProcedure is the fully-qualified name of the PeerService's Handover RPC.
+	PeerServiceHandoverProcedure = "/peer.v1.PeerService/Handover"
+	// PeerServiceAskRampsProcedure is the fully-qualified name of the PeerService's AskRamps RPC.
+	PeerServiceAskRampsProcedure = "/peer.v1.PeerService/AskRamps"
 	// PeerServiceNotifyProcedure is the fully-qualified name of the PeerService's Notify RPC.
 	PeerServiceNotifyProcedure = "/peer.v1.PeerService/Notify"
 )
@@ -56,7 +62,13 @@
 	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
 	// Release gives shares back, or hands them over when a daemon leaves.
 	Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error)
-	// Notify tells what the sender saw of upstreams, and asks for the same.
+	// Probe asks for the peer's claim. The answer counts from when it was asked.
+	Probe(context.Context, *v1.ProbeRequest) (*v1.ProbeResponse, error)
+	// Handover passes slots on to their next holder.
+	Handover(context.Context, *v1.HandoverRequest) (*v1.HandoverResponse, error)
+	// AskRamps asks about upstreams that are not warm at the sender.
+	AskRamps(context.Context, *v1.AskRampsRequest) (*v1.AskRampsResponse, error)
+	// Notify tells what the sender saw of upstreams.
 	Notify(context.Context, *v1.NotifyRequest) (*v1.NotifyResponse, error)
 }
 
@@ -95,6 +107,24 @@
 			connect.WithSchema(peerServiceMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		probe: connect.NewClient[v1.ProbeRequest, v1.ProbeResponse](
+			httpClient,
+			baseURL+PeerServiceProbeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Probe")),
+			connect.WithClientOptions(opts...),
+		),
+		handover: connect.NewClient[v1.HandoverRequest, v1.HandoverResponse](
+			httpClient,
+			baseURL+PeerServiceHandoverProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Handover")),
+			connect.WithClientOptions(opts...),
+		),
+		askRamps: connect.NewClient[v1.AskRampsRequest, v1.AskRampsResponse](
+			httpClient,
+			baseURL+PeerServiceAskRampsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("AskRamps")),
+			connect.WithClientOptions(opts...),
+		),
 		notify: connect.NewClient[v1.NotifyRequest, v1.NotifyResponse](
 			httpClient,
 			baseURL+PeerServiceNotifyProcedure,
@@ -110,6 +140,9 @@
 	fetchFiles *connect.Client[v1.FetchFilesRequest, v1.FetchFilesResponse]
 	lend       *connect.Client[v1.LendRequest, v1.LendResponse]
 	release    *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	probe      *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
+	handover   *connect.Client[v1.HandoverRequest, v1.HandoverResponse]
+	askRamps   *connect.Client[v1.AskRampsRequest, v1.AskRampsResponse]
 	notify     *connect.Client[v1.NotifyRequest, v1.NotifyResponse]
 }
 
@@ -149,6 +182,33 @@
 	return nil, err
 }
 
+// Probe calls peer.v1.PeerService.Probe.
+func (c *peerServiceClient) Probe(ctx context.Context, req *v1.ProbeRequest) (*v1.ProbeResponse, error) {
+	response, err := c.probe.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Handover calls peer.v1.PeerService.Handover.
+func (c *peerServiceClient) Handover(ctx context.Context, req *v1.HandoverRequest) (*v1.HandoverResponse, error) {
+	response, err := c.handover.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// AskRamps calls peer.v1.PeerService.AskRamps.
+func (c *peerServiceClient) AskRamps(ctx context.Context, req *v1.AskRampsRequest) (*v1.AskRampsResponse, error) {
+	response, err := c.askRamps.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Notify calls peer.v1.PeerService.Notify.
 func (c *peerServiceClient) Notify(ctx context.Context, req *v1.NotifyRequest) (*v1.NotifyResponse, error) {
 	response, err := c.notify.CallUnary(ctx, connect.NewRequest(req))
@@ -168,7 +228,13 @@
 	Lend(context.Context, *v1.LendRequest) (*v1.LendResponse, error)
 	// Release gives shares back, or hands them over when a daemon leaves.
 	Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error)
-	// Notify tells what the sender saw of upstreams, and asks for the same.
+	// Probe asks for the peer's claim. The answer counts from when it was asked.
+	Probe(context.Context, *v1.ProbeRequest) (*v1.ProbeResponse, error)
+	// Handover passes slots on to their next holder.
+	Handover(context.Context, *v1.HandoverRequest) (*v1.HandoverResponse, error)
+	// AskRamps asks about upstreams that are not warm at the sender.
+	AskRamps(context.Context, *v1.AskRampsRequest) (*v1.AskRampsResponse, error)
+	// Notify tells what the sender saw of upstreams.
 	Notify(context.Context, *v1.NotifyRequest) (*v1.NotifyResponse, error)
 }
 
@@ -203,6 +269,24 @@
 		connect.WithSchema(peerServiceMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceProbeHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceProbeProcedure,
+		svc.Probe,
+		connect.WithSchema(peerServiceMethods.ByName("Probe")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceHandoverHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceHandoverProcedure,
+		svc.Handover,
+		connect.WithSchema(peerServiceMethods.ByName("Handover")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceAskRampsHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceAskRampsProcedure,
+		svc.AskRamps,
+		connect.WithSchema(peerServiceMethods.ByName("AskRamps")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceNotifyHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceNotifyProcedure,
 		svc.Notify,
@@ -219,6 +303,12 @@
 			peerServiceLendHandler.ServeHTTP(w, r)
 		case PeerServiceReleaseProcedure:
 			peerServiceReleaseHandler.ServeHTTP(w, r)
+		case PeerServiceProbeProcedure:
+			peerServiceProbeHandler.ServeHTTP(w, r)
+		case PeerServiceHandoverProcedure:
+			peerServiceHandoverHandler.ServeHTTP(w, r)
+		case PeerServiceAskRampsProcedure:
+			peerServiceAskRampsHandler.ServeHTTP(w, r)
 		case PeerServiceNotifyProcedure:
 			peerServiceNotifyHandler.ServeHTTP(w, r)
 		default:
@@ -246,6 +336,18 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Release is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Probe(context.Context, *v1.ProbeRequest) (*v1.ProbeResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Probe is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Handover(context.Context, *v1.HandoverRequest) (*v1.HandoverResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Handover is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) AskRamps(context.Context, *v1.AskRampsRequest) (*v1.AskRampsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.AskRamps is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Notify(context.Context, *v1.NotifyRequest) (*v1.NotifyResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Notify is not implemented"))
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -150,7 +150,24 @@
 	return err
 }
 
+// Probe asks the daemon at addr for its claim.
+func (c *Client) Probe(addr string, req *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	return c.peer(addr).Probe(context.Background(), req)
+}
+
+// Handover passes slots on to the daemon at addr.
+func (c *Client) Handover(addr string, req *peerv1.HandoverRequest) error {
+	_, err := c.peer(addr).Handover(context.Background(), req)
+	return err
+}
+
 // Notify tells the daemon at addr what was seen of upstreams.
-func (c *Client) Notify(addr string, req *peerv1.NotifyRequest) (*peerv1.NotifyResponse, error) {
-	return c.peer(addr).Notify(context.Background(), req)
+func (c *Client) Notify(addr string, req *peerv1.NotifyRequest) error {
+	_, err := c.peer(addr).Notify(context.Background(), req)
+	return err
+}
+
+// AskRamps asks the daemon at addr about upstreams.
+func (c *Client) AskRamps(addr string, req *peerv1.AskRampsRequest) (*peerv1.AskRampsResponse, error) {
+	return c.peer(addr).AskRamps(context.Background(), req)
 }
--- a/internal/scattermodel/model.go
+++ b/internal/scattermodel/model.go
@@ -76,7 +76,6 @@
 	startedAt time.Time
 	timerAt   time.Time
 	calls     map[int]*call
-	finished  bool
 }
 
 func run(seed uint64, s scenario, p policy, rate float64, length time.Duration) *result {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,8 @@
 	OperatorListen string `json:"operator_listen" validate:"required,hostname_port"`
 	// Platform lists the replicas of the platform's service as base URLs.
 	Platform []string `json:"platform" validate:"required,min=1,max=8,dive,http_url"`
+	// Seeds are peers' host:port that a new daemon asks before it has a VM list.
+	Seeds []string `json:"seeds" validate:"max=32,dive,hostname_port"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
 	// Limits bound what callers can make the process hold.
