--- a/internal/core/routing/status.go
+++ b/internal/core/routing/status.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // ConnTarget says how many connections this VM may hold to an upstream.
 type ConnTarget struct {
@@ -22,11 +19,10 @@
 	if t == nil {
 		return nil
 	}
-	out := make([]ConnTarget, 0, len(t.upstreams))
-	for _, u := range t.upstreams {
+	out := make([]ConnTarget, 0, len(t.ordered))
+	for _, u := range t.ordered {
 		out = append(out, u.connTarget())
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Upstream < out[j].Upstream })
 	return out
 }
 
@@ -38,7 +34,8 @@
 		return target
 	}
 	target.Max = u.ownConnections()
-	target.Warm = int(u.limit.Load())
+	_, limit := u.gate.load()
+	target.Warm = min(int(limit), max(u.spare/spareUnit, 1)+1)
 	return target
 }
 
@@ -67,9 +64,17 @@
 	Running   int
 	// Limit is the number of requests that this VM may run now.
 	Limit int
-	// Slots and Connections are this VM's shares.
-	Slots, Connections int
-	Latency            time.Duration
+	// Spare is the number of requests that may run beyond what the shard
+	// assures.
+	Spare int
+	// Permits is this VM's share of the permits at the present stage.
+	Permits int
+	// Connections is this VM's share of the connections.
+	Connections int
+	// Lent and Borrowed are permits of the first stage that other VMs use, and
+	// that this VM uses of others.
+	Lent, Borrowed int
+	Latency        time.Duration
 }
 
 // Status returns the present state, in order of the upstreams' IDs. It belongs
@@ -85,18 +90,16 @@
 	if t == nil {
 		return s
 	}
-	for _, u := range t.upstreams {
+	for _, u := range t.ordered {
 		s.Upstreams = append(s.Upstreams, u.status())
 	}
-	sort.Slice(s.Upstreams, func(i, j int) bool {
-		return s.Upstreams[i].Upstream < s.Upstreams[j].Upstream
-	})
 	return s
 }
 
 func (u *upstream) status() UpstreamStatus {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	running, limit := u.gate.load()
 	return UpstreamStatus{
 		Upstream:    u.id,
 		Zone:        u.zone,
@@ -104,9 +107,12 @@
 		Suspected:   u.health.suspected,
 		Warm:        u.ramp.warm,
 		Stage:       u.ramp.stage,
-		Running:     int(u.running.Load()),
-		Limit:       int(u.limit.Load()),
-		Slots:       u.ownSlots(),
+		Running:     int(running),
+		Limit:       int(limit),
+		Spare:       int(u.spareLimit.Load()),
+		Permits:     u.ownPermits(u.ramp.stage),
+		Lent:        u.loans.lent,
+		Borrowed:    u.loans.borrowed,
 		Connections: u.ownConnections(),
 		Latency:     time.Duration(u.latency.Load()),
 	}
