--- /dev/null
+++ b/internal/core/catalog/merge.go
@@ -0,0 +1,56 @@
+package catalog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Build merges files in the order of their names and returns the catalog with
+// every mistake found, ordered by file.
+//
+// A file that is wrong in itself contributes nothing. Between files these
+// rules hold; what breaks one is reported, and only that item has no effect:
+//
+//   - One file defines a customer (rate, burst, services). A file that gives
+//     nothing but key hashes adds them. A customer without a definition is not
+//     in force. A second definition has no effect, nor have its key hashes.
+//   - One file defines a service, whole.
+//   - Any file may declare a zone. The last one that sets "out" decides.
+//   - Any file may set "draining" of an upstream by its id in "upstreams". The
+//     last one decides, also over the service's own definition.
+//   - A key hash belongs to one customer; an upstream's id and address belong
+//     to one replica. The first file that lists it keeps it.
+//
+// Build is a pure function of the names and contents.
+func Build(version uint64, files []Published) (*Catalog, []Problem) {
+	var problems []Problem
+	var fragments []*fragment
+	seen := make(map[string]bool)
+	for _, p := range sortedFiles(files) {
+		if seen[p.Name] {
+			problems = append(problems, Problem{File: p.Name, Message: "the folder lists this name twice"})
+			continue
+		}
+		seen[p.Name] = true
+		f, ps := parseFile(p.Name, p.Content)
+		problems = append(problems, ps...)
+		if f != nil {
+			fragments = append(fragments, f)
+		}
+	}
+	c, ps := mergeFragments(version, fragments, newServiceSet(definers(fragments)))
+	problems = append(problems, ps...)
+	sortProblems(problems)
+	return c, problems
+}
+
+func sortedFiles(files []Published) []Published {
+	out := slices.Clone(files)
+	slices.SortStableFunc(out, func(a, b Published) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/core/routing/router.go
@@ -0,0 +1,219 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// Router chooses replicas and keeps this VM within its shares.
+//
+// Update, Tick, Confirm, Connections, Status and the methods for peers' messages
+// belong to the control goroutine. Pick, Done and OnConnectionsLost may be
+// called by any number of traffic goroutines at the same time; they read an
+// immutable table and take one upstream's lock at most.
+type Router struct {
+	cfg  Config
+	self membership.VM
+
+	table     atomic.Pointer[table]
+	confirmed atomic.Pointer[time.Time]
+	ticket    atomic.Uint64
+	stale     atomic.Uint64
+
+	// The fields below belong to the control goroutine.
+	fleet    *fleet
+	catalog  *catalog.Catalog
+	mature   bool
+	viewAged bool
+
+	pendingMu sync.Mutex
+	pending   []pendingAction
+}
+
+// New returns a Router that dispatches nothing before its first Update. The
+// random numbers only break ties.
+func New(self membership.VM, rng *rand.Rand, cfg Config) *Router {
+	r := &Router{cfg: cfg.withDefaults(), self: self}
+	r.fleet = newFleet(self, r.cfg.HoldDown)
+	r.ticket.Store(rng.Uint64())
+	return r
+}
+
+// Update takes in the newest catalog and VM list and confirms the view. What is
+// known of surviving upstreams is kept. An older catalog or list is ignored.
+func (r *Router) Update(now time.Time, c *catalog.Catalog, list membership.List) {
+	if r.catalog != nil && c.Version < r.catalog.Version {
+		c = r.catalog
+	}
+	r.fleet.update(now, list)
+	r.fleet.expire(now)
+	r.rebuild(now, c)
+	r.Confirm(now)
+}
+
+// Confirm states that the present catalog and list are the newest that can be
+// had. Without it Pick refuses after Config.MaxViewAge.
+func (r *Router) Confirm(now time.Time) {
+	if !r.viewCurrent(now) {
+		r.expireLoans(now)
+	}
+	r.confirmed.Store(&now)
+	if r.viewAged {
+		r.viewAged = false
+		r.audit(now, r.self.ID, ChangeViewCurrent, CauseViewAge)
+	}
+}
+
+// expireLoans ends loans that ran out during a pause.
+func (r *Router) expireLoans(now time.Time) {
+	t := r.table.Load()
+	if t == nil {
+		return
+	}
+	for _, u := range t.ordered {
+		u.mu.Lock()
+		u.expireLoans(now)
+		u.mu.Unlock()
+	}
+}
+
+func (r *Router) rebuild(now time.Time, c *catalog.Catalog) {
+	old := r.table.Load()
+	if old == nil {
+		old = &table{epoch: now}
+	}
+	r.mature = r.fleet.mature(now)
+	b := builder{
+		now:        now,
+		catalog:    c,
+		oldCatalog: r.catalog,
+		domains:    newDomains(r.fleet, c),
+		self:       sharer{id: r.self.ID, zone: r.self.Zone, hash: hashOf(r.self.ID)},
+		old:        old,
+		router:     r,
+	}
+	b.out = &table{
+		epoch:     old.epoch,
+		services:  make(map[string]*serviceTable, len(c.Services)),
+		upstreams: make(map[string]*upstream, len(old.upstreams)),
+	}
+	r.catalog = c
+	r.table.Store(b.build())
+}
+
+// setShares applies a rebuilt table to one upstream. With hold, what this VM
+// gains is usable only after a hold-down.
+func (r *Router) setShares(now time.Time, u *upstream, next shares, isNew, hold bool, inactive Cause) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if hold {
+		u.holdShares(next, now.Add(r.cfg.HoldDown))
+	} else {
+		u.shares = next
+	}
+	u.releaseHeld(now)
+	u.visiting.Store(next.visitor)
+	u.active = inactive == "" && r.mature
+	if isNew || inactive != u.inactive {
+		r.setInactive(now, u, isNew, inactive)
+	}
+	u.refreshLimit()
+}
+
+// setInactive records what the catalog says of an upstream. The caller holds
+// mu.
+func (r *Router) setInactive(now time.Time, u *upstream, isNew bool, cause Cause) {
+	u.inactive = cause
+	switch {
+	case cause != "":
+		r.audit(now, u.id, ChangeDrained, cause)
+	case isNew:
+		r.audit(now, u.id, ChangeCold, CauseFirstSeen)
+	default:
+		r.audit(now, u.id, ChangeReturned, CauseOperatorReturn)
+		r.turnCold(now, u, CauseOperatorReturn)
+	}
+}
+
+// deactivate stops work to an upstream that left the catalog.
+func (r *Router) deactivate(now time.Time, u *upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.inactive == CauseRemoved {
+		return
+	}
+	u.active = false
+	u.inactive = CauseRemoved
+	u.refreshLimit()
+	r.audit(now, u.id, ChangeDrained, CauseRemoved)
+}
+
+// Tick runs what depends on time and returns the queued actions in order. The
+// control goroutine calls it several times a second, and after Config.Notify.
+func (r *Router) Tick(now time.Time) []Action {
+	if r.table.Load() == nil {
+		return r.takeActions(now)
+	}
+	expired := r.fleet.expire(now)
+	if expired || r.fleet.mature(now) != r.mature {
+		r.rebuild(now, r.catalog)
+		r.audit(now, r.self.ID, ChangeShares, CauseHoldDownOver)
+	}
+	for _, u := range r.table.Load().ordered {
+		r.tickUpstream(now, u)
+	}
+	r.askPeers(now)
+	r.tickView(now)
+	return r.takeActions(now)
+}
+
+func (r *Router) tickView(now time.Time) {
+	if r.viewAged || r.viewCurrent(now) {
+		return
+	}
+	r.viewAged = true
+	r.audit(now, r.self.ID, ChangeViewStale, CauseViewAge)
+}
+
+func (r *Router) tickUpstream(now time.Time, u *upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.active {
+		return
+	}
+	if u.releaseHeld(now) {
+		u.refreshLimit()
+	}
+	u.expireLoans(now)
+	if u.ramp.warm && now.Sub(u.health.lastAnswer) > r.cfg.SilenceLimit {
+		r.turnCold(now, u, CauseSilence)
+	}
+	u.forgetSlowness()
+}
+
+// forgetSlowness moves a high latency towards that of the service. An upstream
+// that is avoided for its latency gives no new samples.
+func (u *upstream) forgetSlowness() {
+	latency, usual := u.latency.Load(), u.service.latency.Load()
+	if usual > 0 && latency > usual {
+		u.latency.Store(latency - (latency-usual)>>latencyShift)
+	}
+}
+
+func (r *Router) viewCurrent(now time.Time) bool {
+	confirmed := r.confirmed.Load()
+	return confirmed != nil && elapsed(*confirmed, now) <= r.cfg.MaxViewAge
+}
+
+func (r *Router) lookup(id string) *upstream {
+	t := r.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.upstreams[id]
+}
--- /dev/null
+++ b/internal/standin/load/answer.go
@@ -0,0 +1,65 @@
+package load
+
+import (
+	"fmt"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+// checkAnswer returns what is wrong with an answer by itself: its verdict, its
+// coverage, or a part that isn't the one right body for the query, the shard
+// and the snapshot. Empty means nothing.
+func (t *Try) checkAnswer() string {
+	a := &t.Answer
+	if a.Verdict != verdictRan {
+		return "an answer with the verdict " + a.Verdict
+	}
+	if wrong := t.checkCoverage(); wrong != "" {
+		return wrong
+	}
+	for _, r := range a.Results {
+		want := leaf.AppendAnswer(nil, t.Service.Name, r.Shard, a.Snapshot, t.Digest, t.Service.AnswerBytes)
+		if string(r.Body) != string(want) {
+			return fmt.Sprintf("shard %d under %q: body %.200s, want %.200s", r.Shard, a.Snapshot, r.Body, want)
+		}
+	}
+	return ""
+}
+
+// checkCoverage compares the coverage with the parts.
+func (t *Try) checkCoverage() string {
+	a := &t.Answer
+	total := t.Service.Shards
+	if t.Service.SingleShard {
+		total = 1
+	}
+	if a.Coverage.Total != total {
+		return fmt.Sprintf("coverage of %d shards, want %d", a.Coverage.Total, total)
+	}
+	if a.Coverage.Answered != len(a.Results) {
+		return fmt.Sprintf("coverage says %d, there are %d parts", a.Coverage.Answered, len(a.Results))
+	}
+	if len(a.Results)+len(a.Coverage.Missing) != total {
+		return fmt.Sprintf("%d of %d parts, missing %v", len(a.Results), total, a.Coverage.Missing)
+	}
+	if float64(len(a.Results)) < t.Service.minCoverage()*float64(total) {
+		return fmt.Sprintf("%d of %d parts are fewer than the caller accepts", len(a.Results), total)
+	}
+	return t.checkShards()
+}
+
+// checkShards checks that each shard is answered or missing, and once only.
+func (t *Try) checkShards() string {
+	shards := append([]int(nil), t.Answer.Coverage.Missing...)
+	for _, r := range t.Answer.Results {
+		shards = append(shards, r.Shard)
+	}
+	seen := make(map[int]bool)
+	for _, shard := range shards {
+		if shard < 0 || shard >= t.Service.Shards || seen[shard] {
+			return fmt.Sprintf("shard %d is unknown or stands twice", shard)
+		}
+		seen[shard] = true
+	}
+	return ""
+}
