--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/rs/zerolog"
+
+	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/spread"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+	"ryecourse.example/ryecourse/internal/peer"
+	"ryecourse.example/ryecourse/internal/platform"
+)
+
+const (
+	// maxCalls is the number of peer calls in progress.
+	maxCalls = 64
+	// maxReads is the number of reads of the platform in progress, waiting
+	// watches included.
+	maxReads = 16
+)
+
+// Self identifies this process.
+type Self struct {
+	Fleet       string
+	VM          membership.VM
+	Incarnation uint64
+}
+
+// Deps are the parts that a Control uses.
+type Deps struct {
+	Self     Self
+	Platform *platform.Client
+	Peers    *peer.Client
+	Spread   *spread.Spread
+	Quota    *quota.Manager
+	Router   *routing.Router
+	Trail    *audit.Trail
+	Log      zerolog.Logger
+	// Changed is called on the loop after a new view was published.
+	Changed func(now time.Time, v *View)
+}
+
+// Control is the control state of a daemon. Its fields belong to the loop.
+type Control struct {
+	State State
+
+	deps  Deps
+	loop  *Loop
+	calls pond.Pool
+	reads pond.Pool
+
+	serving bool
+}
+
+// New returns a Control that is not running yet.
+func New(deps Deps) *Control {
+	return &Control{
+		deps:  deps,
+		loop:  NewLoop(),
+		calls: pond.NewPool(maxCalls),
+		reads: pond.NewPool(maxReads),
+	}
+}
+
+// Run owns the control state until the context ends.
+func (c *Control) Run(ctx context.Context) {
+	c.loop.Run(ctx, c)
+	c.calls.Stop()
+	c.reads.Stop()
+}
+
+// Call runs f on the control goroutine and waits for it.
+func (c *Control) Call(f func(now time.Time)) bool { return c.loop.Call(f) }
+
+// Tick implements Ticker.
+func (c *Control) Tick(now time.Time) {
+	c.spreadActions(c.deps.Spread.Tick(now))
+	c.quotaActions(c.deps.Quota.Tick(now))
+	if c.serving {
+		c.deps.Router.Confirm(now)
+		c.State.confirm(now)
+	}
+	c.routerActions(c.deps.Router.Tick(now))
+}
+
+// Paused implements Ticker. The spread state machine sees the pause too, and
+// decides when the daemon may serve again.
+func (c *Control) Paused(now time.Time, pause time.Duration) {
+	c.deps.Trail.Add(audit.Entry{
+		Time: now, Kind: "process_paused", Subject: c.deps.Self.VM.ID, Cause: "no tick for " + pause.String(),
+	})
+	c.State.distrust()
+	c.spreadActions(c.deps.Spread.Tick(now))
+}
+
+// publish gives traffic a new view once there is a catalog and a VM list.
+func (c *Control) publish(now time.Time) {
+	cat, list := c.deps.Spread.Catalog(), c.deps.Spread.List()
+	if cat == nil || list == nil {
+		return
+	}
+	v := &View{Catalog: cat, List: *list}
+	c.deps.Router.Update(now, v.Catalog, v.List)
+	c.State.view.Store(v)
+	c.deps.Changed(now, v)
+}
+
+// Leave gives up this daemon's slots and hands them over. It runs on the
+// control goroutine.
+func (c *Control) Leave(now time.Time) { c.quotaActions(c.deps.Quota.Leave(now)) }
+
+// Close returns what this daemon has borrowed. It runs on the control goroutine
+// after the last request.
+func (c *Control) Close(now time.Time) { c.quotaActions(c.deps.Quota.Close(now)) }
+
+// Flush waits for the peer calls in progress.
+func (c *Control) Flush() { c.calls.StopAndWait() }
+
+func (c *Control) sender() *peerv1.Sender {
+	return &peerv1.Sender{
+		Fleet:       c.deps.Self.Fleet,
+		Vm:          c.deps.Self.VM.ID,
+		Incarnation: c.deps.Self.Incarnation,
+		Zone:        c.deps.Self.VM.Zone,
+	}
+}
--- /dev/null
+++ b/internal/control/serve.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+)
+
+var errStopping = errors.New("the daemon is stopping")
+
+// Peers answers the other daemons of the fleet. It implements
+// peerv1connect.PeerServiceHandler.
+type Peers struct{ control *Control }
+
+// Peers returns the handler for other daemons' messages.
+func (c *Control) Peers() *Peers { return &Peers{control: c} }
+
+// on runs f on the control goroutine.
+func (p *Peers) on(f func(now time.Time, c *Control)) error {
+	if !p.control.loop.Call(func(now time.Time) { f(now, p.control) }) {
+		return connect.NewError(connect.CodeUnavailable, errStopping)
+	}
+	return nil
+}
+
+// Exchange implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	out := &peerv1.ExchangeResponse{}
+	err := p.on(func(now time.Time, c *Control) {
+		s := c.deps.Spread
+		c.spreadActions(s.OnPeerDigest(now, req.GetSender().GetVm(), digestFromWire(req.GetDigest())))
+		answer := s.Digest(now)
+		out.Sender, out.Digest = c.sender(), digestToWire(answer)
+		if answer.ListRevision > req.GetDigest().GetListRevision() {
+			out.List = listToWire(s.List())
+		}
+	})
+	return out, err
+}
+
+// FetchFiles implements peerv1connect.PeerServiceHandler.
+func (p *Peers) FetchFiles(_ context.Context, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
+	var set *catalog.FileSet
+	if err := p.on(func(_ time.Time, c *Control) { set = c.deps.Spread.Files() }); err != nil {
+		return nil, err
+	}
+	return &peerv1.FetchFilesResponse{
+		ConfigVersion: set.Version,
+		All:           revisionsToWire(set.All),
+		Files:         filesToWire(set.Lacking(revisionsFromWire(req.GetHave()))),
+	}, nil
+}
+
+// Probe implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Probe(_ context.Context, req *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	out := &peerv1.ProbeResponse{}
+	err := p.on(func(now time.Time, c *Control) {
+		claim, actions := c.deps.Quota.OnProbe(now, claimFromWire(req.GetSender(), req.GetClaim()))
+		c.quotaActions(actions)
+		out.Sender, out.Claim = c.sender(), claimToWire(claim)
+	})
+	return out, err
+}
+
+// Handover implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Handover(_ context.Context, req *peerv1.HandoverRequest) (*peerv1.HandoverResponse, error) {
+	err := p.on(func(now time.Time, c *Control) {
+		c.quotaActions(c.deps.Quota.OnHandover(now, handoverFromWire(req)))
+	})
+	return &peerv1.HandoverResponse{}, err
+}
+
+// Lend implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Lend(_ context.Context, req *peerv1.LendRequest) (*peerv1.LendResponse, error) {
+	var out *peerv1.LendResponse
+	err := p.on(func(now time.Time, c *Control) {
+		resp, actions := c.deps.Quota.OnLend(now, lendFromWire(req))
+		c.quotaActions(actions)
+		out = lendResponseToWire(resp)
+	})
+	return out, err
+}
+
+// Release implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Release(_ context.Context, req *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
+	err := p.on(func(now time.Time, c *Control) {
+		c.quotaActions(c.deps.Quota.OnRelease(now, releaseFromWire(req)))
+	})
+	return &peerv1.ReleaseResponse{}, err
+}
+
+// Notify implements peerv1connect.PeerServiceHandler.
+func (p *Peers) Notify(_ context.Context, req *peerv1.NotifyRequest) (*peerv1.NotifyResponse, error) {
+	err := p.on(func(now time.Time, c *Control) {
+		for _, n := range req.GetCold() {
+			c.deps.Router.OnColdNotice(now, coldFromWire(n))
+		}
+		for _, n := range req.GetRamps() {
+			c.deps.Router.OnRampNotice(now, rampFromWire(n))
+		}
+	})
+	return &peerv1.NotifyResponse{}, err
+}
+
+// AskRamps implements peerv1connect.PeerServiceHandler.
+func (p *Peers) AskRamps(_ context.Context, req *peerv1.AskRampsRequest) (*peerv1.AskRampsResponse, error) {
+	out := &peerv1.AskRampsResponse{}
+	err := p.on(func(now time.Time, c *Control) {
+		out.Answers = answersToWire(c.deps.Router.OnRampQuery(now, questionsFromWire(req.GetQuestions())))
+	})
+	return out, err
+}
--- /dev/null
+++ b/internal/core/quota/world_test.go
@@ -0,0 +1,302 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/lease"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/quota/quotasim"
+)
+
+// world is a fleet under faults with greedy callers. Each VM spends all tokens
+// that it has at random moments, so that a token held twice shows.
+type world struct {
+	fleet  *quotasim.Fleet
+	vms    []membership.VM
+	curves map[string]*quotasim.Curve
+	limits []catalog.Customer
+	// pending are lowered limits that aren't judged by yet.
+	pending map[string]catalog.Customer
+	nextID  int
+	failure string
+	// setBack is when a wall clock was last set back, and stopped until when a
+	// monotonic clock stands still.
+	setBack, stopped map[*quotasim.Node]time.Duration
+	// pauseAsking freezes the next VM that asks to borrow, for this time.
+	pauseAsking time.Duration
+	// hot is the VM that most callers ask, so that others lend to it.
+	hot string
+}
+
+// lowerGrace covers the propagation of a lower limit, once a cut has healed,
+// and the term of the loans made under the higher one.
+const lowerGrace = 6 * time.Second
+
+// clockGrace is longer than any right that a VM may hold.
+const clockGrace = 31 * time.Second
+
+func customers() []catalog.Customer {
+	return []catalog.Customer{
+		{Name: "large", Rate: 200, Burst: 100},
+		{Name: "middle", Rate: 20, Burst: 12},
+		{Name: "small", Rate: 1, Burst: 2},
+	}
+}
+
+func newWorld(seed uint64, build func(*quotasim.Fleet)) *world {
+	w := &world{
+		fleet:   quotasim.NewFleet(seed),
+		vms:     quotasim.Nine(),
+		curves:  make(map[string]*quotasim.Curve),
+		limits:  customers(),
+		pending: make(map[string]catalog.Customer),
+		nextID:  100,
+		setBack: make(map[*quotasim.Node]time.Duration),
+		stopped: make(map[*quotasim.Node]time.Duration),
+	}
+	w.hot = w.vms[int(seed%uint64(len(w.vms)))].ID
+	if build != nil {
+		build(w.fleet)
+	}
+	w.fleet.OnAction = w.watch
+	w.fleet.PublishCatalog(w.limits, quotasim.FourZones())
+	w.fleet.PublishList(w.vms)
+	for _, c := range w.limits {
+		w.curves[c.Name] = &quotasim.Curve{Rate: c.Rate, Burst: c.Burst}
+	}
+	for _, vm := range w.vms {
+		w.start(vm)
+	}
+	return w
+}
+
+func (w *world) watch(n *quotasim.Node, a quota.Action) {
+	if _, ok := a.(quota.SendLend); ok && w.pauseAsking > 0 {
+		w.freeze(n, w.pauseAsking, false)
+		w.pauseAsking = 0
+	}
+}
+
+func (w *world) rand() *rand.Rand { return w.fleet.Rand }
+
+func (w *world) start(vm membership.VM) {
+	n := w.fleet.Start(vm)
+	w.fleet.At(w.pause(n), n, func() { w.call(n) })
+}
+
+// pause is long enough at most VMs for tokens to pile up, and short at the hot
+// one.
+func (w *world) pause(n *quotasim.Node) time.Duration {
+	if n.VM.ID == w.hot {
+		return time.Duration(w.rand().Int64N(int64(60 * time.Millisecond)))
+	}
+	return time.Duration(w.rand().Int64N(int64(1500 * time.Millisecond)))
+}
+
+func (w *world) call(n *quotasim.Node) {
+	w.fleet.At(w.pause(n), n, func() { w.call(n) })
+	w.sum()
+	if w.rand().IntN(3) == 0 {
+		// A few requests only, which tell the VM of the demand.
+		w.spend(n, w.rand().IntN(3))
+		return
+	}
+	w.spend(n, 200)
+}
+
+func (w *world) spend(n *quotasim.Node, most int) {
+	for _, c := range w.limits {
+		for range most {
+			if !n.Daemon.Admit(w.fleet.Time(), c.Name).OK {
+				break
+			}
+			if !w.curves[c.Name].Admit(w.fleet.Now) {
+				w.fail("%s: over its curve by %.3f at %v on %s",
+					c.Name, w.curves[c.Name].Excess(), w.fleet.Now, n.VM.ID)
+			}
+		}
+	}
+}
+
+// fail keeps the first failure.
+func (w *world) fail(format string, args ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// sum checks what the argument rests on: at any moment the curves that VMs act
+// on sum to at most the limit. It sees a part that is held twice before callers
+// have spent it twice.
+func (w *world) sum() {
+	total := make(map[string]lease.Share)
+	for _, n := range w.fleet.Nodes {
+		m, ok := n.Daemon.(*quota.Manager)
+		if !ok {
+			return
+		}
+		for _, c := range m.Status(w.fleet.Time()).Customers {
+			total[c.Customer] = total[c.Customer].Plus(c.Owned.Minus(c.Lent).Plus(c.Borrowed))
+		}
+	}
+	for name, c := range w.curves {
+		const micro = 1_000_000
+		if held := total[name]; held.Rate > int64(c.Rate*micro) || held.Capacity > int64(c.Burst*micro) {
+			w.fail("%s: VMs hold %.3f/s and %.3f together at %v",
+				name, float64(held.Rate)/micro, float64(held.Capacity)/micro, w.fleet.Now)
+		}
+	}
+}
+
+func (w *world) run(d time.Duration) { w.fleet.Run(w.fleet.Now + d) }
+
+func (w *world) pick(c chooser) *quotasim.Node {
+	return w.fleet.Nodes[c(len(w.fleet.Nodes))]
+}
+
+// listed returns the index of the VM in the platform's list, or -1.
+func (w *world) listed(n *quotasim.Node) int {
+	return slices.IndexFunc(w.vms, func(vm membership.VM) bool { return vm.ID == n.VM.ID })
+}
+
+// publish makes the platform list w.vms.
+func (w *world) publish() { w.fleet.PublishList(w.vms) }
+
+// replace puts a new VM in the place of a listed one. It returns false if
+// that would break what docs/design/quota.md assumes of the platform: a zone
+// keeps a settled VM through every change of its list.
+func (w *world) replace(n *quotasim.Node) bool {
+	i := w.listed(n)
+	if i < 0 || !w.zoneKeeps(n) {
+		return false
+	}
+	w.nextID++
+	fresh := membership.VM{ID: fmt.Sprintf("vm-%d", w.nextID), Zone: n.VM.Zone}
+	w.vms[i] = fresh
+	w.publish()
+	w.start(fresh)
+	return true
+}
+
+// zoneKeeps reports whether another listed VM of the zone runs and is settled.
+func (w *world) zoneKeeps(n *quotasim.Node) bool {
+	for _, o := range w.fleet.Nodes {
+		if o != n && o.VM.Zone == n.VM.Zone && w.listed(o) >= 0 && o.Daemon.Digest().Settled {
+			return true
+		}
+	}
+	return false
+}
+
+// kill ends a process; its VM is replaced unless that isn't allowed now, when
+// the process is started again in its place.
+func (w *world) kill(n *quotasim.Node, listLag time.Duration) {
+	w.fleet.Kill(n)
+	w.fleet.At(listLag, nil, func() {
+		if !w.replace(n) && w.listed(n) >= 0 {
+			w.start(n.VM)
+		}
+	})
+}
+
+// drop makes the platform replace a VM that runs on for a while.
+func (w *world) drop(n *quotasim.Node, runsOn time.Duration) {
+	if w.replace(n) {
+		w.fleet.At(runsOn, nil, func() { w.fleet.Kill(n) })
+	}
+}
+
+// leave stops a process in good order and replaces its VM.
+func (w *world) leave(n *quotasim.Node, listLag time.Duration) {
+	if w.listed(n) < 0 {
+		return
+	}
+	w.fleet.At(0, n, func() {
+		w.fleet.Leave(n)
+		w.fleet.At(time.Second, nil, func() { w.kill(n, listLag) })
+	})
+}
+
+// freeze suspends a process. If stopped, its monotonic clock stands still,
+// which must not happen to a VM whose wall clock was just set back: such a VM
+// can't know that it slept.
+func (w *world) freeze(n *quotasim.Node, d time.Duration, stopped bool) {
+	if w.fleet.Now < n.FrozenUntil || w.fleet.Now < w.setBack[n]+clockGrace {
+		stopped = false
+	}
+	if stopped {
+		w.stopped[n] = w.fleet.Now + d
+	}
+	w.fleet.Freeze(n, d, stopped)
+	// The first thing that happens on waking is a rush of callers.
+	w.fleet.At(d, n, func() { w.spend(n, 200) })
+	w.fleet.At(d+time.Millisecond, n, w.sum)
+}
+
+// jumpWall sets the wall clock of a VM on or back, but not back while its
+// monotonic clock stands still.
+func (w *world) jumpWall(n *quotasim.Node, by time.Duration) {
+	if by < 0 {
+		if w.fleet.Now < w.stopped[n] {
+			return
+		}
+		w.setBack[n] = w.fleet.Now
+	}
+	n.JumpWall(by)
+}
+
+func (w *world) heal() {
+	for _, n := range w.fleet.Nodes {
+		n.Group, n.PlatformDown, n.Pinned = 0, false, 0
+	}
+	w.fleet.Net = quotasim.NewFleet(0).Net
+}
+
+// setLimit changes one customer's limit. The curve is the larger of the old and
+// the new until lowerGrace has passed without cuts.
+func (w *world) setLimit(name string, rate, burst float64) {
+	i := slices.IndexFunc(w.limits, func(c catalog.Customer) bool { return c.Name == name })
+	before := w.limits[i]
+	next := slices.Clone(w.limits)
+	next[i] = catalog.Customer{Name: name, Rate: rate, Burst: burst}
+	w.limits = next
+	w.fleet.PublishCatalog(slices.Clone(next), quotasim.FourZones())
+	c := w.curves[name]
+	c.Rate, c.Burst = max(before.Rate, c.Rate, rate), max(before.Burst, c.Burst, burst)
+	w.pending[name] = next[i]
+}
+
+// tighten judges by the newest limits again, for windows that begin now.
+func (w *world) tighten() {
+	for name, c := range w.pending {
+		w.curves[name].Change(w.fleet.Now, c.Rate, c.Burst)
+		delete(w.pending, name)
+	}
+}
+
+// restart ends a process and starts another on the same VM.
+func (w *world) restart(n *quotasim.Node) {
+	w.fleet.Kill(n)
+	w.start(n.VM)
+}
+
+func (w *world) cutZone(zone string, side int) {
+	for _, n := range w.fleet.Nodes {
+		if n.VM.Zone == zone {
+			n.Group = side
+		}
+	}
+}
+
+// pin makes the VM's replica of the platform give the list that the VM knows
+// for good.
+func (w *world) pin(n *quotasim.Node) {
+	if list := n.Daemon.List(); list != nil {
+		n.Pinned = list.Revision
+	}
+}
