Tell of each confirmation of the list, and of new mistakes only

Found while reading how the control goroutine uses the state machine: - It had no way to learn that a list in force was confirmed again, so that users of the list's age would see it grow. ConfirmList tells each time; AdoptList carries the confirmation. - A decision lists all mistakes in force, so that an audit trail built on it repeats them with every change. NewProblems lists the new ones. - A pause was noticed at the next tick only, and on the monotonic clock, which may stand still while a VM is suspended. It is now noticed at the first event, by membership.Elapsed. The rendezvous function of this package is gone in favour of membership.RendezvousN, which gives the same weights.

TestListAgeIsNeverTooSmall also requires that the actions tell of every confirmation. TestForgettingGoesBack shows that the check of versions can fail. The tables of TestAccept now mark new problems; nothing else in them changed.

--- a/internal/core/catalog/accept.go
+++ b/internal/core/catalog/accept.go
@@ -27,9 +27,11 @@
 	entries map[string]*entry
 	catalog *Catalog
 	// set is kept from one version to the next.
-	set    *serviceSet
-	files  *FileSet
-	counts Counts
+	set   *serviceSet
+	files *FileSet
+	// problems are the mistakes of the version in force.
+	problems map[Problem]bool
+	counts   Counts
 }
 
 // NewAcceptor returns an Acceptor that has accepted nothing.
@@ -190,6 +192,7 @@
 		invariant.Check(f.To >= f.From || f.Published == 0 || a.wasDeleted(f, entries), "catalog_file_reverted")
 	}
 	d.Catalog, d.Problems = a.merge(version, entries)
+	d.NewProblems = a.newProblems(d.Problems)
 	d.Changes = Diff(a.catalog, d.Catalog)
 	a.version = version
 	a.entries = entries
@@ -198,6 +201,21 @@
 	return d
 }
 
+// newProblems returns those of problems that the version before didn't have,
+// and remembers all of them.
+func (a *Acceptor) newProblems(problems []Problem) []Problem {
+	var out []Problem
+	now := make(map[Problem]bool, len(problems))
+	for _, p := range problems {
+		now[p] = true
+		if !a.problems[p] {
+			out = append(out, p)
+		}
+	}
+	a.problems = now
+	return out
+}
+
 // wasDeleted tells whether a file went out of force because a peer has seen it
 // absent after the revision that was in force here.
 func (a *Acceptor) wasDeleted(f FileChange, entries map[string]*entry) bool {
--- a/internal/core/catalog/accept_test.go
+++ b/internal/core/catalog/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -147,7 +148,11 @@
 		fmt.Fprintf(&out, "file %s: %d -> %d, published %d, held %v\n", f.Name, f.From, f.To, f.Published, f.Held())
 	}
 	for _, p := range d.Problems {
-		fmt.Fprintf(&out, "problem %s\n", p.Error())
+		label := "problem"
+		if slices.Contains(d.NewProblems, p) {
+			label = "new problem"
+		}
+		fmt.Fprintf(&out, "%s %s\n", label, p.Error())
 	}
 	for _, c := range d.Changes {
 		fmt.Fprintln(&out, c)
--- a/internal/core/catalog/offer.go
+++ b/internal/core/catalog/offer.go
@@ -98,6 +98,9 @@
 	// Problems lists every mistake of the version in force, or why the folder
 	// was refused.
 	Problems []Problem
+	// NewProblems lists those that were not reported with the accepted decision
+	// before, for the audit trail.
+	NewProblems []Problem
 	// Missing lists the contents to fetch when the outcome is Incomplete.
 	Missing []FileRevision
 }
--- a/internal/core/spread/action.go
+++ b/internal/core/spread/action.go
@@ -81,6 +81,16 @@
 // AdoptList puts a new VM list into force.
 type AdoptList struct {
 	List *membership.List
+	// ConfirmedAt is a time at which the platform had no newer list. It is zero
+	// when none is known.
+	ConfirmedAt time.Time
+}
+
+// ConfirmList says that the platform had no newer list than the one in force at
+// the given time, which is never later than the true one.
+type ConfirmList struct {
+	List *membership.List
+	At   time.Time
 }
 
 // Ready says that the daemon may serve. It comes once for each NotReady, and
@@ -105,6 +115,7 @@
 func (Accept) action()      {}
 func (Ignore) action()      {}
 func (AdoptList) action()   {}
+func (ConfirmList) action() {}
 func (Ready) action()       {}
 func (NotReady) action()    {}
 
--- a/internal/core/spread/age_test.go
+++ b/internal/core/spread/age_test.go
@@ -10,6 +10,9 @@
 // list than the daemon's at the time from which the daemon counts its age.
 func (f *fleet) checkListAges() error {
 	for _, n := range f.nodes {
+		if f.tamper == nil && !n.confirmedAt.Equal(n.spread.confirmedAt) {
+			return fmt.Errorf("%s told of a confirmation at %v, but counts from %v", n.vm.ID, n.confirmedAt, n.spread.confirmedAt)
+		}
 		age, known := n.spread.ListAge(f.clock.now)
 		if !n.up || n.paused || !known {
 			continue
@@ -54,7 +57,7 @@
 	fromArrival := func(s *Spread) {
 		arrival := s.service.list.next.Add(-watchGap)
 		if c := s.service.list; !c.inFlight && c.failures == 0 && s.list != nil {
-			s.confirm(arrival)
+			s.confirm(arrival, &actions{})
 		}
 	}
 	failed := 0
--- a/internal/core/spread/failure_test.go
+++ b/internal/core/spread/failure_test.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// TestForgettingGoesBack shows that the fleet notices a daemon that goes back to
+// an older version: one that forgets what it accepted, beside lagging replicas.
+func TestForgettingGoesBack(t *testing.T) {
+	f := smallFleet(7)
+	f.platform.lags = []time.Duration{0, 3 * time.Second}
+	f.tamper = func(s *Spread) { s.acceptor = catalog.NewAcceptor() }
+	for i := range 10 {
+		f.platform.publish("20-b.json", customerFile("b", i+1))
+		f.clock.run(time.Second, nil)
+	}
+	if f.fault == nil {
+		t.Fatal("no daemon went back: the check of versions proves nothing")
+	}
+}
+
 // TestOtherRelease answers pulls like a peer whose release judges a file
 // differently: same version, another digest, nothing new. It must not be asked
 // again and again.
--- a/internal/core/spread/fleet_test.go
+++ b/internal/core/spread/fleet_test.go
@@ -21,6 +21,8 @@
 	// first is the first version accepted, and served the version in force when
 	// the daemon became ready.
 	first, served uint64
+	// confirmedAt is the confirmation of the list that the actions told of.
+	confirmedAt time.Time
 	// life tells a restarted daemon's events from its predecessor's.
 	life int
 	// sent counts the messages that this daemon began or answered, and bytes
@@ -87,6 +89,7 @@
 func (f *fleet) start(n *node) {
 	n.spread = New(Settings{Self: n.vm, Seeds: f.seeds}, rand.New(rand.NewPCG(f.rng.Uint64(), 3)))
 	n.up, n.ready, n.version, n.first = true, false, 0, 0
+	n.confirmedAt = time.Time{}
 	n.life++
 	life := n.life
 	var tick func()
@@ -173,6 +176,10 @@
 			}
 			n.version = a.Decision.Version
 			n.first = cmp.Or(n.first, n.version)
+		case AdoptList:
+			n.confirmedAt = a.ConfirmedAt
+		case ConfirmList:
+			n.confirmedAt = a.At
 		case Ready:
 			n.ready = true
 			n.served = n.version
--- a/internal/core/spread/gather.go
+++ b/internal/core/spread/gather.go
@@ -118,14 +118,14 @@
 
 // OnFile reports a file that the service gave.
 func (s *Spread) OnFile(now time.Time, p catalog.Published) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	g := s.service.gather
 	if g == nil {
-		return nil
+		return out.list
 	}
 	f, asked := g.inFlight[p.Name]
 	if !asked {
-		return nil
+		return out.list
 	}
 	delete(g.inFlight, p.Name)
 	switch {
@@ -150,22 +150,23 @@
 // OnFileError reports that a file could not be read. Gone tells that the
 // service doesn't have it.
 func (s *Spread) OnFileError(now time.Time, name string, gone bool) []Action {
+	out := s.begin(now)
 	g := s.service.gather
 	if g == nil {
-		return nil
+		return out.list
 	}
 	f, asked := g.inFlight[name]
 	if !asked {
-		return nil
+		return out.list
 	}
 	delete(g.inFlight, name)
 	if gone {
 		s.service.gather = nil
 		s.service.config.next = now.Add(s.jitter(minBackoff))
-		return nil
+		return out.list
 	}
 	s.fetchFailed(f.id)
-	return nil
+	return out.list
 }
 
 // fetchFailed puts a file at the end of those to read. It is read again when
--- a/internal/core/spread/gossip.go
+++ b/internal/core/spread/gossip.go
@@ -225,12 +225,12 @@
 // OnPeerAnswer reports a peer's answer to an Exchange. List is the peer's VM
 // list when it is newer than the one that was sent, else nil.
 func (s *Spread) OnPeerAnswer(now time.Time, seq Seq, id string, d Digest, list *membership.List) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	if list != nil {
 		s.adoptList(list, out)
 	}
 	if p := s.gossip.peers[id]; p != nil && p.inFlight && p.seq == seq {
-		s.answered(p, d)
+		s.answered(p, d, out)
 	}
 	s.heardPeer(now, id, d, out)
 	return out.list
@@ -239,7 +239,7 @@
 // OnPeerDigest reports the digest that came with a peer's own Exchange. How old
 // it is isn't known, so that it confirms nothing.
 func (s *Spread) OnPeerDigest(now time.Time, id string, d Digest) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	s.heardPeer(now, id, d, out)
 	return out.list
 }
@@ -252,7 +252,7 @@
 	s.afterEvent(now, out)
 }
 
-func (s *Spread) answered(p *peer, d Digest) {
+func (s *Spread) answered(p *peer, d Digest, out *actions) {
 	p.inFlight = false
 	p.failures = 0
 	p.retryAt = time.Time{}
@@ -260,7 +260,7 @@
 		s.phase.answered[p.vm.ID] = true
 	}
 	if s.list != nil && d.ListAge != UnknownAge && d.ListRevision == s.list.Revision {
-		s.confirm(p.sentAt.Add(-d.ListAge))
+		s.confirm(p.sentAt.Add(-d.ListAge), out)
 	}
 }
 
@@ -281,10 +281,11 @@
 
 // OnPeerError reports that a peer didn't answer an Exchange.
 func (s *Spread) OnPeerError(now time.Time, seq Seq, id string) []Action {
+	out := s.begin(now)
 	if p := s.gossip.peers[id]; p != nil && p.inFlight && p.seq == seq {
 		s.peerFailed(now, p)
 	}
-	return nil
+	return out.list
 }
 
 func (s *Spread) peerFailed(now time.Time, p *peer) {
--- a/internal/core/spread/phase.go
+++ b/internal/core/spread/phase.go
@@ -1,13 +1,18 @@
 package spread
 
-import "time"
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
 
 const (
 	// startWait bounds how long a new daemon asks before it serves.
 	startWait = 3 * time.Second
 	// recheckWait bounds how long a daemon asks after a pause.
 	recheckWait = time.Second
-	// pauseLimit is the gap between ticks from which a daemon counts as paused.
+	// pauseLimit is the gap between events, ticks included, from which a daemon
+	// counts as paused, on whichever clock moved further.
 	pauseLimit = 2 * time.Second
 	// startAnswers is how many peers a new daemon hears before it serves.
 	startAnswers = 3
@@ -38,10 +43,13 @@
 	*p = phase{kind: kind, until: until, answered: make(map[string]bool)}
 }
 
-func (s *Spread) detectPause(now time.Time, out *actions) {
-	gap := now.Sub(s.lastTick)
-	first := s.lastTick.IsZero()
-	s.lastTick = now
+// begin starts the handling of an event. A pause is noticed at the first event
+// after it, so that what arrived meanwhile isn't taken for new.
+func (s *Spread) begin(now time.Time) *actions {
+	out := &actions{}
+	gap := membership.Elapsed(s.lastEvent, now)
+	first := s.lastEvent.IsZero()
+	s.lastEvent = now
 	switch {
 	case first:
 		s.startAt = now
@@ -50,6 +58,7 @@
 		s.counts.Pauses++
 		s.recheck(now, gap, out)
 	}
+	return out
 }
 
 // recheck begins the check after a pause. Answers to what was asked before the
@@ -82,7 +91,7 @@
 // pulling tells whether a peer is known to hold something newer that can
 // still be had within the phase.
 func (s *Spread) pulling() bool {
-	return len(s.gossip.ahead) > 0 && s.lastTick.Before(s.phase.until)
+	return len(s.gossip.ahead) > 0 && s.lastEvent.Before(s.phase.until)
 }
 
 func (s *Spread) confirmed() bool {
--- a/internal/core/spread/pull.go
+++ b/internal/core/spread/pull.go
@@ -66,7 +66,7 @@
 
 // OnFiles reports a peer's answer to PullFiles.
 func (s *Spread) OnFiles(now time.Time, id string, version uint64, all []catalog.FileRevision, files []catalog.Published) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	s.gossip.heardAt = now
 	decision := s.offer(catalog.Offer{
 		Version: version, All: all, Files: files,
@@ -94,7 +94,7 @@
 
 // OnPullError reports that a peer didn't answer PullFiles.
 func (s *Spread) OnPullError(now time.Time, id string) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	s.endPull(id)
 	s.pull(now, out)
 	return out.list
--- a/internal/core/spread/service.go
+++ b/internal/core/spread/service.go
@@ -189,7 +189,7 @@
 // revision. The answer to an abandoned watch is taken too, but proves nothing
 // about the present.
 func (s *Spread) OnFolder(now time.Time, seq Seq, version uint64, all []catalog.FileRevision) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	s.heardService(now, seq)
 	s.gatherFolder(now, version, all, out)
 	s.fetchFiles(now, out)
@@ -199,7 +199,7 @@
 
 // OnFolderUnchanged reports that the service has no newer version.
 func (s *Spread) OnFolderUnchanged(now time.Time, seq Seq) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	s.heardService(now, seq)
 	s.afterEvent(now, out)
 	return out.list
@@ -214,11 +214,11 @@
 // OnList reports a VM list that the platform gave. The list must not change
 // afterwards.
 func (s *Spread) OnList(now time.Time, seq Seq, list *membership.List) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	current := s.service.list.succeeded(now, seq)
 	s.adoptList(list, out)
 	if current && s.list != nil && list.Revision == s.list.Revision {
-		s.confirm(s.service.list.sentAt)
+		s.confirm(s.service.list.sentAt, out)
 	}
 	s.afterEvent(now, out)
 	return out.list
@@ -227,10 +227,10 @@
 // OnListUnchanged reports that the platform had no newer list when the wait was
 // over.
 func (s *Spread) OnListUnchanged(now time.Time, seq Seq) []Action {
-	out := &actions{}
+	out := s.begin(now)
 	c := &s.service.list
 	if c.succeeded(now, seq) && s.list != nil {
-		s.confirm(earlierOf(now, c.sentAt.Add(c.wait)))
+		s.confirm(earlierOf(now, c.sentAt.Add(c.wait)), out)
 	}
 	s.afterEvent(now, out)
 	return out.list
@@ -245,12 +245,13 @@
 
 // OnServiceError reports that a watch failed or timed out.
 func (s *Spread) OnServiceError(now time.Time, seq Seq) []Action {
+	out := s.begin(now)
 	for _, c := range []*call{&s.service.config, &s.service.list} {
 		if c.inFlight && c.seq == seq {
 			c.failed(now, s.jitter)
 		}
 	}
-	return nil
+	return out.list
 }
 
 // expire drops what was never reported.
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -51,9 +51,10 @@
 	confirmedAt time.Time
 	topology    topology
 
-	phase    phase
-	lastTick time.Time
-	startAt  time.Time
+	phase   phase
+	startAt time.Time
+	// lastEvent is when the last event or tick came in.
+	lastEvent time.Time
 
 	service service
 	gossip  gossip
@@ -111,8 +112,7 @@
 
 // Tick does what is due at now.
 func (s *Spread) Tick(now time.Time) []Action {
-	out := &actions{}
-	s.detectPause(now, out)
+	out := s.begin(now)
 	s.expire(now)
 	s.readService(now, out)
 	s.fetchFiles(now, out)
@@ -148,7 +148,7 @@
 	if s.confirmedAt.IsZero() {
 		return 0, false
 	}
-	return max(now.Sub(s.confirmedAt), 0), true
+	return membership.Elapsed(s.confirmedAt, now), true
 }
 
 func (s *Spread) nextSeq() Seq {
@@ -157,9 +157,10 @@
 }
 
 // confirm notes that the list in force was the newest at the given time.
-func (s *Spread) confirm(at time.Time) {
+func (s *Spread) confirm(at time.Time, out *actions) {
 	if at.After(s.confirmedAt) {
 		s.confirmedAt = at
+		out.add(ConfirmList{List: s.list, At: at})
 	}
 }
 
@@ -202,5 +203,5 @@
 	s.topology = newTopology(s.self, list)
 	s.gossip.keep(s.topology)
 	s.gossip.news()
-	out.add(AdoptList{List: list})
+	out.add(AdoptList{List: list, ConfirmedAt: s.confirmedAt})
 }
--- a/internal/core/spread/topology.go
+++ b/internal/core/spread/topology.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ryecourse.example/ryecourse/internal/core/membership"
 )
 
@@ -74,7 +72,7 @@
 		candidates = append(candidates, self)
 	}
 	var out []string
-	for _, vm := range rendezvous("reader/"+self.Zone, candidates, readersPerZone) {
+	for _, vm := range membership.RendezvousN("reader/"+self.Zone, candidates, readersPerZone) {
 		out = append(out, vm.ID)
 	}
 	return out
@@ -88,7 +86,7 @@
 
 // ringNeighbours returns the members that stand 1, 2, 4, ... places after self.
 func ringNeighbours(self membership.VM, members []membership.VM) []membership.VM {
-	ring := sortedByHash("ring/"+self.Zone, members)
+	ring := membership.RendezvousN("ring/"+self.Zone, members, len(members))
 	at := slices.IndexFunc(ring, func(vm membership.VM) bool { return vm.ID == self.ID })
 	var out []membership.VM
 	for step := 1; step < len(ring); step *= 2 {
@@ -100,8 +98,8 @@
 // linksTo returns the daemons of another zone that self is linked with.
 func linksTo(self membership.VM, own []membership.VM, zone string, vms []membership.VM) []membership.VM {
 	key := "link/" + min(self.Zone, zone) + "/" + max(self.Zone, zone)
-	here := rendezvous(key, own, linksPerZone)
-	there := rendezvous(key, vms, linksPerZone)
+	here := membership.RendezvousN(key, own, linksPerZone)
+	there := membership.RendezvousN(key, vms, linksPerZone)
 	at := slices.IndexFunc(here, func(vm membership.VM) bool { return vm.ID == self.ID })
 	if at < 0 {
 		return nil
@@ -111,30 +109,3 @@
 	}
 	return there[:min(1, len(there))]
 }
-
-// rendezvous returns the n members with the highest weights for key, the
-// highest first (Thaler and Ravishankar, "Using name-based mappings to increase
-// hit rates", 1998).
-func rendezvous(key string, members []membership.VM, n int) []membership.VM {
-	ring := sortedByHash(key, members)
-	return ring[:min(n, len(ring))]
-}
-
-func sortedByHash(key string, members []membership.VM) []membership.VM {
-	type weighted struct {
-		vm     membership.VM
-		weight uint64
-	}
-	all := make([]weighted, len(members))
-	for i, vm := range members {
-		all[i] = weighted{vm: vm, weight: xxhash.Sum64String(key + "\x00" + vm.ID)}
-	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm.ID, b.vm.ID))
-	})
-	out := make([]membership.VM, len(all))
-	for i, w := range all {
-		out[i] = w.vm
-	}
-	return out
-}
