Back off from a folder that is refused, and report it once

A service that gives a folder without files, or one that contradicts itself, answers a watch at once each time, so that a reader read and audited it four times a second. A refused folder now counts as a failed read, and an offer that isn't taken is reported once for as long as it repeats.

--- a/internal/core/spread/failure_test.go
+++ b/internal/core/spread/failure_test.go
@@ -180,3 +180,28 @@
 		t.Fatalf("%d pulls, want 1", pulls)
 	}
 }
+
+// TestRefusedFolder lets the service give a folder without files. It must not be
+// read or reported again and again.
+func TestRefusedFolder(t *testing.T) {
+	f := smallFleet(8)
+	f.clock.run(settle, f.agree)
+	f.platform.versions = append(f.platform.versions, folderVersion{at: f.clock.now})
+	f.platform.wake()
+	reads, reports := f.platform.reads, f.ignored
+	const span = 30 * time.Second
+	f.clock.run(span, nil)
+	readers := 4 * readersPerZone
+	// Each reader watches the list and asks for the folder after each backoff,
+	// which is at least half of its bound.
+	bound := readers * int(span/watchWait+span/(maxBackoff/2)+8)
+	if n := f.platform.reads - reads; n > bound {
+		t.Errorf("%d reads, bound %d", n, bound)
+	}
+	if n := f.ignored - reports; n == 0 || n > readers {
+		t.Errorf("reported %d times by %d readers", n, readers)
+	}
+	if !f.converged(1) {
+		t.Error("the configuration was lost")
+	}
+}
--- a/internal/core/spread/fleet_test.go
+++ b/internal/core/spread/fleet_test.go
@@ -52,6 +52,8 @@
 	// tamper changes a daemon's state after each event, for naive policies.
 	tamper func(*Spread)
 	fault  error
+	// ignored counts the offers that daemons reported as not taken.
+	ignored int
 }
 
 func newFleet(seed uint64, zones, size int) *fleet {
@@ -176,6 +178,8 @@
 			}
 			n.version = a.Decision.Version
 			n.first = cmp.Or(n.first, n.version)
+		case Ignore:
+			f.ignored++
 		case AdoptList:
 			n.confirmedAt = a.ConfirmedAt
 		case ConfirmList:
--- a/internal/core/spread/gather.go
+++ b/internal/core/spread/gather.go
@@ -72,7 +72,13 @@
 	missing := s.missing(o)
 	if len(missing) == 0 {
 		s.service.gather = nil
-		s.offer(o, out)
+		d := s.offer(o, out)
+		if d.Outcome == catalog.Refused || d.Outcome == catalog.Incomplete {
+			// The service would give the same at once, again and again.
+			s.service.config.failed(now, s.jitter)
+			return
+		}
+		s.service.config.failures = 0
 		return
 	}
 	s.service.gather = &gather{
--- a/internal/core/spread/service.go
+++ b/internal/core/spread/service.go
@@ -60,13 +60,13 @@
 	c.expires = now.Add(wait + watchTimeout)
 }
 
-// succeeded tells whether seq is the call in flight, and if so ends it.
+// succeeded tells whether seq is the call in flight, and if so ends it. The
+// failures before still count if the answer turns out to be of no use.
 func (c *call) succeeded(now time.Time, seq Seq) bool {
 	if !c.inFlight || c.seq != seq {
 		return false
 	}
 	c.inFlight = false
-	c.failures = 0
 	c.next = now.Add(watchGap)
 	return true
 }
@@ -201,6 +201,7 @@
 func (s *Spread) OnFolderUnchanged(now time.Time, seq Seq) []Action {
 	out := s.begin(now)
 	s.heardService(now, seq)
+	s.service.config.failures = 0
 	s.afterEvent(now, out)
 	return out.list
 }
@@ -216,6 +217,7 @@
 func (s *Spread) OnList(now time.Time, seq Seq, list *membership.List) []Action {
 	out := s.begin(now)
 	current := s.service.list.succeeded(now, seq)
+	s.service.list.failures = 0
 	s.adoptList(list, out)
 	if current && s.list != nil && list.Revision == s.list.Revision {
 		s.confirm(s.service.list.sentAt, out)
@@ -229,6 +231,7 @@
 func (s *Spread) OnListUnchanged(now time.Time, seq Seq) []Action {
 	out := s.begin(now)
 	c := &s.service.list
+	c.failures = 0
 	if c.succeeded(now, seq) && s.list != nil {
 		s.confirm(earlierOf(now, c.sentAt.Add(c.wait)), out)
 	}
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -44,6 +44,8 @@
 	isSeed   bool
 	rng      *rand.Rand
 	acceptor *catalog.Acceptor
+	// lastIgnored is the last offer that was reported as not taken.
+	lastIgnored ignored
 
 	list *membership.List
 	// confirmedAt is a time at which the platform had no newer list for some
@@ -185,11 +187,28 @@
 		s.gossip.news()
 	case catalog.Unchanged:
 	default:
-		out.add(Ignore{Decision: d})
+		s.ignore(d, out)
 	}
 	return d
 }
 
+// ignored identifies an offer that was not taken.
+type ignored struct {
+	outcome catalog.Outcome
+	version uint64
+	source  catalog.Source
+}
+
+// ignore reports an offer that was not taken, once for as long as it repeats.
+func (s *Spread) ignore(d catalog.Decision, out *actions) {
+	this := ignored{outcome: d.Outcome, version: d.Version, source: d.Source}
+	if this == s.lastIgnored {
+		return
+	}
+	s.lastIgnored = this
+	out.add(Ignore{Decision: d})
+}
+
 // adoptList takes a list that a read or a peer gave.
 func (s *Spread) adoptList(list *membership.List, out *actions) {
 	if len(list.VMs) == 0 || s.list != nil && list.Revision < s.list.Revision {
