--- a/internal/core/scatter/budget.go
+++ b/internal/core/scatter/budget.go
@@ -11,7 +11,8 @@
 	// RetryRatio and RetryBurst limit retries after failures.
 	RetryRatio = 0.10
 	RetryBurst = 20
-	// ReaskRatio and ReaskBurst limit requests repeated for another snapshot.
+	// ReaskRatio and ReaskBurst limit requests repeated for another snapshot,
+	// but for those that follow a request that did no work.
 	ReaskRatio = 1.0
 	ReaskBurst = 1000
 	// shedCost is the number of tokens that one shed takes from each budget.
--- a/internal/core/scatter/policy.go
+++ b/internal/core/scatter/policy.go
@@ -29,7 +29,7 @@
 		MaxAttemptsPerShard: 6,
 		MaxHedgesPerShard:   2,
 		MaxRestarts:         2,
-		DiscoverEvery:       8,
+		DiscoverEvery:       16,
 		CapacityWait:        50 * time.Millisecond,
 		CapacityPoll:        2 * time.Millisecond,
 		RetryAfter:          time.Second,
--- a/internal/core/scatter/recent.go
+++ b/internal/core/scatter/recent.go
@@ -2,16 +2,24 @@
 
 import "sync/atomic"
 
+// doubtQueries is the number of queries that ask for any snapshot after a
+// replica lacked the most recent complete one.
+const doubtQueries = 100
+
 // Recent remembers the snapshot of the last complete answer of one service.
 // Queries ask for it from the start, so that a replica that holds it beside a
 // newer one answers from it, and one that lacks it says so without any work.
 // Every few queries leave the choice to the replicas instead, which discovers
 // newer snapshots.
 //
+// After a replica lacked the snapshot, queries ask for any for a while: in the
+// middle of a change the majority of the answers is the better guide.
+//
 // Recent is shared by all queries of the service without a lock.
 type Recent struct {
 	info    atomic.Pointer[SnapshotInfo]
 	queries atomic.Uint32
+	doubt   atomic.Int32 // queries that still ask for any snapshot
 }
 
 // next returns the snapshot to ask for, unless there is none or this query
@@ -24,9 +32,21 @@
 	if info == nil || r.queries.Add(1)%uint32(discoverEvery) == 0 {
 		return SnapshotInfo{}, false
 	}
+	if r.doubt.Load() > 0 {
+		r.doubt.Add(-1)
+		return SnapshotInfo{}, false
+	}
 	return *info, true
 }
 
+// doubtful tells that a replica lacked the snapshot. The next queries ask for
+// any, and learn from the answers which snapshot most replicas hold.
+func (r *Recent) doubtful() {
+	if r != nil {
+		r.doubt.Store(doubtQueries)
+	}
+}
+
 func (r *Recent) last() (SnapshotInfo, bool) {
 	if r == nil {
 		return SnapshotInfo{}, false
--- a/internal/core/scatter/results.go
+++ b/internal/core/scatter/results.go
@@ -58,12 +58,10 @@
 	k := a.shard
 	a.answered = true
 	q.snapshots[i].store(k, r.Body)
+	q.shards[k].next = kindReask // only another snapshot can need it
 	if q.current == none || i == q.current {
 		q.cancelShard(k)
-		return
 	}
-	q.shards[k].next = kindReask
-	// The replica may hold the wanted snapshot too, so it may be asked again.
 }
 
 // onFailure keeps why an attempt failed.
@@ -82,6 +80,12 @@
 		return
 	}
 	s.next = kindReask
+	if a.kind == kindFirst && a.wanted != none {
+		q.shared.Recent.doubtful()
+	}
+	if r.Verdict == verdict.NotRun {
+		q.shared.Budgets.give(kindReask) // the replica did no work
+	}
 	q.noteHeld(a, r.Held)
 }
 
--- a/internal/core/scatter/snapshot.go
+++ b/internal/core/scatter/snapshot.go
@@ -316,8 +316,9 @@
 func (q *Query) cancelOthers() {
 	for i := range q.attempts {
 		a := &q.attempts[i]
-		if a.wanted != none && a.wanted != q.current {
+		if !a.ended && a.wanted != none && a.wanted != q.current {
 			q.cancel(a)
+			q.shards[a.shard].next = kindReask
 		}
 	}
 }
--- a/internal/core/scatter/world_test.go
+++ b/internal/core/scatter/world_test.go
@@ -60,6 +60,7 @@
 	lastID   int
 
 	firsts, hedges, extra int // over all queries
+	unheld                int // attempts that a replica refused for lack of the snapshot
 }
 
 func newWorld(t *rapid.T) *world {
--- a/internal/scattermodel/leaf.go
+++ b/internal/scattermodel/leaf.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"ryecourse.example/ryecourse/internal/core/scatter"
 )
 
 const (
@@ -26,10 +28,17 @@
 	slow
 	// frozen is healthy until one replica of each group stops answering.
 	frozen
+	// overlap is healthy while replicas take a new snapshot one after the other
+	// and keep the old one for a while.
+	overlap
+	// longOverlap is the same, but all replicas hold both for a time.
+	longOverlap
+	// exchange is the same, but each replica drops the old snapshot at once.
+	exchange
 )
 
 func (s scenario) String() string {
-	return [...]string{"healthy", "slow", "frozen"}[s]
+	return [...]string{"healthy", "slow", "frozen", "overlap", "long", "exchange"}[s]
 }
 
 // leaf is one replica: slots, a queue in order of arrival, and cancellation.
@@ -38,6 +47,7 @@
 	running int
 	queue   []*call
 	frozen  bool
+	holds   []scatter.SnapshotInfo // newest first
 }
 
 // call is one attempt at a leaf.
@@ -47,10 +57,21 @@
 	shard    int
 	sentAt   time.Time
 	leaf     *leaf
+	wanted   string // the snapshot, or empty for any
 	started  bool
 	finished bool // answered or canceled
 }
 
+// find returns the snapshot that answers a request, or nil.
+func (l *leaf) find(wanted string) *scatter.SnapshotInfo {
+	for i := range l.holds {
+		if wanted == "" || l.holds[i].ID == wanted {
+			return &l.holds[i]
+		}
+	}
+	return nil
+}
+
 func serviceTime(rng *rand.Rand, s scenario) time.Duration {
 	d := fixedService + time.Duration(rng.ExpFloat64()*float64(randomService))
 	if s == slow && rng.Float64() < slowShare {
@@ -64,6 +85,10 @@
 	if c.finished {
 		return
 	}
+	if c.leaf.find(c.wanted) == nil {
+		m.after(networkDelay, func() { m.reject(c) })
+		return
+	}
 	c.leaf.queue = append(c.leaf.queue, c)
 	m.fill(c.leaf)
 }
@@ -89,7 +114,13 @@
 	}
 	c.leaf.running--
 	m.fill(c.leaf)
-	m.after(networkDelay, func() { m.answer(c) })
+	s := c.leaf.find(c.wanted)
+	if s == nil {
+		m.after(networkDelay, func() { m.reject(c) })
+		return
+	}
+	info := *s
+	m.after(networkDelay, func() { m.answer(c, info) })
 }
 
 // cancel frees what the call holds at its leaf once the leaf has heard of it.
--- a/internal/scattermodel/model.go
+++ b/internal/scattermodel/model.go
@@ -19,11 +19,17 @@
 	// the figures begin again.
 	freezeAt     = 10 * time.Second
 	freezeSettle = 2 * time.Second
+	// rollStart and rollTime bound the times at which replicas take a new
+	// snapshot; overlapTime is how long they keep the old one beside it.
+	rollStart   = 5 * time.Second
+	rollTime    = 20 * time.Second
+	overlapTime = 5 * time.Second
 )
 
 var (
 	epoch    = time.Unix(1_700_000_000, 0)
-	snapshot = scatter.SnapshotInfo{ID: "a", Shards: groups}
+	oldIndex = scatter.SnapshotInfo{ID: "a", Shards: groups}
+	newIndex = scatter.SnapshotInfo{ID: "b", Shards: groups}
 )
 
 // event is something that happens at a time.
@@ -93,6 +99,9 @@
 	if s == frozen {
 		m.after(freezeAt, m.freeze)
 	}
+	if s >= overlap {
+		m.roll()
+	}
 	for len(m.events) > 0 {
 		e := heap.Pop(&m.events).(event)
 		m.now = e.at
@@ -107,7 +116,7 @@
 		for r := range replicas {
 			id := fmt.Sprintf("leaf-%d-%d", k, r)
 			m.layout[k].Replicas = append(m.layout[k].Replicas, catalog.Upstream{ID: id})
-			m.leaves[id] = &leaf{id: id}
+			m.leaves[id] = &leaf{id: id, holds: []scatter.SnapshotInfo{oldIndex}}
 		}
 	}
 	m.shared = scatter.Shared{
@@ -117,6 +126,9 @@
 		Recent:  &scatter.Recent{},
 		Policy:  scatter.DefaultPolicy(),
 	}
+	if m.policy.askAny {
+		m.shared.Policy.DiscoverEvery = 0
+	}
 	if !m.policy.hedge {
 		m.shared.Policy.MaxHedgesPerShard = 0
 	}
@@ -128,6 +140,26 @@
 	}
 }
 
+// roll lets every replica take the new snapshot at a random time.
+func (m *model) roll() {
+	for k := range m.layout {
+		for _, u := range m.layout[k].Replicas {
+			l := m.leaves[u.ID]
+			at := rollStart + time.Duration(m.rng.Float64()*float64(rollTime))
+			if m.scenario == exchange {
+				m.after(at, func() { l.holds = []scatter.SnapshotInfo{newIndex} })
+				continue
+			}
+			m.after(at, func() { l.holds = []scatter.SnapshotInfo{newIndex, oldIndex} })
+			keep := overlapTime
+			if m.scenario == longOverlap {
+				keep = rollTime
+			}
+			m.after(at+keep, func() { l.holds = []scatter.SnapshotInfo{newIndex} })
+		}
+	}
+}
+
 func (m *model) after(d time.Duration, do func()) {
 	m.seq++
 	heap.Push(&m.events, event{at: m.now.Add(d), seq: m.seq, do: do})
@@ -189,7 +221,7 @@
 }
 
 func (m *model) send(q *query, a scatter.Attempt) {
-	c := &call{query: q, attempt: a.ID, shard: a.Shard, sentAt: m.now, leaf: m.leaves[a.Target.Upstream]}
+	c := &call{query: q, attempt: a.ID, shard: a.Shard, wanted: a.Snapshot, sentAt: m.now, leaf: m.leaves[a.Target.Upstream]}
 	q.calls[a.ID] = c
 	m.after(networkDelay, func() { m.arrive(c) })
 }
@@ -203,13 +235,25 @@
 }
 
 // answer reports a complete answer.
-func (m *model) answer(c *call) {
+func (m *model) answer(c *call, info scatter.SnapshotInfo) {
 	if c.finished {
 		return
 	}
 	c.finished = true
 	report := scatter.Report{Outcome: scatter.OutcomeAnswered, Latency: m.now.Sub(c.sentAt), Load: -1}
-	result := scatter.Result{Attempt: c.attempt, Verdict: verdict.Ran, Snapshot: snapshot, Report: report}
+	result := scatter.Result{Attempt: c.attempt, Verdict: verdict.Ran, Snapshot: info, Report: report}
+	m.carryOut(c.query, c.query.OnResult(m.now, result))
+}
+
+// reject reports that the leaf lacks the wanted snapshot.
+func (m *model) reject(c *call) {
+	if c.finished {
+		return
+	}
+	c.finished = true
+	report := scatter.Report{Outcome: scatter.OutcomeSnapshotMissing, Latency: m.now.Sub(c.sentAt), Load: -1}
+	result := scatter.Result{Attempt: c.attempt, Held: c.leaf.holds, Report: report}
+	m.result.rejected++
 	m.carryOut(c.query, c.query.OnResult(m.now, result))
 }
 
