Report the loss of an upstream's last connection

Cause: an upstream that restarts is cold, and closes all connections. The router could be told so, but the pool didn't tell. Ruled out: waiting for the first answer of the new instance; the requests sent until then may exceed what it bears. Change: the pool reports it before it opens another connection. Confirmations of the VM list reach the quota manager, and only new mistakes the audit trail. Conclusion: a restart is noticed without a request.

--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -84,7 +84,7 @@
 	t.Helper()
 	srv := New(Deps{
 		Config: s, Limiter: s, Sharer: s, Planner: s,
-		Pool: upstream.NewPool(), Metrics: telemetry.New(), Log: zerolog.Nop(),
+		Pool: upstream.NewPool(nil), Metrics: telemetry.New(), Log: zerolog.Nop(),
 	}, limits)
 	ln := fasthttputil.NewInmemoryListener()
 	go srv.Serve(ln)
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -45,8 +45,10 @@
 		c.auditDecision(now, a.Decision)
 	case spread.AdoptList:
 		c.auditList(now, a.List)
-		c.quotaActions(c.deps.Quota.OnList(now, a.List, now))
+		c.quotaActions(c.deps.Quota.OnList(now, a.List, a.ConfirmedAt))
 		c.publish(now)
+	case spread.ConfirmList:
+		c.quotaActions(c.deps.Quota.OnList(now, a.List, a.At))
 	case spread.Ready:
 		c.serving = true
 		c.State.confirm(now)
@@ -174,7 +176,7 @@
 		e.Details = append(e.Details, ch.String())
 	}
 	c.deps.Trail.Add(e)
-	for _, p := range d.Problems {
+	for _, p := range d.NewProblems {
 		c.deps.Trail.Add(audit.Entry{
 			Time: now, Kind: "config_rejected", Subject: p.File, Version: d.Version, Cause: p.Error(),
 			Publisher: c.publisher(p.File),
--- /dev/null
+++ b/internal/daemon/addresses.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"sync/atomic"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+// addressBook maps the addresses of upstreams to their IDs. It is replaced as a
+// whole and read without locks.
+type addressBook struct {
+	ids atomic.Pointer[map[string]string]
+}
+
+func newAddressBook() *addressBook {
+	b := &addressBook{}
+	b.ids.Store(&map[string]string{})
+	return b
+}
+
+func (b *addressBook) update(c *catalog.Catalog) {
+	ids := make(map[string]string)
+	for _, s := range c.Services {
+		for _, shard := range s.Shards {
+			for _, u := range shard.Replicas {
+				ids[u.Address] = u.ID
+			}
+		}
+	}
+	b.ids.Store(&ids)
+}
+
+func (b *addressBook) upstream(addr string) (string, bool) {
+	id, ok := (*b.ids.Load())[addr]
+	return id, ok
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,6 @@
 		trail:    audit.New(log),
 		metrics:  telemetry.New(),
 		platform: platform.New(s.Platform),
-		pool:     upstream.NewPool(),
 		leaving:  make(chan struct{}),
 	}
 	d.build()
@@ -101,7 +100,13 @@
 	d.quota = quota.New(quota.Params{Self: self.VM, Incarnation: self.Incarnation, Started: time.Now()})
 	d.spread = spread.New(spread.Settings{Self: self.VM, Seeds: seeds(s.Seeds)}, newRand())
 	d.router = routing.New(self.VM, newRand(), routing.Config{})
-	d.planner = newPlanner(s.Policy, d.pool, d.router)
+	addresses := newAddressBook()
+	d.pool = upstream.NewPool(func(addr string) {
+		if id, ok := addresses.upstream(addr); ok {
+			d.router.OnConnectionsLost(time.Now(), id)
+		}
+	})
+	d.planner = newPlanner(s.Policy, d.pool, d.router, addresses)
 	d.control = control.New(control.Deps{
 		Self:     self,
 		Platform: d.platform,
--- a/internal/daemon/planner.go
+++ b/internal/daemon/planner.go
@@ -24,6 +24,7 @@
 	policy   settings.Policy
 	pool     *upstream.Pool
 	router   *routing.Router
+	book     *addressBook
 	baseline *randomPicker
 	picker   scatter.Picker
 
@@ -38,11 +39,12 @@
 	shared scatter.Shared
 }
 
-func newPlanner(policy settings.Policy, pool *upstream.Pool, router *routing.Router) *planner {
+func newPlanner(policy settings.Policy, pool *upstream.Pool, router *routing.Router, book *addressBook) *planner {
 	p := &planner{
 		policy:   policy,
 		pool:     pool,
 		router:   router,
+		book:     book,
 		baseline: &randomPicker{},
 		shared:   make(map[string]*serviceShared),
 	}
@@ -56,6 +58,7 @@
 // update takes a new view. It runs on the control goroutine.
 func (p *planner) update(now time.Time, v *control.View) {
 	p.baseline.catalog.Store(v.Catalog)
+	p.book.update(v.Catalog)
 	p.pool.SetLimits(p.limits(now))
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -72,7 +72,7 @@
 		c.host.forget(c)
 		c.fail(scatter.OutcomeCanceled)
 	case phaseAttached:
-		cn.nc.Close()
+		cn.close()
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,6 +38,8 @@
 	nc      net.Conn
 	br      *bufio.Reader
 	counted bool // guarded by host.mu
+	// closing tells that this side closed the connection.
+	closing atomic.Bool
 
 	// sending is held while a request is written.
 	sending sync.Mutex
@@ -60,6 +62,12 @@
 	return &conn{host: h, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), counted: true}
 }
 
+// close closes the connection from this side.
+func (cn *conn) close() {
+	cn.closing.Store(true)
+	cn.nc.Close()
+}
+
 // begin sends the call's request on the connection.
 func (cn *conn) begin(c *Call) beginResult {
 	if !c.attach(cn) {
@@ -77,7 +85,7 @@
 		return beginSent
 	}
 	if cn.host.pool.sends.Go(func() { cn.send(c) }) != nil { // the pool is closed
-		cn.nc.Close()
+		cn.close()
 		cn.sending.Unlock()
 	}
 	return beginSent
@@ -151,7 +159,7 @@
 
 // readLoop owns the reading side of the connection until it is closed.
 func (cn *conn) readLoop() {
-	defer cn.host.remove(cn)
+	defer func() { cn.host.remove(cn, !cn.closing.Load()) }()
 	defer cn.shut()
 	defer cn.nc.Close()
 	resp := fasthttp.AcquireResponse()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -46,6 +46,9 @@
 	// Stats may be read at any time.
 	Stats Stats
 
+	// onLost is called when an upstream closed the last connection of this VM.
+	onLost func(addr string)
+
 	dials pond.Pool
 	sends pond.Pool
 
@@ -53,12 +56,15 @@
 	hosts map[string]*host
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
+// NewPool returns an empty pool. OnLost, if set, is called when an upstream has
+// closed the last connection of this VM, before another one is opened. It must
+// not block and must not call the pool.
+func NewPool(onLost func(addr string)) *Pool {
 	return &Pool{
-		dials: pond.NewPool(maxDials),
-		sends: pond.NewPool(maxSends),
-		hosts: make(map[string]*host),
+		onLost: onLost,
+		dials:  pond.NewPool(maxDials),
+		sends:  pond.NewPool(maxSends),
+		hosts:  make(map[string]*host),
 	}
 }
 
@@ -172,7 +178,7 @@
 	h.openAheadLocked()
 	h.mu.Unlock()
 	for _, c := range surplus {
-		c.nc.Close()
+		c.close()
 	}
 	for _, c := range failed {
 		c.fail(scatter.OutcomeConnectFailed)
@@ -293,7 +299,7 @@
 	defer h.mu.Unlock()
 	if h.total > h.max {
 		h.forgetLocked(cn)
-		cn.nc.Close()
+		cn.close()
 		return nil, true
 	}
 	if len(h.waiting) == 0 {
@@ -306,14 +312,20 @@
 	return c, false
 }
 
-// remove forgets a closed connection and opens another one if calls wait.
-func (h *host) remove(cn *conn) {
+// remove forgets a closed connection and opens another one if calls wait. The
+// loss of the last connection by the upstream's doing is reported first, so that
+// no request goes out on a new connection before.
+func (h *host) remove(cn *conn, byUpstream bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if i := slices.Index(h.idle, cn); i >= 0 {
 		h.idle = slices.Delete(h.idle, i, i+1)
 	}
+	counted := cn.counted
 	h.forgetLocked(cn)
+	if byUpstream && counted && h.total == h.opening && h.pool.onLost != nil {
+		h.pool.onLost(h.addr)
+	}
 	h.dialForWaitingLocked()
 	h.openAheadLocked()
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -76,7 +76,7 @@
 }
 
 func newPool(t *testing.T, addr string, limit int) *Pool {
-	p := NewPool()
+	p := NewPool(nil)
 	p.SetLimits([]Limit{{Address: addr, Max: limit}})
 	t.Cleanup(p.Close)
 	return p
@@ -292,3 +292,35 @@
 	p.Start(newCall(f.addr(), 1, s))
 	want(t, <-s, scatter.OutcomeConnectFailed, verdict.NotRun)
 }
+
+// TestLossOfTheLastConnectionIsReported lets the upstream close both of two
+// connections, and then this side the only one: only the first counts.
+func TestLossOfTheLastConnectionIsReported(t *testing.T) {
+	f, s := newFake(t), make(sink, 4)
+	lost := make(chan string, 4)
+	p := NewPool(func(addr string) { lost <- addr })
+	t.Cleanup(p.Close)
+	p.SetLimits([]Limit{{Address: f.addr(), Max: 2}})
+	p.Start(newCall(f.addr(), 1, s))
+	p.Start(newCall(f.addr(), 2, s))
+	a, b := <-f.conns, <-f.conns
+	a.Close()
+	<-s
+	if len(lost) != 0 {
+		t.Fatal("reported while a connection was open")
+	}
+	b.Close()
+	<-s
+	if got := <-lost; got != f.addr() {
+		t.Fatalf("lost %s", got)
+	}
+	call := newCall(f.addr(), 3, s)
+	p.Start(call)
+	receive(t, <-f.conns)
+	call.Cancel()
+	want(t, <-s, scatter.OutcomeCanceled, verdict.MayHaveRun)
+	awaitNoConnection(p, f.addr())
+	if len(lost) != 0 {
+		t.Fatal("reported a connection that this side closed")
+	}
+}
