Run the whole fleet's decisions under random faults

Cause: each part is proved alone; what they do together was seen in make smoke only. Ruled out: the daemon's own edges under testing/synctest; sockets don't run on a virtual clock, and a run would take minutes. Change: internal/soak joins the real spread, quota, routing, admission and scatter of 9 VMs with fakes of platform, network, upstreams and callers, kills, leaves, freezes, cuts, outages, stale reads, lost and repeated messages, racing operators, and checks ten promises. Nine variants without a mechanism each make their check fail. make soak and make fuzz. Found by it: nothing in the product yet. In the harness: a query was called while its actions were carried out; canceled work went on at the upstream; the check of convergence never came to run, because faults followed each other too closely (its variant did not fail), so storms and calms now alternate.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,23 @@
 smoke: build
 	scripts/smoke.sh
 
+bench: build
+	scripts/bench.sh
+
+# make soak SEED=3 STEPS=100000
+SEED  ?= 1
+STEPS ?= 20000
+soak:
+	$(GO) run -tags invariants ./cmd/soak -seed $(SEED) -steps $(STEPS)
+
+# make fuzz SECONDS=60 explores fresh seeds and prints the seed that fails.
+SECONDS ?= 60
+fuzz:
+	scripts/fuzz.sh $(SECONDS)
+
+proofs:
+	scripts/proofs.sh
+
 # Needs buf and its plugins, which tools/go.mod pins. The generated code is committed.
 generate:
 	$(GO) build -modfile=tools/go.mod -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
--- /dev/null
+++ b/internal/soak/platform.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// staleDepth is how many versions a stale replica of the platform lies behind.
+const staleDepth = 3
+
+// folder is one version of the configuration folder.
+type folder struct {
+	version uint64
+	at      time.Time
+	files   map[string]catalog.Published
+}
+
+// platform is the fake of the configuration service and of the VM list. Every
+// version is kept, so that a stale replica can be played.
+type platform struct {
+	world   *world
+	folders []folder
+	lists   []membership.List
+	down    bool
+	stale   bool
+}
+
+// publish makes a new version of the folder with the files changed. An empty
+// content deletes a file.
+func (p *platform) publish(files map[string]string) {
+	version := uint64(len(p.folders) + 1)
+	next := folder{version: version, at: p.world.clock.now, files: make(map[string]catalog.Published)}
+	if len(p.folders) > 0 {
+		for name, f := range p.folders[len(p.folders)-1].files {
+			next.files[name] = f
+		}
+	}
+	for name, content := range files {
+		if content == "" {
+			delete(next.files, name)
+			continue
+		}
+		next.files[name] = catalog.Published{Name: name, Revision: version, Content: []byte(content)}
+	}
+	p.folders = append(p.folders, next)
+}
+
+func (p *platform) publishList(vms []membership.VM) {
+	list := membership.List{Revision: uint64(len(p.lists) + 1), VMs: slices.Clone(vms)}
+	slices.SortFunc(list.VMs, func(a, b membership.VM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	p.lists = append(p.lists, list)
+}
+
+// visible returns the index of the version that a reader sees.
+func (p *platform) visible(n int) int {
+	if p.stale {
+		return max(n-1-staleDepth, 0)
+	}
+	return n - 1
+}
+
+func (p *platform) folder() *folder        { return &p.folders[p.visible(len(p.folders))] }
+func (p *platform) list() *membership.List { return &p.lists[p.visible(len(p.lists))] }
+func (p *platform) newest() *folder        { return &p.folders[len(p.folders)-1] }
+func (f *folder) all() []catalog.FileRevision {
+	var out []catalog.FileRevision
+	for _, file := range f.files {
+		out = append(out, catalog.FileRevision{Name: file.Name, Revision: file.Revision})
+	}
+	slices.SortFunc(out, func(a, b catalog.FileRevision) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// pollInterval is how often a waiting watch looks for news.
+const pollInterval = 50 * time.Millisecond
+
+// watch calls done with true as soon as newer reports news, and with false when
+// the wait is over.
+func (p *platform) watch(wait time.Duration, newer func() bool, done func(bool)) {
+	if newer() || wait <= 0 {
+		done(newer())
+		return
+	}
+	p.world.clock.after(min(pollInterval, wait), func() { p.watch(wait-pollInterval, newer, done) })
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/scatter"
+)
+
+const testSteps = 2500
+
+func TestNothingIsViolated(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4} {
+		r := Run(seed, testSteps)
+		t.Log(r.Last())
+		if r.Violations > 0 {
+			t.Errorf("seed %d: %v", seed, r.Reports)
+		}
+		if r.Answers == 0 {
+			t.Errorf("seed %d: no query was answered", seed)
+		}
+	}
+}
+
+func TestSameSeedSameLine(t *testing.T) {
+	if a, b := Run(7, 600), Run(7, 600); a.Last() != b.Last() || a.Refusals != b.Refusals {
+		t.Fatalf("two runs differ: %q and %q", a.Last(), b.Last())
+	}
+}
+
+// anyReplica picks at random and knows no permits.
+type anyReplica struct{ v *vm }
+
+func (p anyReplica) Pick(_ time.Time, service string, shard int, tried []string) (scatter.Target, bool) {
+	cat := p.v.spread.Catalog()
+	for _, i := range rand.New(rand.NewPCG(uint64(p.v.world.queries), 0)).Perm(len(cat.Services[service].Shards[shard].Replicas)) {
+		u := cat.Services[service].Shards[shard].Replicas[i]
+		if !slices.Contains(tried, u.ID) {
+			return scatter.Target{Upstream: u.ID, Address: u.Address}, true
+		}
+	}
+	return scatter.Target{}, false
+}
+
+func (anyReplica) Done(time.Time, string, int, scatter.Target, scatter.Report) {}
+
+// TestChecksBite takes one mechanism away at a time. The check that is named
+// must fail.
+func TestChecksBite(t *testing.T) {
+	deaf := func(v *vm) bool { return v.self.ID < "vm-4" && v.serving }
+	cases := map[string]struct {
+		hooks hooks
+		check string
+	}{
+		"the full limit on every VM":     {hooks{admit: fullLimit()}, "quota"},
+		"replicas without permits":       {hooks{picker: func(v *vm) scatter.Picker { return anyReplica{v} }}, "cold_start"},
+		"drained zones are not left out": {hooks{picker: func(v *vm) scatter.Picker { return anyReplica{v} }}, "zone_out_local"},
+		"a view of any age":              {hooks{stale: true, offline: deaf}, "key_withdrawn"},
+		"no news for one VM":             {hooks{offline: deaf}, "convergence"},
+		"requests are repeated":          {hooks{repeat: true}, "at_most_once"},
+		"every refusal says not run":     {hooks{reassure: true}, "not_run"},
+		"answers of another snapshot": {hooks{result: func(r *scatter.Result) {
+			if r.Report.Outcome == scatter.OutcomeAnswered {
+				r.Body = []byte("catalogue/0/other")
+			}
+		}}, "snapshot"},
+		"a wrong shard count": {hooks{result: func(r *scatter.Result) {
+			if r.Snapshot.Shards == shardCount {
+				r.Snapshot.Shards++
+			}
+		}}, "coverage"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				if r := runWith(seed, testSteps, tc.hooks); r.ByName[tc.check] > 0 {
+					return
+				}
+			}
+			t.Fatalf("check %s did not fail", tc.check)
+		})
+	}
+}
+
+// fullLimit gives every VM the whole limit of each customer.
+func fullLimit() func(v *vm, customer string) bool {
+	type key struct {
+		v        *vm
+		customer string
+	}
+	buckets := make(map[key]*curve)
+	return func(v *vm, customer string) bool {
+		whole := v.world.check.curves[customer]
+		k := key{v, customer}
+		b := buckets[k]
+		if b == nil {
+			b = &curve{rate: whole.rate, burst: whole.burst, at: v.world.clock.now}
+			buckets[k] = b
+		}
+		now := v.world.clock.now
+		level := max(b.level-b.rate*now.Sub(b.at).Seconds(), 0)
+		b.level, b.at = level, now
+		if level+1 > b.burst {
+			return false
+		}
+		b.level++
+		return true
+	}
+}
--- /dev/null
+++ b/internal/soak/vm.go
@@ -0,0 +1,167 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/admission"
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/core/spread"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// maxViewAge is how long traffic acts on a view that no tick has confirmed.
+	maxViewAge = time.Second
+)
+
+// vm is one VM with the real core of a daemon.
+type vm struct {
+	world *world
+	self  membership.VM
+	rng   *rand.Rand
+
+	up          bool
+	frozenUntil time.Time
+	lastEvent   time.Time
+
+	spread *spread.Spread
+	quota  *quota.Manager
+	router *routing.Router
+
+	serving     bool
+	confirmedAt time.Time
+	version     uint64
+	shared      map[string]scatter.Shared
+	schedulers  map[string]*admission.Scheduler
+	// conns holds the incarnation of the leaf that connections lead to.
+	conns map[string]int
+	// lostAt is when the last connection to a leaf was lost.
+	lostAt    map[string]time.Time
+	startedAt time.Time
+}
+
+func newVM(w *world, self membership.VM) *vm {
+	v := &vm{
+		world: w, self: self, up: true,
+		rng:        rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
+		shared:     make(map[string]scatter.Shared),
+		schedulers: make(map[string]*admission.Scheduler),
+		conns:      make(map[string]int),
+		lostAt:     make(map[string]time.Time),
+		startedAt:  w.clock.now,
+		lastEvent:  w.clock.now,
+	}
+	v.spread = spread.New(spread.Settings{Self: self, Seeds: w.seeds()}, v.rng)
+	v.quota = quota.New(quota.Params{Self: self, Incarnation: w.rng.Uint64(), Started: w.clock.now})
+	v.router = routing.New(self, v.rng, routing.Config{})
+	w.clock.after(0, v.tick)
+	return v
+}
+
+// run does f on the VM, now or when it is no longer frozen. Nothing runs on a VM
+// that is gone.
+func (v *vm) run(f func()) {
+	if !v.up {
+		return
+	}
+	if wait := v.frozenUntil.Sub(v.world.clock.now); wait > 0 {
+		v.world.clock.after(wait, func() { v.run(f) })
+		return
+	}
+	f()
+}
+
+func (v *vm) tick() {
+	v.run(func() {
+		now := v.world.clock.now
+		v.noticePause(now)
+		v.spreadActions(v.spread.Tick(now))
+		v.quotaActions(v.quota.Tick(now))
+		if v.serving {
+			v.router.Confirm(now)
+			v.confirmedAt = now
+		}
+		v.routerActions(v.router.Tick(now))
+		for _, s := range v.schedulers {
+			s.Expire(now)
+		}
+		v.world.clock.after(tickInterval, v.tick)
+	})
+}
+
+// control runs f as the control goroutine does.
+func (v *vm) control(f func(now time.Time)) {
+	v.run(func() {
+		v.noticePause(v.world.clock.now)
+		f(v.world.clock.now)
+	})
+}
+
+func (v *vm) noticePause(now time.Time) {
+	paused := now.Sub(v.lastEvent) > maxViewAge
+	v.lastEvent = now
+	if paused {
+		v.confirmedAt = time.Time{}
+		v.spreadActions(v.spread.Tick(now))
+	}
+}
+
+// catalog returns the catalog that traffic may act on, or nil.
+func (v *vm) catalog() *catalog.Catalog {
+	if !v.up || v.world.clock.now.Sub(v.confirmedAt) > maxViewAge && !v.world.hooks.stale {
+		return nil
+	}
+	return v.spread.Catalog()
+}
+
+// admit spends one request of the customer's limit.
+func (v *vm) admit(customer string) bool {
+	if h := v.world.hooks.admit; h != nil {
+		return h(v, customer)
+	}
+	return v.quota.Admit(v.world.clock.now, customer).OK
+}
+
+func (v *vm) picker() scatter.Picker {
+	if h := v.world.hooks.picker; h != nil {
+		return h(v)
+	}
+	return v.router
+}
+
+func (v *vm) publish(now time.Time) {
+	cat, list := v.spread.Catalog(), v.spread.List()
+	if cat != nil && list != nil {
+		v.router.Update(now, cat, *list)
+	}
+}
+
+func (v *vm) sharedFor(s *catalog.Service) scatter.Shared {
+	e, ok := v.shared[s.Name]
+	if !ok {
+		e = scatter.Shared{
+			Picker:  v.picker(),
+			Budgets: scatter.NewBudgets(),
+			Latency: scatter.NewLatency(len(s.Shards)),
+			Recent:  &scatter.Recent{},
+			Policy:  scatter.DefaultPolicy(),
+		}
+		v.shared[s.Name] = e
+	}
+	return e
+}
+
+func (v *vm) scheduler(s *catalog.Service) *admission.Scheduler {
+	e, ok := v.schedulers[s.Name]
+	if !ok {
+		const most = 18
+		e = admission.NewScheduler(admission.Config{Limit: admission.LimitConfig{Initial: 2, Min: 2, Max: most}, MaxQueue: 64})
+		v.schedulers[s.Name] = e
+	}
+	return e
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+)
+
+const (
+	platformZone = "platform"
+	vmsAtStart   = 9
+	meanLatency  = 500 * time.Microsecond
+	// stepTime is how far the clock goes in one step.
+	stepTime = 20 * time.Millisecond
+	// requestsPerStep is the largest number of requests in one step.
+	requestsPerStep = 6
+)
+
+var zones = []string{"cz-a", "cz-b", "cz-c", "cz-d"}
+
+// hooks replace mechanisms of the product, to show that the checks can fail. A
+// nil hook leaves the mechanism in place.
+type hooks struct {
+	// admit decides on a customer's request.
+	admit func(v *vm, customer string) bool
+	// picker chooses replicas.
+	picker func(v *vm) scatter.Picker
+	// stale lets traffic act on a view of any age.
+	stale bool
+	// repeat treats every service as idempotent.
+	repeat bool
+	// result changes an upstream's answer.
+	result func(*scatter.Result)
+	// reassure tells every caller that its request has not run.
+	reassure bool
+	// offline keeps a VM from hearing of new configuration.
+	offline func(v *vm) bool
+}
+
+// world is the whole fleet with its surroundings.
+type world struct {
+	hooks    hooks
+	clock    *clock
+	rng      *rand.Rand
+	started  time.Time
+	platform *platform
+	check    *checker
+
+	vms       []*vm
+	byAddress map[string]*vm
+	nextVM    int
+	leaves    map[string]*leaf
+	leafIDs   []string
+
+	// cuts holds the pairs of zones that can't reach each other.
+	cuts map[[2]string]bool
+	// loss and repeat are the chances of messages between VMs.
+	loss, repeat float64
+	// troubles counts what is wrong now; troubleEnd is when it last was.
+	troubles   int
+	troubleEnd time.Time
+
+	snapshots map[string]int // shards by ID
+	withdrawn map[string]time.Time
+	zoneOut   map[string]time.Time
+	tenants   []*tenant
+	queries   int
+}
+
+func newWorld(seed uint64, h hooks) *world {
+	w := &world{
+		hooks:     h,
+		clock:     newClock(),
+		rng:       rand.New(rand.NewPCG(seed, 0)),
+		byAddress: make(map[string]*vm),
+		leaves:    make(map[string]*leaf),
+		cuts:      make(map[[2]string]bool),
+		snapshots: make(map[string]int),
+		withdrawn: make(map[string]time.Time),
+		zoneOut:   make(map[string]time.Time),
+	}
+	w.started = w.clock.now
+	w.check = newChecker(w)
+	w.platform = &platform{world: w}
+	w.layOut()
+	for i := range vmsAtStart {
+		w.addVM(zones[i%len(zones)])
+	}
+	return w
+}
+
+func (w *world) addVM(zone string) {
+	w.nextVM++
+	self := membership.VM{
+		ID: fmt.Sprintf("vm-%d", w.nextVM), Zone: zone, PeerAddress: fmt.Sprintf("10.0.%d.%d:1", w.nextVM/256, w.nextVM%256),
+	}
+	v := newVM(w, self)
+	w.vms = append(w.vms, v)
+	w.byAddress[self.PeerAddress] = v
+	w.publishList()
+}
+
+func (w *world) publishList() {
+	var list []membership.VM
+	for _, v := range w.vms {
+		if v.up {
+			list = append(list, v.self)
+		}
+	}
+	w.platform.publishList(list)
+}
+
+func (w *world) byID(id string) *vm {
+	for _, v := range w.vms {
+		if v.self.ID == id {
+			return v
+		}
+	}
+	return nil
+}
+
+func (w *world) seeds() []membership.VM { return nil }
+
+func (w *world) minCoverage() float64 { return [...]float64{0, 0.5, 1}[w.rng.IntN(3)] }
+
+// latency is exponential, so that messages overtake each other.
+func (w *world) latency() time.Duration {
+	return time.Duration(float64(meanLatency) * w.rng.ExpFloat64())
+}
+
+// deliver carries one message between VMs. It may be lost or repeated.
+func (w *world) deliver(do func()) {
+	if w.rng.Float64() < w.loss {
+		return
+	}
+	w.clock.after(w.latency(), do)
+	if w.rng.Float64() < w.repeat {
+		w.clock.after(20*w.latency(), do)
+	}
+}
+
+func (w *world) isCut(a, b string) bool { return w.cuts[pair(a, b)] }
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// trouble makes something wrong for a while.
+func (w *world) trouble(d time.Duration, begin, end func()) {
+	w.troubles++
+	begin()
+	w.clock.after(d, func() {
+		end()
+		w.troubles--
+		w.troubleEnd = w.clock.now
+	})
+}
+
+// quietSince returns for how long nothing has been wrong since the given time.
+func (w *world) quietSince(at time.Time) time.Duration {
+	if w.troubles > 0 {
+		return 0
+	}
+	if w.troubleEnd.After(at) {
+		at = w.troubleEnd
+	}
+	return w.clock.now.Sub(at)
+}
+
+// loseConnections tells a VM that the leaf closed its connections. Requests that
+// were on them are lost.
+func (w *world) loseConnections(v *vm, l *leaf) {
+	if v.conns[l.id] == 0 {
+		return
+	}
+	v.conns[l.id] = 0
+	v.lostAt[l.id] = w.clock.now
+	v.router.OnConnectionsLost(w.clock.now, l.id)
+}
