Bound the messages that fetch tokens by customer

Cause: one customer over its limit used up the messages of the others, and lists that put a new VM first made its holder drop the slot for seconds. Change: a budget and a back-off for each customer; wishes grow with the arrivals of the tick; a newer list waits up to 500 ms for the word of VMs that it puts first.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -38,7 +38,6 @@
 	until    membership.Reading
 	requests []lendingRequest
 	answers  []lendingAnswer
-	id       uint64
 }
 
 type lendingRequest struct {
--- a/internal/core/lease/owner.go
+++ b/internal/core/lease/owner.go
@@ -30,7 +30,11 @@
 	incarnation uint64
 	startedAt   membership.Reading
 
-	list          *membership.List
+	list *membership.List
+	// next is a newer list that waits for the word of strangers until adoptBy.
+	next          *membership.List
+	adoptBy       time.Duration
+	strangers     []membership.VM
 	listed        bool
 	zone          []membership.VM
 	witnesses     []membership.VM
@@ -98,11 +102,51 @@
 	}
 }
 
-// SetList takes a newer list. Slots that are held under both lists stay.
+// SetList takes a newer list. Slots that are held under both lists stay. If the
+// list puts VMs before this one that it hasn't heard of, the process first asks
+// them, for up to AdoptWait, and acts on the former list meanwhile; a list may
+// come late at any time.
 func (o *Owner) SetList(now membership.Reading, list *membership.List) []SlotChange {
-	changes := o.Update(now)
-	o.adopt(list)
-	return append(changes, o.Update(now)...)
+	if o.next == nil {
+		o.adoptBy = now.Mono + AdoptWait
+	}
+	o.next = list
+	return o.Update(now)
+}
+
+// adoptNext acts on the pending list if it is due.
+func (o *Owner) adoptNext(now membership.Reading) bool {
+	if o.next == nil {
+		return false
+	}
+	o.strangers = o.newlyBetter(o.next)
+	if len(o.strangers) > 0 && now.Mono < o.adoptBy {
+		return false
+	}
+	o.adopt(o.next)
+	o.next, o.strangers = nil, nil
+	return true
+}
+
+// newlyBetter returns the VMs that the list ranks before this one for a slot
+// that it holds, and that it has no word of.
+func (o *Owner) newlyBetter(list *membership.List) []membership.VM {
+	var out []membership.VM
+	zone := membership.InZone(list.VMs, o.self.Zone)
+	for i := range o.slots {
+		if !o.slots[i].held {
+			continue
+		}
+		for _, vm := range SlotCandidates(o.self.Zone, i, zone) {
+			if vm.ID == o.self.ID {
+				break
+			}
+			if e := o.peers[vm.ID]; e == nil || !e.answered {
+				out = append(out, vm)
+			}
+		}
+	}
+	return out
 }
 
 func (o *Owner) adopt(list *membership.List) {
--- a/internal/core/lease/slots.go
+++ b/internal/core/lease/slots.go
@@ -43,6 +43,14 @@
 
 // Update moves the slots' states on. It returns the slots that changed.
 func (o *Owner) Update(now membership.Reading) []SlotChange {
+	out := o.step(now)
+	if o.adoptNext(now) {
+		out = append(out, o.step(now)...)
+	}
+	return out
+}
+
+func (o *Owner) step(now membership.Reading) []SlotChange {
 	o.settle(now)
 	o.learnKnown(now)
 	lapsed := now.Reached(o.rights)
--- a/internal/core/lease/support.go
+++ b/internal/core/lease/support.go
@@ -164,7 +164,8 @@
 	if o.list == nil {
 		return nil
 	}
-	out := o.due(nil, o.relied, now)
+	out := o.due(nil, o.strangers, now)
+	out = o.due(out, o.relied, now)
 	if !o.settled || !o.announced(now) {
 		out = o.due(out, o.zone, now)
 	}
--- a/internal/core/lease/timing.go
+++ b/internal/core/lease/timing.go
@@ -28,6 +28,9 @@
 	DrainTerm = 30 * time.Second
 	// HandoverTerm is the time within which a handover must be used.
 	HandoverTerm = 5 * time.Second
+	// AdoptWait is the longest time for which a newer list waits for the word of
+	// VMs that it puts before this one.
+	AdoptWait = 500 * time.Millisecond
 	// ProbeInterval is the time between two probes of the same peer.
 	ProbeInterval = 600 * time.Millisecond
 	// SlotGuard is the remaining time of a peer's word below which a slot is
--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -31,10 +31,10 @@
 	empty     map[string]time.Duration
 	// holder is a VM that a lender without tokens has named.
 	holder string
+	// misses counts the rounds of fetching since the last token came.
+	misses int
 	// fetches is the budget of messages that fetch tokens.
 	fetches budget
-	// active tells whether the last tick saw demand or loans.
-	active bool
 }
 
 // size works out the need from the demand. The capacity grows faster than the
@@ -89,15 +89,26 @@
 	return int64(a.demand.rate() * TickInterval.Seconds() * micro)
 }
 
-// tokenWish is what a VM that has the given tokens would like to get.
-func (a *account) tokenWish(tokens int64) int64 {
-	target := int64(micro)
+// tokenWish is what a VM would like to get that has the given tokens and the
+// given arrivals since the last tick.
+func (a *account) tokenWish(tokens, arrivals int64) int64 {
+	target := min(max(arrivals, 1), sparseArrivals) * micro
 	if !a.demand.sparse() {
 		target = a.clusterCapacity(a.demand.rate())
 	}
 	return max(target-tokens, 0)
 }
 
+// backOff is the time for which a customer fetches nothing after a round
+// without a token. It doubles with each such round, so that a customer who is
+// over its limit costs few messages.
+func (a *account) backOff() time.Duration {
+	const mostDoublings = 3
+	const most = 500 * time.Millisecond
+	a.misses = min(a.misses+1, mostDoublings)
+	return min(a.emptyFor()<<(a.misses-1), most)
+}
+
 // emptyFor is the time for which a lender without tokens has none, as a rule.
 func (a *account) emptyFor() time.Duration {
 	const least, most = 20 * time.Millisecond, 500 * time.Millisecond
--- a/internal/core/quota/borrow.go
+++ b/internal/core/quota/borrow.go
@@ -279,7 +279,10 @@
 		if g.Spare == 0 {
 			a.exhaust(at.Mono, lender)
 		}
-		if g.SpareTokens < micro || g.Share.Tokens == 0 {
+		if g.Share.Tokens >= micro {
+			a.misses = 0
+		}
+		if g.SpareTokens < micro {
 			a.setEmpty(at.Mono, lender)
 			a.learnHolder(lender, g.Holder)
 		}
--- a/internal/core/quota/fetch.go
+++ b/internal/core/quota/fetch.go
@@ -12,11 +12,11 @@
 	// fetchRate is the number of messages a second that fetch tokens, and
 	// fetchBurst the number at once.
 	fetchRate  = 60
-	fetchBurst = 60
+	fetchBurst = 200
 	// customerFetchRate and customerFetchBurst bound those for one customer, so
 	// that one who is over its limit doesn't use up the messages of the others.
-	customerFetchRate  = 15
-	customerFetchBurst = 15
+	customerFetchRate  = 20
+	customerFetchBurst = 60
 )
 
 // budget is a token bucket over messages.
@@ -66,7 +66,6 @@
 // fetch asks the nearest lender that may have tokens. If there is none, the
 // bucket refuses without waiting for a while.
 func (m *Manager) fetch(at membership.Reading, a *account, s *state, p *plan) {
-	wait := a.emptyFor()
 	busy := false
 	for _, zone := range m.zones {
 		if !slices.Contains(a.layout.zones, zone) {
@@ -74,7 +73,6 @@
 		}
 		for _, c := range m.lendersOf(at, zone, &a.layout) {
 			if until, ok := a.empty[c.id]; ok && at.Mono < until {
-				wait = min(wait, until-at.Mono)
 				continue
 			}
 			if m.borrower.Busy(at, c.id, lendTimeout) {
@@ -82,7 +80,7 @@
 				continue
 			}
 			if !m.mayFetch(at.Mono, a) {
-				a.bucket.setEmpty(at.Mono + wait)
+				a.bucket.setEmpty(at.Mono + a.emptyFor())
 				return
 			}
 			p.add(c.id, m.tokenWant(a, s, c))
@@ -93,7 +91,7 @@
 		return
 	}
 	if !busy {
-		a.bucket.setEmpty(at.Mono + wait)
+		a.bucket.setEmpty(at.Mono + a.backOff())
 	}
 }
 
@@ -103,7 +101,7 @@
 	if id == "" || id == m.params.Self.ID || at.Mono < a.empty[id] || m.borrower.Busy(at, id, lendTimeout) {
 		return false
 	}
-	wish := min(a.tokenWish(s.tokens), s.curve.Capacity-s.tokens)
+	wish := min(a.tokenWish(s.tokens, s.arrivals), s.curve.Capacity-s.tokens)
 	if wish <= 0 || !m.mayFetch(at.Mono, a) {
 		return false
 	}
@@ -118,7 +116,7 @@
 func (m *Manager) tokenWant(a *account, s *state, c candidate) lease.Want {
 	have := loanOf(s, c.id)
 	want := have
-	wish := a.tokenWish(s.tokens)
+	wish := a.tokenWish(s.tokens, s.arrivals)
 	if room := s.curve.Capacity - s.tokens; room < wish {
 		want.Capacity = max(have.Capacity, min(have.Capacity+wish-room, c.nominal(&a.layout).Capacity))
 	}
--- a/internal/core/quota/lend.go
+++ b/internal/core/quota/lend.go
@@ -49,6 +49,10 @@
 	// Tokens without room at the borrower would be lost.
 	wish := w.Want.Tokens - max(w.Want.Capacity-granted.Capacity, 0)
 	g.Share.Tokens, g.SpareTokens = a.bucket.lend(at, *m.rights.Load(), m.lender.Lent(a.name), growth, wish, a.keepTokens())
+	if w.Want.Tokens > 0 && g.Share.Tokens == 0 {
+		// There is no room for what could be spared.
+		g.SpareTokens = 0
+	}
 	if g.SpareTokens < micro {
 		g.Holder = m.lender.Largest(a.name, p)
 	}
--- a/internal/core/quota/naive_test.go
+++ b/internal/core/quota/naive_test.go
@@ -35,13 +35,10 @@
 // first, after a wait that may be 0. It asks nobody.
 type listOwner struct {
 	*lease.Owner
-	self membership.VM
-	wait time.Duration
-	// fresh tells whether the slots end with the age of the list.
-	fresh    bool
+	self     membership.VM
+	wait     time.Duration
 	list     *membership.List
 	listedAt time.Duration
-	readAt   membership.Reading
 	held     [lease.SlotsPerZone]bool
 	since    [lease.SlotsPerZone]time.Duration
 }
--- a/internal/core/quota/quotabench/main.go
+++ b/internal/core/quota/quotabench/main.go
@@ -7,16 +7,21 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 )
 
 func main() {
 	seeds := flag.Int("seeds", 5, "number of seeds, from 1")
 	only := flag.String("scheme", "", "run this scheme alone")
+	demand := flag.String("demand", "", "run the demands whose names contain this")
 	flag.Parse()
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "demand\tscheme\texcess\twrongly refused, %%\tworst customer served, %%\twaited, %%\twait, ms\tmessages/s/VM\tbytes/s/VM\n")
 	for _, s := range scenarios() {
+		if !strings.Contains(s.name, *demand) {
+			continue
+		}
 		for _, p := range policies() {
 			if *only != "" && *only != p.name {
 				continue
--- a/internal/core/quota/quotabench/policy.go
+++ b/internal/core/quota/quotabench/policy.go
@@ -123,7 +123,6 @@
 	quiet
 	r    *bench
 	byVM []curves
-	sent int
 }
 
 const gossipDelay = 200 * time.Millisecond
