--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -115,8 +115,9 @@
 	if a.layout.limit.Rate <= 0 {
 		return most
 	}
-	half := time.Duration(float64(micro) / float64(a.layout.limit.Rate) / 2 * float64(time.Second))
-	return min(max(half, least), most)
+	const fraction = 4
+	wait := time.Duration(float64(micro) / float64(a.layout.limit.Rate) / fraction * float64(time.Second))
+	return min(max(wait, least), most)
 }
 
 // reserve is a fiftieth of the rate, for a first request, and a third of the
