--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -25,8 +25,16 @@
 	demand  demandWindow
 	// need is what the VM wants to hold, from the last tick.
 	need Share
-	// exhausted holds until when a lender isn't asked, on the monotonic clock.
+	// exhausted holds until when a lender isn't asked for a larger share, and
+	// empty until when it isn't asked for tokens, on the monotonic clock.
 	exhausted map[string]time.Duration
+	empty     map[string]time.Duration
+	// holder is a VM that a lender without tokens has named.
+	holder string
+	// misses counts the rounds of fetching since the last token came.
+	misses int
+	// fetches is the budget of messages that fetch tokens.
+	fetches budget
 }
 
 // size works out the need from the demand. The capacity grows faster than the
@@ -37,6 +45,10 @@
 		a.need = Share{}
 		return
 	}
+	if a.demand.sparse() {
+		a.need = Share{Capacity: min(2*micro, a.layout.limit.Capacity)}
+		return
+	}
 	limit := a.layout.limit
 	want := rate * headroom * micro
 	if shortfalls > 0 {
@@ -59,24 +71,61 @@
 	return int64((1 + expected + deviations*math.Sqrt(expected)) * micro)
 }
 
-// keep is what an owner doesn't lend: its own need, or a small reserve for a
-// first request.
-func (a *account) keep(own Share) Share {
+// keep is what an owner doesn't lend: its own need, and a reserve. Wishes for
+// tokens may use the reserve of capacity.
+func (a *account) keep(own Share, forTokens bool) Share {
+	keep := reserve(own).Max(a.need)
+	if forTokens {
+		keep.Capacity = 0
+	}
+	return keep
+}
+
+// keepTokens is what a lender doesn't give away: its demand of one tick.
+func (a *account) keepTokens() int64 {
 	if a.need.IsZero() {
-		return reserve(own)
+		return 0
+	}
+	return int64(a.demand.rate() * TickInterval.Seconds() * micro)
+}
+
+// tokenWish is what a VM would like to get that has the given tokens and the
+// given arrivals since the last tick.
+func (a *account) tokenWish(tokens, arrivals int64) int64 {
+	target := min(max(arrivals, 1), sparseArrivals) * micro
+	if !a.demand.sparse() {
+		target = a.clusterCapacity(a.demand.rate())
 	}
-	return a.need
+	return max(target-tokens, 0)
+}
+
+// backOff is the time for which a customer fetches nothing after a round
+// without a token. It doubles with each such round, so that a customer who is
+// over its limit costs few messages.
+func (a *account) backOff() time.Duration {
+	const mostDoublings = 3
+	const most = 500 * time.Millisecond
+	a.misses = min(a.misses+1, mostDoublings)
+	return min(a.emptyFor()<<(a.misses-1), most)
 }
 
-// reserve is a fiftieth of the rate and one request, unless that is a large
-// part of what there is.
+// emptyFor is the time for which a lender without tokens has none, as a rule.
+func (a *account) emptyFor() time.Duration {
+	const least, most = 20 * time.Millisecond, 500 * time.Millisecond
+	if a.layout.limit.Rate <= 0 {
+		return most
+	}
+	const fraction = 4
+	wait := time.Duration(float64(micro) / float64(a.layout.limit.Rate) / fraction * float64(time.Second))
+	return min(max(wait, least), most)
+}
+
+// reserve is a fiftieth of the rate, for a first request, and a third of the
+// capacity, as room for tokens that move.
 func reserve(own Share) Share {
 	const rateDivisor = 50
-	const capacityDivisor = 8
-	if own.Capacity < capacityDivisor*micro {
-		return Share{}
-	}
-	return Share{Rate: own.Rate / rateDivisor, Capacity: micro}
+	const capacityDivisor = 3
+	return Share{Rate: own.Rate / rateDivisor, Capacity: own.Capacity / capacityDivisor}
 }
 
 func (a *account) isExhausted(now time.Duration, lender string) bool {
--- a/internal/core/quota/manager.go
+++ b/internal/core/quota/manager.go
@@ -46,11 +46,15 @@
 	owners map[string][lease.SlotsPerZone][]membership.VM
 	// zones are the list's zones, the VM's own first.
 	zones []string
+	// lenders are the candidates by what they depend on, for one tick.
+	lenders map[lenderKey][]candidate
 	// failedUntil holds until when an unreachable lender isn't asked.
 	failedUntil map[string]time.Duration
 	// growAt is when an owned part may grow without an event.
 	growAt  time.Duration
 	scratch state
+	// fetches is the budget of messages that fetch tokens.
+	fetches budget
 }
 
 // New returns a Manager that owns nothing.
@@ -61,6 +65,7 @@
 		lender:      lease.NewLender(),
 		borrower:    lease.NewBorrower(),
 		accounts:    make(map[string]*account),
+		lenders:     make(map[lenderKey][]candidate),
 		failedUntil: make(map[string]time.Duration),
 	}
 	if m.clock == nil {
@@ -77,11 +82,21 @@
 // must be read just before. It is safe for concurrent use and allocates
 // nothing.
 func (m *Manager) Admit(now time.Time, customer string) Decision {
+	return m.admit(now, customer, false)
+}
+
+// AdmitAgain is Admit for a request that waited FetchPause after a Decision
+// with Fetch set.
+func (m *Manager) AdmitAgain(now time.Time, customer string) Decision {
+	return m.admit(now, customer, true)
+}
+
+func (m *Manager) admit(now time.Time, customer string, repeated bool) Decision {
 	b := (*m.buckets.Load())[customer]
 	if b == nil {
 		return Decision{RetryAfter: borrowRetry}
 	}
-	return b.admit(m.clock(now), *m.rights.Load())
+	return b.admit(m.clock(now), *m.rights.Load(), repeated)
 }
 
 // OnCatalog takes a new configuration. A lower limit is in force at once, but
@@ -153,6 +168,7 @@
 	at := m.clock(now)
 	changes := m.owner.SetList(at, list)
 	m.mapOwners(list)
+	clear(m.lenders)
 	return m.onSlots(now, at, changes)
 }
 
