--- a/internal/core/admission/fair_test.go
+++ b/internal/core/admission/fair_test.go
@@ -74,12 +74,31 @@
 	}
 }
 
+// noCredit takes the credit away.
+type noCredit struct{ *Scheduler }
+
+func (n noCredit) Enqueue(now time.Time, share Share, deadline time.Time) Decision {
+	share.Burst = 0
+	return n.Scheduler.Enqueue(now, share, deadline)
+}
+
+// TestNoCreditFails shows that small customers need the credit.
+func TestNoCreditFails(t *testing.T) {
+	for _, seed := range seeds {
+		tenants := overload(seed, 0, func(limit int) scheduler { return noCredit{fair(limit).(*Scheduler)} })
+		if got := worst(tenants, 0); got >= wantServed {
+			t.Errorf("seed %d: without credit the worst-served gets %.3f, want less than %.2f", seed, got, wantServed)
+		}
+	}
+}
+
 func BenchmarkOverload(b *testing.B) {
 	policies := []struct {
 		name  string
 		build func(int) scheduler
 	}{
 		{"fair", fair},
+		{"no-credit", func(limit int) scheduler { return noCredit{fair(limit).(*Scheduler)} }},
 		{"fifo", func(limit int) scheduler { return newFIFO(limit) }},
 		{"drr", func(limit int) scheduler { return newDRR(limit) }},
 	}
--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -118,7 +118,8 @@
 
 // Finish ends the query and is its last action. Exactly one of Answer and
 // Refusal is set. Attempts that are still running have been canceled by earlier
-// actions. The Answer is a buffer of the Query and stays valid until Reset.
+// actions. The Answer is a buffer of the Query and stays valid until Close or
+// Reset.
 type Finish struct {
 	Answer  *Answer
 	Refusal *verdict.Refusal
--- a/internal/core/scatter/attempts.go
+++ b/internal/core/scatter/attempts.go
@@ -65,7 +65,7 @@
 	if s.spent || s.sent >= q.shared.Policy.MaxAttemptsPerShard {
 		return false
 	}
-	return q.spec.Idempotent || s.running == 0 && !s.mayRun
+	return q.spec.Idempotent || s.running+s.canceled == 0 && !s.mayRun
 }
 
 // exhausted tells whether every replica of the shard has been tried for the
@@ -138,7 +138,7 @@
 		target:   target,
 		sentAt:   now,
 	})
-	repeated := s.running > 0 || s.mayRun
+	repeated := s.running+s.canceled > 0 || s.mayRun
 	s.last = i
 	s.running++
 	s.sent++
@@ -215,8 +215,8 @@
 		return
 	}
 	a.canceled = true
-	q.shards[a.shard].mayRun = true
 	q.shards[a.shard].running--
+	q.shards[a.shard].canceled++
 	q.cancels = append(q.cancels, Cancel{Attempt: a.id})
 	q.actions = append(q.actions, &q.cancels[len(q.cancels)-1])
 }
@@ -238,7 +238,9 @@
 func (q *Query) end(now time.Time, a *attempt, r Report) {
 	a.ended = true
 	q.pending--
-	if !a.canceled {
+	if a.canceled {
+		q.shards[a.shard].canceled--
+	} else {
 		q.shards[a.shard].running--
 	}
 	q.shared.Picker.Done(now, q.spec.Service, a.shard, a.target, r)
--- a/internal/core/scatter/budget.go
+++ b/internal/core/scatter/budget.go
@@ -15,16 +15,21 @@
 	// but for those that follow a request that did no work.
 	ReaskRatio = 1.0
 	ReaskBurst = 1000
-	// shedCost is the number of tokens that one shed takes from each budget.
-	shedCost = 10
+	// HedgeShedCost, RetryShedCost and ReaskShedCost are the tokens that one shed
+	// takes. A shed that is retried costs a retry more.
+	HedgeShedCost = 10
+	RetryShedCost = 2
+	ReaskShedCost = 10
 )
 
 const tokenUnit = 1000 // thousandths of a token
 
 // Budgets limits the extra requests to one service from this daemon. First
 // requests earn tokens and extra requests spend them, as in the retry budgets
-// of Finagle. A shed takes shedCost tokens, so that extra requests stop while
-// more than HedgeRatio/shedCost of all requests are shed.
+// of Finagle. A shed takes tokens and may leave a debt, so that hedges stop
+// while more than 0.4 in 100 requests are shed, and retries while more than 5 in
+// 100 are. Up to 3 in 100 every shed can be retried: a query over many shards
+// would otherwise fail by a single busy replica.
 //
 // Budgets is shared by all queries of the service. Every method is an atomic
 // operation without a lock.
@@ -54,9 +59,9 @@
 
 // shed charges one shed request to every budget.
 func (b *Budgets) shed() {
-	b.hedge.drain(shedCost * tokenUnit)
-	b.retry.drain(shedCost * tokenUnit)
-	b.reask.drain(shedCost * tokenUnit)
+	b.hedge.drain(HedgeShedCost * tokenUnit)
+	b.retry.drain(RetryShedCost * tokenUnit)
+	b.reask.drain(ReaskShedCost * tokenUnit)
 }
 
 // take spends a token of the kind's budget. First requests are free.
@@ -84,7 +89,8 @@
 	}
 }
 
-// bucket is a token bucket that is filled by events instead of by time.
+// bucket is a token bucket that is filled by events instead of by time. Its debt
+// is at most its limit.
 type bucket struct {
 	tokens      atomic.Int64
 	earn, limit int64
@@ -103,7 +109,7 @@
 func (b *bucket) drain(n int64) {
 	for {
 		old := b.tokens.Load()
-		left := max(old-n, 0)
+		left := max(old-n, -b.limit)
 		if left == old || b.tokens.CompareAndSwap(old, left) {
 			return
 		}
--- /dev/null
+++ b/internal/core/scatter/budget_test.go
@@ -0,0 +1,65 @@
+package scatter
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBudgetsStopWhenUpstreamsShed wants a hedge and a retry with every request
+// while 10 in 100 are shed, and again after the sheds have ended.
+func TestBudgetsStopWhenUpstreamsShed(t *testing.T) {
+	b := NewBudgets()
+	spend(b, 2000, 10)
+	hedges, retries := spend(b, 20000, 10)
+	if hedges > 0 || retries > 0 {
+		t.Errorf("%d hedges and %d retries while upstreams shed, want none", hedges, retries)
+	}
+	if hedges, retries = spend(b, 2000, 0); hedges == 0 || retries == 0 {
+		t.Errorf("%d hedges and %d retries after the sheds, want some", hedges, retries)
+	}
+	hedges, retries = spend(b, 20000, 0)
+	if limit := HedgeBurst + 20000*HedgeRatio; float64(hedges) > limit {
+		t.Errorf("%d hedges, want at most %v", hedges, limit)
+	}
+	if limit := RetryBurst + 20000*RetryRatio; float64(retries) > limit {
+		t.Errorf("%d retries, want at most %v", retries, limit)
+	}
+}
+
+func spend(b *Budgets, requests, shedEvery int) (hedges, retries int) {
+	for i := range requests {
+		b.earn(1)
+		if shedEvery > 0 && i%shedEvery == 0 {
+			b.shed()
+		}
+		if b.take(kindHedge) {
+			hedges++
+		}
+		if b.take(kindRetry) {
+			retries++
+		}
+	}
+	return hedges, retries
+}
+
+// TestLatencyFollowsChanges requires the delay to be the quantile to within a
+// bucket, and to follow a change of the latency both ways.
+func TestLatencyFollowsChanges(t *testing.T) {
+	l := NewLatency(1)
+	if _, known := l.Delay(0); known {
+		t.Errorf("a delay is known without requests")
+	}
+	for _, slow := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 2 * time.Millisecond} {
+		for i := range 20 * decaySamples {
+			d := slow / 2
+			if i%10 == 0 {
+				d = slow
+			}
+			l.Record(0, d)
+		}
+		got, known := l.Delay(0)
+		if !known || got < slow || got > slow+slow/subBuckets+latencyUnit {
+			t.Errorf("delay %v, want %v to within a bucket", got, slow)
+		}
+	}
+}
--- a/internal/core/scatter/finish.go
+++ b/internal/core/scatter/finish.go
@@ -182,6 +182,7 @@
 			q.missing = append(q.missing, k)
 		}
 	}
+	invariant.Check(len(q.parts) == s.count, "scatter_coverage_true")
 	a := &q.stats
 	a.Snapshot = s.info
 	a.Parts = q.parts
@@ -236,6 +237,7 @@
 	if q.pending > 0 {
 		v = verdict.Join(v, verdict.MayHaveRun)
 	}
+	invariant.Check(v != verdict.NotRun || !q.mayHaveRun(), "scatter_not_run_true")
 	r = r.With(v)
 	if v != verdict.NotRun && !q.spec.Idempotent {
 		r.RetryAfter = 0
@@ -243,6 +245,16 @@
 	return r
 }
 
+// mayHaveRun tells whether an attempt may have run or still may.
+func (q *Query) mayHaveRun() bool {
+	for k := range q.shards {
+		if q.shards[k].mayRun || q.shards[k].running+q.shards[k].canceled > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // withdraw takes back the attempts that the owner has not seen yet: they never
 // run.
 func (q *Query) withdraw(now time.Time) {
--- a/internal/core/scatter/fuzz_test.go
+++ b/internal/core/scatter/fuzz_test.go
@@ -121,6 +121,9 @@
 	for w.finish == nil {
 		w.timer()
 	}
+	if rapid.IntRange(0, 3).Draw(w.t, "close") == 0 {
+		w.engine.Close(w.now)
+	}
 	for _, f := range w.flights {
 		if !f.delivered {
 			w.deliver(f)
--- a/internal/core/scatter/latency.go
+++ b/internal/core/scatter/latency.go
@@ -72,8 +72,8 @@
 
 func (e *estimator) decay() {
 	for i := range e.counts {
-		half := e.counts[i].Load() / 2
-		e.counts[i].Add(-half)
+		n := e.counts[i].Load()
+		e.counts[i].CompareAndSwap(n, n-n/2) // a lost race leaves the count
 	}
 }
 
--- a/internal/core/scatter/naive_test.go
+++ b/internal/core/scatter/naive_test.go
@@ -72,7 +72,7 @@
 	{"counts the catalog's shards", "named as missing", func(s Shared) engine {
 		return &naive{Query: New(Spec{}, s), action: forgetBeyondLayout}
 	}},
-	{"believes the catalog's map", "held back", func(s Shared) engine {
+	{"believes the catalog's map", "neither answered", func(s Shared) engine {
 		return &naive{Query: New(Spec{}, s), result: asCatalogMap}
 	}},
 	{"repeats what is not idempotent", "ran twice", func(s Shared) engine {
@@ -162,7 +162,7 @@
 }
 
 func asCatalogMap(q *Query, r Result) (Result, bool) {
-	r.Snapshot.Shards = len(q.spec.Layout)
+	r.Snapshot.Shards = min(r.Snapshot.Shards, len(q.spec.Layout))
 	return r, true
 }
 
--- a/internal/core/scatter/query.go
+++ b/internal/core/scatter/query.go
@@ -93,6 +93,7 @@
 type shardState struct {
 	last     int // index of the latest attempt, or none
 	running  int // attempts without a Result that aren't canceled
+	canceled int // canceled attempts without a Result
 	sent     int
 	hedges   int
 	reported bool // an attempt has ended, or the shard is lost
@@ -271,8 +272,8 @@
 // Pending returns the number of attempts whose Result has not come.
 func (q *Query) Pending() int { return q.pending }
 
-// Close ends all reservations whose Result has not come, as canceled. Results
-// that come later are ignored, also after Reset.
+// Close ends all reservations whose Result has not come, as canceled, and drops
+// the bodies. Results that come later are ignored, also after Reset.
 func (q *Query) Close(now time.Time) {
 	for i := range q.attempts {
 		a := &q.attempts[i]
@@ -281,6 +282,10 @@
 		}
 	}
 	q.finished = true
+	clear(q.parts)
+	for i := range q.snapshots {
+		clear(q.snapshots[i].bodies)
+	}
 }
 
 func (q *Query) begin() {
--- a/internal/core/scatter/world_test.go
+++ b/internal/core/scatter/world_test.go
@@ -20,6 +20,7 @@
 	NextTimer() (time.Time, bool)
 	Abandon(time.Time, *verdict.Refusal) []Action
 	Pending() int
+	Close(time.Time)
 }
 
 // replica is a fake upstream. It answers from the first snapshot it holds.
