--- a/internal/core/admission/scheduler_test.go
+++ b/internal/core/admission/scheduler_test.go
@@ -11,6 +11,8 @@
 	"ryecourse.example/ryecourse/internal/core/verdict"
 )
 
+var epoch = time.Unix(1_700_000_000, 0)
+
 // model drives a Scheduler and keeps what must hold: each query is decided once,
 // no more run than the limit allows, none waits while there is room, none starts
 // after its time, and backlogged customers are served by their weights.
--- a/internal/scattermodel/leaf.go
+++ b/internal/scattermodel/leaf.go
@@ -86,7 +86,7 @@
 		return
 	}
 	if c.leaf.find(c.wanted) == nil {
-		m.after(networkDelay, func() { m.reject(c) })
+		m.After(networkDelay, func() { m.reject(c) })
 		return
 	}
 	c.leaf.queue = append(c.leaf.queue, c)
@@ -103,7 +103,7 @@
 		}
 		c.started = true
 		l.running++
-		m.after(serviceTime(m.rng, m.scenario), func() { m.serve(c) })
+		m.After(serviceTime(m.rng, m.scenario), func() { m.serve(c) })
 	}
 }
 
@@ -116,17 +116,17 @@
 	m.fill(c.leaf)
 	s := c.leaf.find(c.wanted)
 	if s == nil {
-		m.after(networkDelay, func() { m.reject(c) })
+		m.After(networkDelay, func() { m.reject(c) })
 		return
 	}
 	info := *s
-	m.after(networkDelay, func() { m.answer(c, info) })
+	m.After(networkDelay, func() { m.answer(c, info) })
 }
 
 // cancel frees what the call holds at its leaf once the leaf has heard of it.
 func (m *model) cancel(c *call) {
 	c.finished = true
-	m.after(networkDelay, func() {
+	m.After(networkDelay, func() {
 		if c.started && !c.leaf.frozen {
 			c.leaf.running--
 			m.fill(c.leaf)
--- a/internal/scattermodel/model.go
+++ b/internal/scattermodel/model.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +8,7 @@
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 	"ryecourse.example/ryecourse/internal/core/verdict"
+	"ryecourse.example/ryecourse/internal/simclock"
 )
 
 const (
@@ -32,44 +32,14 @@
 	newIndex = scatter.SnapshotInfo{ID: "b", Shards: groups}
 )
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].seq < e[j].seq
-	}
-	return e[i].at.Before(e[j].at)
-}
-
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	(*e)[last] = event{}
-	*e = (*e)[:last]
-	return x
-}
-
 // model is one run.
 type model struct {
-	now      time.Time
+	*simclock.Clock
 	rng      *rand.Rand
 	scenario scenario
 	policy   policy
 	rate     float64
 	end      time.Time
-	events   events
-	seq      int
 	layout   []catalog.Shard
 	leaves   map[string]*leaf
 	shared   scatter.Shared
@@ -86,7 +56,7 @@
 
 func run(seed uint64, s scenario, p policy, rate float64, length time.Duration) *result {
 	m := &model{
-		now:      epoch,
+		Clock:    simclock.New(epoch),
 		rng:      rand.New(rand.NewPCG(seed, 0)),
 		scenario: s,
 		policy:   p,
@@ -97,16 +67,12 @@
 	m.build()
 	m.nextQuery()
 	if s == frozen {
-		m.after(freezeAt, m.freeze)
+		m.After(freezeAt, m.freeze)
 	}
 	if s >= overlap {
 		m.roll()
 	}
-	for len(m.events) > 0 {
-		e := heap.Pop(&m.events).(event)
-		m.now = e.at
-		e.do()
-	}
+	m.Run(nil)
 	return &m.result
 }
 
@@ -147,27 +113,22 @@
 			l := m.leaves[u.ID]
 			at := rollStart + time.Duration(m.rng.Float64()*float64(rollTime))
 			if m.scenario == exchange {
-				m.after(at, func() { l.holds = []scatter.SnapshotInfo{newIndex} })
+				m.After(at, func() { l.holds = []scatter.SnapshotInfo{newIndex} })
 				continue
 			}
-			m.after(at, func() { l.holds = []scatter.SnapshotInfo{newIndex, oldIndex} })
+			m.After(at, func() { l.holds = []scatter.SnapshotInfo{newIndex, oldIndex} })
 			keep := overlapTime
 			if m.scenario == longOverlap {
 				keep = rollTime
 			}
-			m.after(at+keep, func() { l.holds = []scatter.SnapshotInfo{newIndex} })
+			m.After(at+keep, func() { l.holds = []scatter.SnapshotInfo{newIndex} })
 		}
 	}
 }
 
-func (m *model) after(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.events, event{at: m.now.Add(d), seq: m.seq, do: do})
-}
-
 func (m *model) nextQuery() {
-	m.after(time.Duration(m.rng.ExpFloat64()/m.rate*float64(time.Second)), func() {
-		if m.now.After(m.end) {
+	m.After(time.Duration(m.rng.ExpFloat64()/m.rate*float64(time.Second)), func() {
+		if m.Now().After(m.end) {
 			return
 		}
 		m.start()
@@ -179,12 +140,12 @@
 	spec := scatter.Spec{
 		Service:    "model",
 		Layout:     m.layout,
-		Deadline:   m.now.Add(deadline),
+		Deadline:   m.Now().Add(deadline),
 		Idempotent: true,
 		Snapshots:  true,
 	}
-	q := &query{Query: scatter.New(spec, m.shared), startedAt: m.now, calls: make(map[int]*call)}
-	m.carryOut(q, q.Start(m.now))
+	q := &query{Query: scatter.New(spec, m.shared), startedAt: m.Now(), calls: make(map[int]*call)}
+	m.carryOut(q, q.Start(m.Now()))
 }
 
 // carryOut does what a query wants and sets its timer.
@@ -212,26 +173,26 @@
 		return
 	}
 	q.timerAt = at
-	m.after(at.Sub(m.now), func() {
+	m.After(at.Sub(m.Now()), func() {
 		if q.timerAt.Equal(at) {
 			q.timerAt = time.Time{}
-			m.carryOut(q, q.OnTimer(m.now))
+			m.carryOut(q, q.OnTimer(m.Now()))
 		}
 	})
 }
 
 func (m *model) send(q *query, a scatter.Attempt) {
-	c := &call{query: q, attempt: a.ID, shard: a.Shard, wanted: a.Snapshot, sentAt: m.now, leaf: m.leaves[a.Target.Upstream]}
+	c := &call{query: q, attempt: a.ID, shard: a.Shard, wanted: a.Snapshot, sentAt: m.Now(), leaf: m.leaves[a.Target.Upstream]}
 	q.calls[a.ID] = c
-	m.after(networkDelay, func() { m.arrive(c) })
+	m.After(networkDelay, func() { m.arrive(c) })
 }
 
 // abort cancels a call and reports its end.
 func (m *model) abort(q *query, id int) {
 	c := q.calls[id]
 	m.cancel(c)
-	report := scatter.Report{Outcome: scatter.OutcomeCanceled, Latency: m.now.Sub(c.sentAt), Load: -1}
-	m.carryOut(q, q.OnResult(m.now, scatter.Result{Attempt: id, Verdict: verdict.MayHaveRun, Report: report}))
+	report := scatter.Report{Outcome: scatter.OutcomeCanceled, Latency: m.Now().Sub(c.sentAt), Load: -1}
+	m.carryOut(q, q.OnResult(m.Now(), scatter.Result{Attempt: id, Verdict: verdict.MayHaveRun, Report: report}))
 }
 
 // answer reports a complete answer.
@@ -240,9 +201,9 @@
 		return
 	}
 	c.finished = true
-	report := scatter.Report{Outcome: scatter.OutcomeAnswered, Latency: m.now.Sub(c.sentAt), Load: -1}
+	report := scatter.Report{Outcome: scatter.OutcomeAnswered, Latency: m.Now().Sub(c.sentAt), Load: -1}
 	result := scatter.Result{Attempt: c.attempt, Verdict: verdict.Ran, Snapshot: info, Report: report}
-	m.carryOut(c.query, c.query.OnResult(m.now, result))
+	m.carryOut(c.query, c.query.OnResult(m.Now(), result))
 }
 
 // reject reports that the leaf lacks the wanted snapshot.
@@ -251,10 +212,10 @@
 		return
 	}
 	c.finished = true
-	report := scatter.Report{Outcome: scatter.OutcomeSnapshotMissing, Latency: m.now.Sub(c.sentAt), Load: -1}
+	report := scatter.Report{Outcome: scatter.OutcomeSnapshotMissing, Latency: m.Now().Sub(c.sentAt), Load: -1}
 	result := scatter.Result{Attempt: c.attempt, Held: c.leaf.holds, Report: report}
 	m.result.rejected++
-	m.carryOut(c.query, c.query.OnResult(m.now, result))
+	m.carryOut(c.query, c.query.OnResult(m.Now(), result))
 }
 
 // finish keeps the figures of a query.
@@ -265,7 +226,7 @@
 	m.result.queries++
 	m.result.first += groups
 	m.result.attempts += len(q.calls)
-	m.result.times = append(m.result.times, m.now.Sub(q.startedAt).Seconds()*1000)
+	m.result.times = append(m.result.times, m.Now().Sub(q.startedAt).Seconds()*1000)
 	if f.Answer != nil {
 		m.result.coverage += f.Answer.Coverage()
 	}
