Count what a query does, and classify its end for admission

Cause: metrics need retries, repeated requests, restarts and discarded answers also of queries that are refused, and the limit of running queries needs an outcome for each.

Change: Query.Stats and admission.OutcomeOf.

Conclusion: no change of behaviour; tests as before.

--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
 
 // Outcome tells what a query says about the load of its upstreams.
 type Outcome uint8
@@ -19,6 +23,23 @@
 	OutcomeAbandoned
 )
 
+// OutcomeOf returns the outcome of a query that ended with the refusal, or was
+// answered if it is nil.
+func OutcomeOf(r *verdict.Refusal) Outcome {
+	if r == nil {
+		return OutcomeDone
+	}
+	switch r.Code {
+	case verdict.CodeOverloaded:
+		return OutcomeOverloaded
+	case verdict.CodeDeadline:
+		return OutcomeLate
+	case verdict.CodeNotReady:
+		return OutcomeAbandoned
+	}
+	return OutcomeDone
+}
+
 const (
 	// decreaseFactor scales the limit down on a sign of overload.
 	decreaseFactor = 0.85
--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -136,9 +136,8 @@
 	Parts []Part
 	// Missing lists the shards without an answer, in order.
 	Missing []int
-	// Attempts counts upstream requests. Hedges, Retries and Reasks count those
-	// among them that came after the first request to a shard.
-	Attempts, Hedges, Retries, Reasks int
+	// Attempts and Hedges count upstream requests. Query.Stats has more.
+	Attempts, Hedges int
 }
 
 // Coverage returns the part of the snapshot's shards that answered, in (0, 1].
--- a/internal/core/scatter/finish.go
+++ b/internal/core/scatter/finish.go
@@ -183,7 +183,9 @@
 		}
 	}
 	invariant.Check(len(q.parts) == s.count, "scatter_coverage_true")
-	a := &q.stats
+	a := &q.answered
+	a.Attempts = q.stats.Attempts
+	a.Hedges = q.stats.Hedges
 	a.Snapshot = s.info
 	a.Parts = q.parts
 	a.Missing = q.missing
--- a/internal/core/scatter/query.go
+++ b/internal/core/scatter/query.go
@@ -61,9 +61,8 @@
 	firstID  int // ID of attempts[0]; IDs aren't reused after Reset
 
 	snapshots []snapshotState
-	current   int  // index of the wanted snapshot, or none
-	settled   bool // the wanted snapshot changes only by a restart now
-	restarts  int
+	current   int       // index of the wanted snapshot, or none
+	settled   bool      // the wanted snapshot changes only by a restart now
 	settleAt  time.Time // a choice is made by then
 	// lastRestartAt is the latest time at which a restart is likely to end
 	// before the deadline. Until then the query waits for slow replicas.
@@ -76,8 +75,9 @@
 	pending    int // attempts without a Result
 	verdict    verdict.Verdict
 	retryAfter time.Duration
-	stats      Answer
-	unearned   int // first requests that the budgets don't know of yet
+	stats      Stats
+	answered   Answer // what Finish points to
+	unearned   int    // first requests that the budgets don't know of yet
 
 	actions []Action
 	sends   []Send
@@ -149,7 +149,6 @@
 	q.snapshots = q.snapshots[:0]
 	q.current = none
 	q.settled = false
-	q.restarts = 0
 	q.settleAt = time.Time{}
 	q.lastRestartAt = time.Time{}
 	q.unearned = 0
@@ -160,7 +159,8 @@
 	q.pending = 0
 	q.verdict = verdict.NotRun
 	q.retryAfter = 0
-	q.stats = Answer{}
+	q.stats = Stats{}
+	q.answered = Answer{}
 	q.finish = Finish{}
 	q.resetShards(len(spec.Layout))
 	if !spec.Snapshots {
@@ -269,6 +269,21 @@
 	return q.actions
 }
 
+// Stats counts what a query has done, for metrics.
+type Stats struct {
+	// Attempts counts upstream requests. Hedges, Retries and Reasks count those
+	// among them that came after the first request to a shard.
+	Attempts, Hedges, Retries, Reasks int
+	// Restarts counts changes of the snapshot after the query had settled.
+	Restarts int
+	// Mismatches counts answers that were discarded: they belonged to another
+	// attempt or snapshot, or were short.
+	Mismatches int
+}
+
+// Stats returns the counts of the query. They stay valid until Reset.
+func (q *Query) Stats() Stats { return q.stats }
+
 // Pending returns the number of attempts whose Result has not come.
 func (q *Query) Pending() int { return q.pending }
 
--- a/internal/core/scatter/results.go
+++ b/internal/core/scatter/results.go
@@ -34,6 +34,8 @@
 	case OutcomeShed:
 		q.shared.Budgets.shed()
 		q.retryAfter = max(q.retryAfter, r.Report.RetryAfter)
+	case OutcomeMismatch:
+		q.stats.Mismatches++
 	case OutcomeCanceled:
 		if a.canceled && a.kind != kindHedge && s.hedges > 0 {
 			q.shared.Latency.Record(a.shard, r.Report.Latency)
--- a/internal/core/scatter/snapshot.go
+++ b/internal/core/scatter/snapshot.go
@@ -232,7 +232,7 @@
 // reconsider moves to another snapshot when the wanted one can't be complete and
 // the other gains coverage within the deadline. It tells whether it moved.
 func (q *Query) reconsider(now time.Time) bool {
-	if !q.settled || len(q.snapshots) < 2 || q.restarts == q.shared.Policy.MaxRestarts {
+	if !q.settled || len(q.snapshots) < 2 || q.stats.Restarts == q.shared.Policy.MaxRestarts {
 		return false
 	}
 	lossy := q.lossy()
@@ -250,7 +250,7 @@
 	if best == q.current || !q.timeForRestart(now) {
 		return false
 	}
-	q.restarts++
+	q.stats.Restarts++
 	q.current = best
 	if lossy {
 		q.cancelOthers()
