--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -118,7 +118,8 @@
 
 // Finish ends the query and is its last action. Exactly one of Answer and
 // Refusal is set. Attempts that are still running have been canceled by earlier
-// actions. The Answer is a buffer of the Query and stays valid until Reset.
+// actions. The Answer is a buffer of the Query and stays valid until Close or
+// Reset.
 type Finish struct {
 	Answer  *Answer
 	Refusal *verdict.Refusal
@@ -135,9 +136,8 @@
 	Parts []Part
 	// Missing lists the shards without an answer, in order.
 	Missing []int
-	// Attempts counts upstream requests. Hedges, Retries and Reasks count those
-	// among them that came after the first request to a shard.
-	Attempts, Hedges, Retries, Reasks int
+	// Attempts and Hedges count upstream requests. Query.Stats has more.
+	Attempts, Hedges int
 }
 
 // Coverage returns the part of the snapshot's shards that answered, in (0, 1].
