Share slots by demand shown; measure the ways on a model

Cause: spare requests that shrink with reported load starve hedges.

Change: reported load only stops the growth of the spare requests; a shed takes one unit. Each VM is assured two requests at a shard.

--- a/internal/core/routing/build.go
+++ b/internal/core/routing/build.go
@@ -240,7 +240,7 @@
 				slots += max(s.svc.Slots, 1)
 			}
 		}
-		return int32(max(slots/len(g.domain.home), 1))
+		return int32(max(slots/len(g.domain.home), minAssured))
 	}
 	return 0
 }
@@ -264,3 +264,7 @@
 	}
 	return ""
 }
+
+// minAssured is the least number of requests that a VM may run at a shard
+// whatever its upstreams report: one, and one hedge or a second query.
+const minAssured = 2
--- a/internal/core/routing/done.go
+++ b/internal/core/routing/done.go
@@ -65,7 +65,7 @@
 	if rep.Outcome == scatter.OutcomeAnswered {
 		r.learnLatency(now, u, rep)
 	}
-	u.adjustSpare(rep.Load)
+	u.growSpare(rep.Load)
 }
 
 // recover ends a suspicion. An upstream that was suspected for long counts as
@@ -117,14 +117,11 @@
 	}
 }
 
-// adjustSpare lets the spare requests grow while the upstream reports room, or
-// nothing, and shrink while it reports none. The caller holds mu.
-func (u *upstream) adjustSpare(load float64) {
-	if !u.ramp.warm {
-		return
-	}
-	if load >= 1 {
-		u.spare = max(u.spare-1, 0)
+// growSpare lets the spare requests grow while the upstream reports room, or
+// nothing. Only a shed shrinks them, because reported load is a hint. The caller
+// holds mu.
+func (u *upstream) growSpare(load float64) {
+	if !u.ramp.warm || load >= 1 {
 		return
 	}
 	u.spare = min(u.spare+1, u.ownConnections()*spareUnit)
@@ -132,14 +129,18 @@
 
 const (
 	// shedPause is the time without a request after a shed that names none.
-	shedPause = 20 * time.Millisecond
+	shedPause = 5 * time.Millisecond
+	// shedCost is what a shed takes from the spare requests, in the units of
+	// upstream.spare. With one, they settle where sheds are as frequent as
+	// answers that report room.
+	shedCost = 1
 	// maxShedPause is the longest pause that an upstream may ask for.
 	maxShedPause = time.Second
 )
 
 func (r *Router) shed(now time.Time, at int64, u *upstream, rep *scatter.Report) {
 	r.recover(now, u)
-	u.spare = 0
+	u.spare = max(u.spare-shedCost, 0)
 	pause := rep.RetryAfter
 	if pause <= 0 {
 		pause = shedPause
--- /dev/null
+++ b/internal/core/routing/measure_test.go
@@ -0,0 +1,159 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+const modelSeeds = 5
+
+// spread is the median and the range of a figure over the seeds.
+type spread struct{ values []float64 }
+
+func (s *spread) add(v float64) { s.values = append(s.values, v) }
+
+func (s *spread) String() string {
+	slices.Sort(s.values)
+	n := len(s.values)
+	return fmt.Sprintf("%.2f [%.2f %.2f]", s.values[n/2], s.values[0], s.values[n-1])
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// BenchmarkModelSharing compares ways to share slots among 8 VMs.
+func BenchmarkModelSharing(b *testing.B) {
+	ways := []struct {
+		name string
+		setup
+	}{
+		{"assured_and_spare", setup{hedge: true}},
+		{"owned_slots", setup{hedge: true, policy: newOwnedSlots}},
+		{"connections_only", setup{hedge: true, policy: newConnectionsOnly}},
+		{"random_no_hedge", setup{policy: newRandomReplica}},
+	}
+	for _, sheds := range []bool{false, true} {
+		for _, load := range []float64{30, 60, 100} {
+			for _, w := range ways {
+				if w.name == "owned_slots" && (sheds || load > 30) {
+					continue // most queries fail already at the lowest load
+				}
+				s := w.setup
+				s.sheds, s.vms, s.perVM, s.duration, s.stragglers = sheds, 8, load, 6*time.Second, 0.02
+				b.Run(fmt.Sprintf("sheds=%t/perVM=%.0f/%s", sheds, load, w.name), func(b *testing.B) {
+					reportSharing(b, s)
+				})
+			}
+		}
+	}
+}
+
+func reportSharing(b *testing.B, s setup) {
+	var p50, p99, partial, over, extra, shed spread
+	for seed := range uint64(modelSeeds) {
+		s.seed = seed + 1
+		m := runModel(s)
+		half, _ := m.quantile(0.5, time.Second, 5*time.Second)
+		tail, missing := m.quantile(0.99, time.Second, 5*time.Second)
+		p50.add(milliseconds(half))
+		p99.add(milliseconds(tail))
+		partial.add(float64(missing))
+		over.add(100 * float64(m.overSlots) / float64(m.arrivals))
+		extra.add(100 * float64(m.hedges) / float64(m.attempts))
+		shed.add(100 * float64(m.sheds) / float64(m.attempts))
+	}
+	b.Logf("p50 %s ms, p99 %s ms, partial %s, above slots %s %%, hedges %s %%, shed %s %%",
+		&p50, &p99, &partial, &over, &extra, &shed)
+}
+
+func freezeOneOfThree(m *model) {
+	for id, u := range m.ups {
+		if id[len(id)-1] == '0' {
+			u.frozen = true
+		}
+	}
+}
+
+// TestModelFrozenReplica holds the target: p99 within twice the healthy p99 two
+// seconds after one of three replicas of each group froze.
+func TestModelFrozenReplica(t *testing.T) {
+	var healthy, frozen, ratio spread
+	for seed := range uint64(modelSeeds) {
+		m := runModel(setup{seed: seed + 1, vms: 8, perVM: 60, duration: 12 * time.Second, hedge: true,
+			at: map[time.Duration]func(*model){4 * time.Second: freezeOneOfThree}})
+		before, _ := m.quantile(0.99, time.Second, 4*time.Second)
+		after, missing := m.quantile(0.99, 6*time.Second, 11*time.Second)
+		healthy.add(milliseconds(before))
+		frozen.add(milliseconds(after))
+		ratio.add(float64(after) / float64(before))
+		if after > 2*before || missing > 0 {
+			t.Errorf("seed %d: p99 %s before, %s after, %d partial", seed+1, before, after, missing)
+		}
+	}
+	t.Logf("p99 healthy %s ms, frozen %s ms, ratio %s", &healthy, &frozen, &ratio)
+}
+
+// TestModelZoneOutAndBack holds the targets: nothing refused, nothing new to
+// the zone after three seconds, and p99 within twice the steady p99.
+func TestModelZoneOutAndBack(t *testing.T) {
+	out := func(m *model) {
+		m.configure(func(c *catalog.Catalog) { c.Zones["cz-b"].Out = true })
+	}
+	back := func(m *model) { m.configure(func(*catalog.Catalog) {}) }
+	var steady, during, returning, last spread
+	for seed := range uint64(modelSeeds) {
+		var lastNew time.Time
+		m := runModel(setup{seed: seed + 1, vms: 8, perVM: 60, duration: 16 * time.Second, hedge: true,
+			at: map[time.Duration]func(*model){
+				4 * time.Second:    out,
+				10*time.Second - 1: func(m *model) { lastNew = m.lastTo["cz-b"] },
+				10 * time.Second:   back,
+			}})
+		before, _ := m.quantile(0.99, time.Second, 4*time.Second)
+		away, refused := m.quantile(0.99, 4*time.Second, 10*time.Second)
+		again, refusedLater := m.quantile(0.99, 10*time.Second, 15*time.Second)
+		quiet := lastNew.Sub(testStart.Add(4 * time.Second))
+		steady.add(milliseconds(before))
+		during.add(milliseconds(away))
+		returning.add(milliseconds(again))
+		last.add(milliseconds(quiet))
+		if refused+refusedLater > 0 || quiet > 3*time.Second || away > 2*before || again > 2*before {
+			t.Errorf("seed %d: p99 %s, %s, %s; refused %d, %d; last new request %s after",
+				seed+1, before, away, again, refused, refusedLater, quiet)
+		}
+	}
+	t.Logf("p99 steady %s ms, out %s ms, back %s ms, last new request %s ms after", &steady, &during, &returning, &last)
+}
+
+// TestModelColdStart puts full load onto cold upstreams.
+func TestModelColdStart(t *testing.T) {
+	var full, partial spread
+	for seed := range uint64(modelSeeds) {
+		m := runModel(setup{seed: seed + 1, vms: 8, perVM: 60, duration: 10 * time.Second, hedge: true, cold: true})
+		if m.overBearable > 0 {
+			t.Errorf("seed %d: %d requests more than a cold upstream bears", seed+1, m.overBearable)
+		}
+		steady, _ := m.quantile(0.99, 5*time.Second, 9*time.Second)
+		_, missing := m.quantile(0.99, 0, 9*time.Second)
+		full.add(milliseconds(m.fullServiceAt(2 * steady)))
+		partial.add(float64(missing))
+	}
+	t.Logf("full service after %s ms, partial answers %s", &full, &partial)
+}
+
+// fullServiceAt returns the offset after which no window of 100 ms has a p90
+// above the limit or a partial answer.
+func (m *model) fullServiceAt(limit time.Duration) time.Duration {
+	const window = 100 * time.Millisecond
+	last := time.Duration(0)
+	for from := time.Duration(0); from < 8*time.Second; from += window {
+		tail, missing := m.quantile(0.9, from, from+window)
+		if tail > limit || missing > 0 {
+			last = from + window
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/core/routing/policies_test.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/scatter"
+)
+
+// randomReplica is the naive policy: any replica, no permits.
+type randomReplica struct {
+	rng     *rand.Rand
+	catalog *catalog.Catalog
+}
+
+func newRandomReplica(_ *Router, rng *rand.Rand, c *catalog.Catalog) scatter.Picker {
+	return &randomReplica{rng: rng, catalog: c}
+}
+
+func (p *randomReplica) Pick(_ time.Time, service string, shard int, tried []string) (scatter.Target, bool) {
+	replicas := p.catalog.Services[service].Shards[shard].Replicas
+	for _, i := range p.rng.Perm(len(replicas)) {
+		if !slices.Contains(tried, replicas[i].ID) {
+			return scatter.Target{Upstream: replicas[i].ID, Address: replicas[i].Address}, true
+		}
+	}
+	return scatter.Target{}, false
+}
+
+func (p *randomReplica) Done(time.Time, string, int, scatter.Target, scatter.Report) {}
+
+// ownedSlots keeps a VM to the slots that it owns at each upstream by rank.
+type ownedSlots struct{ *Router }
+
+func newOwnedSlots(r *Router, _ *rand.Rand, _ *catalog.Catalog) scatter.Picker {
+	return ownedSlots{r}
+}
+
+func (p ownedSlots) Pick(now time.Time, service string, shard int, tried []string) (scatter.Target, bool) {
+	s := &p.table.Load().services[service].shards[shard]
+	for _, group := range [][]*upstream{s.near, s.far} {
+		for _, u := range group {
+			if int(u.gate.running()) >= share(u.shares.slots, u.shares.rank, u.shares.count) {
+				tried = append(tried, u.id)
+			}
+		}
+	}
+	return p.Router.Pick(now, service, shard, tried)
+}
+
+// connectionsOnly lets a VM use all its connections to an upstream at once.
+type connectionsOnly struct{ *Router }
+
+func newConnectionsOnly(r *Router, _ *rand.Rand, _ *catalog.Catalog) scatter.Picker {
+	return connectionsOnly{r}
+}
+
+func (p connectionsOnly) Pick(now time.Time, service string, shard int, tried []string) (scatter.Target, bool) {
+	for i := range p.table.Load().services[service].shards {
+		p.table.Load().services[service].shards[i].assured = 1 << 20
+	}
+	return p.Router.Pick(now, service, shard, tried)
+}
