--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -66,3 +67,47 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the bytes that a Router keeps.
+func BenchmarkMemory(b *testing.B) {
+	zones := make([]string, 20)
+	for i := range zones {
+		zones[i] = fmt.Sprintf("z-%02d", i)
+	}
+	for _, size := range []struct{ vms, shards, replicas int }{
+		{9, 10, 1}, {9, 10, 10}, {9, 100, 10}, {9, 100, 100}, {105, 130, 77}, {2100, 130, 700},
+	} {
+		b.Run(fmt.Sprintf("vms=%d/upstreams=%d", size.vms, size.shards*size.replicas), func(b *testing.B) {
+			c := testCatalog(zones, size.shards, size.replicas)
+			list := testList(1, zones, size.vms)
+			routers := make([]*Router, 10)
+			before := liveBytes()
+			for i := range routers {
+				routers[i], _ = newMature(list, 0, c, Config{})
+			}
+			perRouter := float64(liveBytes()-before) / float64(len(routers))
+			b.ReportMetric(perRouter, "B/router")
+			b.ReportMetric(float64(len(routers[0].table.Load().upstreams)), "tracked")
+			runtime.KeepAlive(routers)
+		})
+	}
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func BenchmarkTick(b *testing.B) {
+	zones := make([]string, 20)
+	for i := range zones {
+		zones[i] = fmt.Sprintf("z-%02d", i)
+	}
+	r, now := newMature(testList(1, zones, 2100), 0, testCatalog(zones, 130, 700), Config{})
+	now = warm(r, now)
+	for b.Loop() {
+		r.Tick(now)
+	}
+}
--- a/internal/core/routing/build.go
+++ b/internal/core/routing/build.go
@@ -17,9 +17,11 @@
 	oldCatalog *catalog.Catalog
 	domains    *domains
 	self       sharer
-	old        *table
-	out        *table
-	router     *Router
+	// unchanged tells whether only the VM list has changed since the old table.
+	unchanged bool
+	old       *table
+	out       *table
+	router    *Router
 }
 
 func (b *builder) build() *table {
@@ -87,7 +89,12 @@
 }
 
 func (s *shardBuilder) build(service string) {
-	s.domains = s.builder.domains.forShard(s.svc, s.shard)
+	if s.reuse() {
+		return
+	}
+	s.out.servingKey = s.builder.domains.servingKey(s.shard)
+	s.domains = s.builder.domains.forShard(s.svc, s.out.servingKey)
+	s.out.print = s.domains.print
 	s.out.ruleKey = s.ruleKey()
 	if s.old != nil {
 		s.out.state = s.old.state
@@ -102,6 +109,23 @@
 	s.out.assured = s.assured(groups)
 }
 
+// reuse takes over the old table of the shard if nothing that it depends on has
+// changed: in a large fleet most changes of the VM list concern other zones.
+func (s *shardBuilder) reuse() bool {
+	if s.old == nil || !s.unchanged {
+		return false
+	}
+	d := s.builder.domains.forShard(s.svc, s.old.servingKey)
+	if d.print != s.old.print {
+		return false
+	}
+	*s.out = *s.old
+	for _, u := range s.old.tracked {
+		s.builder.out.upstreams[u.id] = u
+	}
+	return true
+}
+
 // ruleKey names everything but the VM list that the ranking of the sharing VMs
 // depends on.
 func (s *shardBuilder) ruleKey() string {
@@ -201,6 +225,7 @@
 		u = newUpstream(replica, s.stats, s.out.state, s.now)
 	}
 	s.builder.out.upstreams[replica.ID] = u
+	s.out.tracked = append(s.out.tracked, u)
 	hold := s.ruleChanged && !s.isNewInCatalog(replica.ID)
 	s.router.setShares(s.now, u, sh, isNew, hold, causeOfInactivity(s.catalog, replica))
 	if !hasShare {
--- a/internal/core/routing/domain.go
+++ b/internal/core/routing/domain.go
@@ -13,6 +13,18 @@
 	// home are the VMs that send here as a rule, and visitors those that send
 	// here when their own zone fails them.
 	home, visitors []sharer
+	// print identifies the VMs.
+	print uint64
+}
+
+func (d *domain) setPrint() {
+	for i := range d.home {
+		d.print = mix(d.print ^ d.home[i].hash)
+	}
+	d.print = mix(d.print)
+	for i := range d.visitors {
+		d.print = mix(d.print ^ d.visitors[i].hash)
+	}
 }
 
 // shardDomains are the domains of one shard by zone.
@@ -22,6 +34,8 @@
 	wide   bool
 	all    domain
 	byZone map[string]*domain
+	// print identifies the VMs of the domains that self is in.
+	print uint64
 }
 
 func (s *shardDomains) zone(zone string) *domain {
@@ -41,19 +55,22 @@
 // cannot serve a shard has its home in another zone that can, chosen by
 // rendezvous. Each VM also visits one further zone.
 type domains struct {
+	self    sharer
 	all     []sharer
 	wide    *shardDomains
 	bySet   map[string]*shardDomains // key: serving zones
 	catalog *catalog.Catalog
 }
 
-func newDomains(f *fleet, c *catalog.Catalog) *domains {
-	d := &domains{bySet: make(map[string]*shardDomains), catalog: c}
+func newDomains(self sharer, f *fleet, c *catalog.Catalog) *domains {
+	d := &domains{self: self, bySet: make(map[string]*shardDomains), catalog: c}
 	for id, m := range f.members {
 		d.all = append(d.all, sharer{id: id, zone: m.vm.Zone, hash: m.hash})
 	}
 	sort.Slice(d.all, func(i, j int) bool { return d.all[i].hash < d.all[j].hash })
 	d.wide = &shardDomains{key: "*", wide: true, all: domain{home: d.all}}
+	d.wide.all.setPrint()
+	d.wide.print = d.wide.all.print
 	return d
 }
 
@@ -62,23 +79,32 @@
 	return len(d.all)*minWideConnections <= wideParts(svc.Connections).home
 }
 
-// forShard returns the domains of one shard.
-func (d *domains) forShard(svc *catalog.Service, shard *catalog.Shard) *shardDomains {
+const zoneSeparator = "\x00"
+
+// servingKey names the zones that can serve a shard.
+func (d *domains) servingKey(shard *catalog.Shard) string {
+	return strings.Join(servingZones(d.catalog, shard), zoneSeparator)
+}
+
+// forShard returns the domains of a shard that the zones of the key can serve.
+func (d *domains) forShard(svc *catalog.Service, servingKey string) *shardDomains {
 	if d.isWide(svc) {
 		return d.wide
 	}
-	serving := servingZones(d.catalog, shard)
-	key := strings.Join(serving, "\x00")
-	s := d.bySet[key]
+	s := d.bySet[servingKey]
 	if s == nil {
-		s = d.split(serving, key)
-		d.bySet[key] = s
+		s = d.split(servingKey)
+		d.bySet[servingKey] = s
 	}
 	return s
 }
 
-func (d *domains) split(serving []string, key string) *shardDomains {
-	s := &shardDomains{key: key, byZone: make(map[string]*domain, len(serving))}
+func (d *domains) split(key string) *shardDomains {
+	s := &shardDomains{key: key, byZone: make(map[string]*domain)}
+	if key == "" {
+		return s
+	}
+	serving := strings.Split(key, zoneSeparator)
 	hashes := make([]uint64, len(serving))
 	for i, zone := range serving {
 		hashes[i] = hashOf(zone)
@@ -93,6 +119,13 @@
 			s.byZone[second].visitors = append(s.byZone[second].visitors, vm)
 		}
 	}
+	home, second := homeZones(d.self, serving, hashes)
+	for _, zone := range [2]string{home, second} {
+		if dom := s.byZone[zone]; dom != nil {
+			dom.setPrint()
+			s.print = mix(s.print ^ dom.print)
+		}
+	}
 	return s
 }
 
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -50,9 +50,11 @@
 	if r.catalog != nil && c.Version < r.catalog.Version {
 		c = r.catalog
 	}
-	r.fleet.update(now, list)
-	r.fleet.expire(now)
-	r.rebuild(now, c)
+	listed := r.fleet.update(now, list)
+	expired := r.fleet.expire(now)
+	if listed || expired || c != r.catalog || r.fleet.mature(now) != r.mature {
+		r.rebuild(now, c)
+	}
 	r.Confirm(now)
 }
 
@@ -87,16 +89,19 @@
 	if old == nil {
 		old = &table{epoch: now}
 	}
-	r.mature = r.fleet.mature(now)
+	mature := r.fleet.mature(now)
+	self := sharer{id: r.self.ID, zone: r.self.Zone, hash: hashOf(r.self.ID)}
 	b := builder{
 		now:        now,
 		catalog:    c,
 		oldCatalog: r.catalog,
-		domains:    newDomains(r.fleet, c),
-		self:       sharer{id: r.self.ID, zone: r.self.Zone, hash: hashOf(r.self.ID)},
+		domains:    newDomains(self, r.fleet, c),
+		self:       self,
+		unchanged:  c == r.catalog && mature == r.mature,
 		old:        old,
 		router:     r,
 	}
+	r.mature = mature
 	b.out = &table{
 		epoch:     old.epoch,
 		services:  make(map[string]*serviceTable, len(c.Services)),
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -37,9 +37,15 @@
 // shardTable holds the replicas of a shard that this VM has a share of.
 type shardTable struct {
 	near, far []*upstream
-	state     *shardState
+	// tracked holds also those that this VM has lost its share of.
+	tracked []*upstream
+	state   *shardState
 	// ruleKey identifies the rules that chose the sharing VMs.
 	ruleKey string
+	// servingKey names the zones that can serve the shard, and print the VMs
+	// that share its upstreams.
+	servingKey string
+	print      uint64
 	// assured is the number of requests that this VM may run at the shard
 	// whatever its upstreams report: its part of the slots of all replicas.
 	assured int32
