Space the trials of a cold upstream that does not answer in time

Cause: a replica that restarts beside warm ones is slow at first. Its attempts are hedged and canceled; counted as silence they made it suspected, and it had a trial every 25 ms that a hedge had to cover.

Ruled out: advancing the ramp by canceled attempts or by time alone. Neither shows that the upstream is alive, so a frozen one would be flooded when it wakes.

Change: a canceled attempt at a cold upstream doubles the time between trials, up to 2 s, and is no sign of failure. IsRamping tells the owner of a query that an attempt should run on. Trials of suspected upstreams come at least every 2 s instead of 10 s.

--- a/internal/core/routing/done.go
+++ b/internal/core/routing/done.go
@@ -159,6 +159,10 @@
 }
 
 func (r *Router) canceled(now time.Time, at int64, u *upstream, rep *scatter.Report) {
+	if !u.ramp.warm && !u.health.suspected {
+		u.delayTrials(at)
+		return
+	}
 	usual := u.latency.Load()
 	if usual == 0 {
 		usual = u.service.latency.Load()
--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -28,7 +28,7 @@
 	silentNumerator, silentDenominator = 3, 2
 	// firstProbe and lastProbe bound the interval between probes.
 	firstProbe = 500 * time.Millisecond
-	lastProbe  = 10 * time.Second
+	lastProbe  = 2 * time.Second
 	// suspectedColdAfter is the time of suspicion after which an upstream that
 	// answers again counts as cold.
 	suspectedColdAfter = time.Second
--- a/internal/core/routing/ramp.go
+++ b/internal/core/routing/ramp.go
@@ -26,6 +26,8 @@
 	// evidence is the begin of the latest request with a good answer, of this VM
 	// or of the peer that it heard of.
 	evidence time.Time
+	// trialEvery is the time between trials, if longer than warmupInterval.
+	trialEvery time.Duration
 	// askAt is when the peers are asked next, and askAfter the interval.
 	askAt    time.Time
 	askAfter time.Duration
@@ -61,6 +63,7 @@
 	r.best = 0
 	r.slow = 0
 	r.instanceSeen = false
+	r.trialEvery = 0
 	r.askAfter = firstAsk
 	r.askAt = now.Add(firstAsk)
 }
@@ -94,6 +97,7 @@
 // answeredCold takes in an answer while cold and reports whether the stage is
 // complete.
 func (r *ramp) answeredCold(now time.Time, latency, usual time.Duration, cfg *Config) bool {
+	r.trialEvery = 0
 	if now.Add(-latency).Before(r.coldSince) {
 		return false
 	}
--- a/internal/core/routing/trial.go
+++ b/internal/core/routing/trial.go
@@ -12,6 +12,14 @@
 	return due != 0 && at >= due && u.blockedUntil.Load() <= at
 }
 
+// IsRamping reports whether an upstream is on its ramp. A request to it should
+// run to its deadline even when another replica answers first: a ramp goes on
+// only by answers. It is safe for concurrent use.
+func (r *Router) IsRamping(id string) bool {
+	u := r.lookup(id)
+	return u != nil && u.cold.Load()
+}
+
 // takeTrial claims a due trial for the caller, who then reserves. Only a first
 // attempt makes a trial, because a hedge can cover for it.
 func (u *upstream) takeTrial(at int64) bool {
@@ -32,10 +40,17 @@
 	if u.ramp.warm || running >= u.allowed() {
 		return false
 	}
-	u.trialAt.Store(at + int64(warmupInterval))
+	u.trialAt.Store(at + int64(max(u.ramp.trialEvery, warmupInterval)))
 	return true
 }
 
+// delayTrials doubles the time between the trials of a cold upstream that did
+// not answer in time. The caller holds mu.
+func (u *upstream) delayTrials(at int64) {
+	u.ramp.trialEvery = min(max(2*u.ramp.trialEvery, warmupInterval), lastProbe)
+	u.trialAt.Store(at + int64(u.ramp.trialEvery))
+}
+
 // endLoanIfDue ends borrowed permits before a reservation, if their time is
 // over.
 func (u *upstream) endLoanIfDue(now time.Time, at int64) {
