Fetch tokens of other VMs for requests that are short of one

Cause: quota learned to ask other VMs for tokens at once; the daemon refused before it had asked. A queue of calls and a clock stood twice. Ruled out: answering from the control goroutine; a request would wait for its turn on the loop. The soak uses the models' clock.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -55,7 +56,11 @@
 	calls pond.Pool
 	reads pond.Pool
 
-	serving bool
+	serving   bool
+	fetchedAt time.Time
+
+	// fetching tells that a fetch of tokens is posted to the loop.
+	fetching atomic.Bool
 }
 
 // New returns a Control that is not running yet.
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -156,13 +156,19 @@
 
 func grantsToWire(in []quota.Grant) []*peerv1.Grant {
 	return convert(in, func(g quota.Grant) *peerv1.Grant {
-		return &peerv1.Grant{Customer: g.Customer, Share: curveToWire(g.Share), Spare: g.Spare}
+		return &peerv1.Grant{
+			Customer: g.Customer, Share: curveToWire(g.Share),
+			Spare: g.Spare, SpareTokens: g.SpareTokens, Holder: g.Holder,
+		}
 	})
 }
 
 func grantsFromWire(in []*peerv1.Grant) []quota.Grant {
 	return convert(in, func(g *peerv1.Grant) quota.Grant {
-		return quota.Grant{Customer: g.GetCustomer(), Share: curveFromWire(g.GetShare()), Spare: g.GetSpare()}
+		return quota.Grant{
+			Customer: g.GetCustomer(), Share: curveFromWire(g.GetShare()),
+			Spare: g.GetSpare(), SpareTokens: g.GetSpareTokens(), Holder: g.GetHolder(),
+		}
 	})
 }
 
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -29,6 +29,23 @@
 	}
 }
 
+// FetchTokens makes the control goroutine ask other VMs for tokens that requests
+// are short of. Calls of the same moment count as one. It is safe for concurrent
+// use.
+func (c *Control) FetchTokens() {
+	if c.fetching.Swap(true) {
+		return
+	}
+	c.loop.Post(func(now time.Time) {
+		c.fetching.Store(false)
+		if now.Sub(c.fetchedAt) < quota.FetchPause {
+			return
+		}
+		c.fetchedAt = now
+		c.quotaActions(c.deps.Quota.Fetch(now))
+	})
+}
+
 func (c *Control) sendLend(a quota.SendLend) {
 	req := lendToWire(c.sender(), a.Request)
 	c.calls.Go(func() {
--- a/internal/core/quota/quotabench/leases.go
+++ b/internal/core/quota/quotabench/leases.go
@@ -63,25 +63,25 @@
 	sender := &peerv1.Sender{Fleet: "cz-central", Vm: n.VM.ID, Incarnation: 1 << 60, Zone: n.VM.Zone}
 	switch a := a.(type) {
 	case quota.Probe:
-		digest := &peerv1.Digest{ConfigVersion: 1 << 20, ConfigDigest: "0123456789abcdef", ListRevision: 1 << 20, ListAgeMs: 1000}
-		p.size += 2 * proto.Size(&peerv1.ExchangeRequest{Sender: sender, Digest: digest})
+		claim := &peerv1.Claim{ListRevision: 1 << 20, Settled: true}
+		p.size += 2 * proto.Size(&peerv1.ProbeRequest{Sender: sender, Claim: claim})
 	case quota.SendLend:
-		req := &peerv1.LendRequest{Sender: sender, Id: 1 << 20, TermMs: 2000}
-		resp := &peerv1.LendResponse{TermMs: 2000}
+		req := &peerv1.LendRequest{Sender: sender, Id: 1 << 20}
+		resp := &peerv1.LendResponse{Id: 1 << 20, TermMs: 2000}
 		for _, w := range a.Request.Wants {
-			req.Wanted = append(req.Wanted, share(w.Limit, w.Want), share(w.Limit, w.Have))
-			resp.Granted = append(resp.Granted, share(w.Limit, w.Want))
+			req.Wants = append(req.Wants, &peerv1.Want{Customer: w.Limit, Want: curve(w.Want), Have: curve(w.Have)})
+			resp.Grants = append(resp.Grants, &peerv1.Grant{Customer: w.Limit, Share: curve(w.Want), Spare: 1 << 20, SpareTokens: 1 << 20, Holder: n.VM.ID})
 		}
 		p.size += proto.Size(req) + proto.Size(resp)
 	case quota.SendRelease:
 		req := &peerv1.ReleaseRequest{Sender: sender, Id: 1 << 20}
 		for _, g := range a.Release.Returned {
-			req.Shares = append(req.Shares, share(g.Customer, g.Share))
+			req.Returned = append(req.Returned, &peerv1.Grant{Customer: g.Customer, Share: curve(g.Share)})
 		}
 		p.size += proto.Size(req)
 	}
 }
 
-func share(limit string, s lease.Share) *peerv1.Share {
-	return &peerv1.Share{Limit: "customer/" + limit, RateMilli: s.Rate / 1000, CapacityMilli: s.Capacity / 1000, TokensMilli: s.Tokens / 1000}
+func curve(s lease.Share) *peerv1.Curve {
+	return &peerv1.Curve{Rate: s.Rate, Capacity: s.Capacity, Tokens: s.Tokens}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,7 +120,7 @@
 	})
 	d.callers = caller.New(caller.Deps{
 		Config:  &d.control.State,
-		Limiter: limiter{d.quota},
+		Limiter: limiter{d.quota, d.control},
 		Sharer:  newSharer(&d.control.State),
 		Planner: d.planner,
 		Pool:    d.pool,
--- /dev/null
+++ b/internal/daemon/limiter.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/control"
+	"ryecourse.example/ryecourse/internal/core/quota"
+)
+
+// limiter adapts the quota manager to the callers' listener. It is safe for
+// concurrent use.
+type limiter struct {
+	quota   *quota.Manager
+	control *control.Control
+}
+
+// Admit implements caller.Limiter. While other VMs may have a token to spare the
+// request waits for it, for quota.FetchPatience at most.
+func (l limiter) Admit(now time.Time, customer string) (bool, time.Duration) {
+	d := l.quota.Admit(now, customer)
+	end := now.Add(quota.FetchPatience)
+	for !d.OK && d.Fetch && now.Before(end) {
+		l.control.FetchTokens()
+		time.Sleep(quota.FetchPause)
+		now = time.Now()
+		d = l.quota.AdmitAgain(now, customer)
+	}
+	return d.OK, d.RetryAfter
+}
--- a/internal/daemon/sharer.go
+++ b/internal/daemon/sharer.go
@@ -57,7 +57,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return func(r *verdict.Refusal) { sched.Release(time.Now(), permit, outcomeOf(r)) }, nil
+	return func(r *verdict.Refusal) { sched.Release(time.Now(), permit, admission.OutcomeOf(r)) }, nil
 }
 
 // wait blocks until the ticket is granted or refused, or can't be met.
@@ -72,18 +72,6 @@
 	return t.Result()
 }
 
-func outcomeOf(r *verdict.Refusal) admission.Outcome {
-	switch {
-	case r == nil:
-		return admission.OutcomeDone
-	case r.Code == verdict.CodeOverloaded:
-		return admission.OutcomeOverloaded
-	case r.Code == verdict.CodeDeadline:
-		return admission.OutcomeLate
-	}
-	return admission.OutcomeDone
-}
-
 func (s *sharer) scheduler(svc *catalog.Service) *admission.Scheduler {
 	config := s.limits(svc)
 	s.mu.RLock()
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -87,15 +87,6 @@
 	d.metrics.Gauge("upstream_canceled", func() float64 { return float64(d.pool.Stats.Canceled.Load()) })
 }
 
-// limiter adapts the quota manager to the callers' listener.
-type limiter struct{ quota *quota.Manager }
-
-// Admit implements caller.Limiter.
-func (l limiter) Admit(now time.Time, customer string) (bool, time.Duration) {
-	d := l.quota.Admit(now, customer)
-	return d.OK, d.RetryAfter
-}
-
 // seeds are peers that are known by their address alone.
 func seeds(addresses []string) []membership.VM {
 	var out []membership.VM
--- a/internal/simclock/clock.go
+++ b/internal/simclock/clock.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// RunUntil runs the events up to the given time and moves the clock there.
+func (c *Clock) RunUntil(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
+
 type event struct {
 	at  time.Time
 	seq int
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,9 +21,8 @@
 
 // checker holds the oracles.
 type checker struct {
-	world   *world
-	curves  map[string]*curve
-	refused []*query // told not run
+	world  *world
+	curves map[string]*curve
 	// Violations counts by name, Reports describes the first ones.
 	Violations map[string]int
 	Reports    []string
@@ -47,7 +46,7 @@
 func (c *checker) fail(name, format string, args ...any) {
 	c.Violations[name]++
 	if len(c.Reports) < maxReports {
-		at := c.world.clock.now.Sub(c.world.started)
+		at := c.world.clock.Now().Sub(c.world.started)
 		c.Reports = append(c.Reports, fmt.Sprintf("%s at %s: %s", name, at, fmt.Sprintf(format, args...)))
 	}
 }
@@ -65,7 +64,7 @@
 func (c *checker) admitted(customer string) {
 	const epsilon = 1e-6
 	k := c.curves[customer]
-	now := c.world.clock.now
+	now := c.world.clock.Now()
 	k.level = max(k.level-k.rate*now.Sub(k.at).Seconds(), 0) + 1
 	k.at = now
 	if k.level > k.burst+epsilon {
@@ -81,7 +80,7 @@
 	}
 	at, ok := c.world.withdrawn[q.key]
 	if ok && c.world.quietSince(at) > actBound {
-		c.fail("key_withdrawn", "accepted %s after the withdrawal", c.world.clock.now.Sub(at))
+		c.fail("key_withdrawn", "accepted %s after the withdrawal", c.world.clock.Now().Sub(at))
 	}
 }
 
@@ -105,14 +104,14 @@
 func (c *checker) arrival(l *leaf, k *call) {
 	at, out := c.world.zoneOut[l.zone]
 	if out && c.world.quietSince(at) > actBound {
-		c.fail("zone_out", "%s got work %s after", l.id, c.world.clock.now.Sub(at))
+		c.fail("zone_out", "%s got work %s after", l.id, c.world.clock.Now().Sub(at))
 	}
 }
 
 // running requires that a cold leaf bears what it runs.
 func (c *checker) running(l *leaf) {
 	if l.cold() && l.running > coldPermits {
-		c.fail("cold_start", "%s runs %d, %d things wrong, cold for %s", l.id, l.running, c.world.troubles, c.world.clock.now.Sub(l.coldFrom))
+		c.fail("cold_start", "%s runs %d, %d things wrong, cold for %s", l.id, l.running, c.world.troubles, c.world.clock.Now().Sub(l.coldFrom))
 	}
 }
 
@@ -168,7 +167,7 @@
 func (c *checker) converged() {
 	due := c.dueVersion()
 	for _, v := range c.world.vms {
-		if v.up && v.serving && v.version < due && c.world.clock.now.Sub(v.startedAt) > convergeBound {
+		if v.up && v.serving && v.version < due && c.world.clock.Now().Sub(v.startedAt) > convergeBound {
 			c.fail("convergence", "%s has version %d, not %d", v.self.ID, v.version, due)
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -70,14 +70,14 @@
 // leave replaces a VM gracefully.
 func (w *world) leave() {
 	v := w.anyVM()
-	if v == nil || w.clock.now.Before(v.frozenUntil) {
+	if v == nil || w.clock.Now().Before(v.frozenUntil) {
 		return
 	}
-	v.quotaActions(v.quota.Leave(w.clock.now))
-	w.clock.after(leaveNotice, func() {
-		v.run(func() { v.quotaActions(v.quota.Close(w.clock.now)) })
+	v.quotaActions(v.quota.Leave(w.clock.Now()))
+	w.clock.After(leaveNotice, func() {
+		v.run(func() { v.quotaActions(v.quota.Close(w.clock.Now())) })
 	})
-	w.clock.after(2*leaveNotice, func() {
+	w.clock.After(2*leaveNotice, func() {
 		v.up = false
 		w.addVM(v.self.Zone)
 	})
@@ -89,7 +89,7 @@
 		return
 	}
 	d := w.between(100*time.Millisecond, 10*time.Second)
-	w.trouble(d, func() { v.frozenUntil = w.clock.now.Add(d) }, func() {})
+	w.trouble(d, func() { v.frozenUntil = w.clock.Now().Add(d) }, func() {})
 }
 
 // cut separates two zones, or a zone from the platform.
@@ -110,13 +110,13 @@
 	}
 	l.crash()
 	w.endCalls(l)
-	w.clock.after(w.between(50*time.Millisecond, 3*time.Second), l.start)
+	w.clock.After(w.between(50*time.Millisecond, 3*time.Second), l.start)
 }
 
 // endCalls tells every VM that its connections to the leaf are lost.
 func (w *world) endCalls(l *leaf) {
 	for _, v := range w.vms {
-		w.clock.after(w.latency(), func() { v.run(func() { w.loseConnections(v, l) }) })
+		w.clock.After(w.latency(), func() { v.run(func() { w.loseConnections(v, l) }) })
 	}
 }
 
@@ -124,7 +124,7 @@
 func (w *world) drainLeaf() {
 	l := w.leaves[w.leafIDs[w.rng.IntN(len(w.leafIDs))]]
 	l.draining = true
-	w.clock.after(w.between(time.Second, 5*time.Second), func() { l.draining = false })
+	w.clock.After(w.between(time.Second, 5*time.Second), func() { l.draining = false })
 }
 
 // change is something that operators do.
@@ -154,13 +154,13 @@
 		delete(w.zoneOut, zone)
 		return
 	}
-	w.zoneOut[zone] = w.clock.now
+	w.zoneOut[zone] = w.clock.Now()
 }
 
 // rotateKey withdraws a customer's key and gives it another one.
 func (w *world) rotateKey() {
 	t := w.tenants[w.rng.IntN(len(w.tenants))]
-	w.withdrawn[t.key] = w.clock.now
+	w.withdrawn[t.key] = w.clock.Now()
 	t.keyNumber++
 	t.key = newKey(t.name, t.keyNumber)
 	w.platform.publish(map[string]string{t.file(): t.config()})
@@ -173,7 +173,7 @@
 	for _, id := range w.leafIDs {
 		l := w.leaves[id]
 		if l.service == searchName {
-			w.clock.after(w.between(0, snapshotSpread), func() { l.take(s) })
+			w.clock.After(w.between(0, snapshotSpread), func() { l.take(s) })
 		}
 	}
 }
@@ -182,7 +182,7 @@
 func (w *world) brokenFile() {
 	t := w.tenants[w.rng.IntN(len(w.tenants))]
 	w.platform.publish(map[string]string{t.file(): `{"customers":{`})
-	w.clock.after(w.between(time.Second, 5*time.Second), func() {
+	w.clock.After(w.between(time.Second, 5*time.Second), func() {
 		w.platform.publish(map[string]string{t.file(): t.config()})
 	})
 }
--- a/internal/soak/messages.go
+++ b/internal/soak/messages.go
@@ -16,7 +16,7 @@
 	w := v.world
 	to := w.byAddress[address]
 	if to == nil || !to.up || w.isCut(v.self.Zone, to.self.Zone) {
-		w.clock.after(w.latency(), func() { v.control(lost) })
+		w.clock.After(w.latency(), func() { v.control(lost) })
 		return
 	}
 	w.deliver(func() {
@@ -33,13 +33,13 @@
 // read carries a read to the platform and its answer back.
 func (v *vm) read(wait time.Duration, newer func() bool, answer func(now time.Time, news bool), failed func(now time.Time)) {
 	w := v.world
-	w.clock.after(w.latency(), func() {
+	w.clock.After(w.latency(), func() {
 		if w.platform.down || w.isCut(v.self.Zone, platformZone) {
 			v.control(failed)
 			return
 		}
 		w.platform.watch(wait, newer, func(news bool) {
-			w.clock.after(w.latency(), func() { v.control(func(now time.Time) { answer(now, news) }) })
+			w.clock.After(w.latency(), func() { v.control(func(now time.Time) { answer(now, news) }) })
 		})
 	})
 }
@@ -67,7 +67,7 @@
 }
 
 func (v *vm) spreadChange(a spread.Action) {
-	now := v.world.clock.now
+	now := v.world.clock.Now()
 	switch a := a.(type) {
 	case spread.Accept:
 		v.world.check.accepted(v, a.Decision.Version)
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -32,7 +32,7 @@
 // content deletes a file.
 func (p *platform) publish(files map[string]string) {
 	version := uint64(len(p.folders) + 1)
-	next := folder{version: version, at: p.world.clock.now, files: make(map[string]catalog.Published)}
+	next := folder{version: version, at: p.world.clock.Now(), files: make(map[string]catalog.Published)}
 	if len(p.folders) > 0 {
 		for name, f := range p.folders[len(p.folders)-1].files {
 			next.files[name] = f
@@ -69,7 +69,6 @@
 
 func (p *platform) folder() *folder        { return &p.folders[p.visible(len(p.folders))] }
 func (p *platform) list() *membership.List { return &p.lists[p.visible(len(p.lists))] }
-func (p *platform) newest() *folder        { return &p.folders[len(p.folders)-1] }
 func (f *folder) all() []catalog.FileRevision {
 	var out []catalog.FileRevision
 	for _, file := range f.files {
@@ -94,5 +93,5 @@
 		done(newer())
 		return
 	}
-	p.world.clock.after(min(pollInterval, wait), func() { p.watch(wait-pollInterval, newer, done) })
+	p.world.clock.After(min(pollInterval, wait), func() { p.watch(wait-pollInterval, newer, done) })
 }
--- a/internal/soak/query.go
+++ b/internal/soak/query.go
@@ -7,6 +7,7 @@
 	"ryecourse.example/ryecourse/internal/core/admission"
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/keys"
+	"ryecourse.example/ryecourse/internal/core/quota"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 	"ryecourse.example/ryecourse/internal/core/verdict"
 )
@@ -51,10 +52,10 @@
 func (w *world) request(v *vm, customer, key, service string) {
 	w.queries++
 	q := &query{id: w.queries, vm: v, customer: customer, key: key, calls: make(map[int]*call)}
-	w.clock.after(w.latency(), func() { v.run(func() { q.serve(service) }) })
+	w.clock.After(w.latency(), func() { v.run(func() { q.serve(service) }) })
 }
 
-func (q *query) now() time.Time { return q.vm.world.clock.now }
+func (q *query) now() time.Time { return q.vm.world.clock.Now() }
 
 func (q *query) serve(service string) {
 	cat := q.vm.catalog()
@@ -69,11 +70,28 @@
 	}
 	q.vm.world.check.authenticated(q, customer.Name)
 	q.service = cat.Services[service]
-	if !q.vm.admit(customer.Name) {
-		q.refuse(verdict.Refuse(verdict.CodeRateLimited, time.Second, "over the rate"))
-		return
+	q.admit(customer, q.vm.admit, q.now().Add(quota.FetchPatience))
+}
+
+// admit spends one request of the customer's limit and goes on, or waits for
+// tokens of other VMs.
+func (q *query) admit(customer *catalog.Customer, try func(customer string) quota.Decision, until time.Time) {
+	d := try(customer.Name)
+	switch {
+	case d.OK:
+		q.vm.world.check.admitted(customer.Name)
+		q.enter(customer)
+	case d.Fetch && q.now().Before(until):
+		q.vm.fetch()
+		q.vm.world.clock.After(quota.FetchPause, func() {
+			q.vm.run(func() { q.admit(customer, q.vm.admitAgain, until) })
+		})
+	default:
+		q.refuse(verdict.Refuse(verdict.CodeRateLimited, d.RetryAfter, "over the rate"))
 	}
-	q.vm.world.check.admitted(customer.Name)
+}
+
+func (q *query) enter(customer *catalog.Customer) {
 	q.deadline = q.now().Add(q.service.Deadline)
 	q.sched = q.vm.scheduler(q.service)
 	d := q.sched.Enqueue(q.now(), admission.Share{Customer: customer.Name, Rate: customer.Rate, Burst: customer.Burst}, q.deadline)
@@ -104,7 +122,7 @@
 	if !q.now().Before(t.StartBy()) {
 		q.sched.Withdraw(q.now(), t)
 	}
-	q.vm.world.clock.after(ticketPoll, func() { q.vm.run(func() { q.await(t) }) })
+	q.vm.world.clock.After(ticketPoll, func() { q.vm.run(func() { q.await(t) }) })
 }
 
 func (q *query) start() {
@@ -144,7 +162,7 @@
 		return
 	}
 	q.timerAt = at
-	q.vm.world.clock.after(at.Sub(q.now()), func() {
+	q.vm.world.clock.After(at.Sub(q.now()), func() {
 		q.vm.run(func() {
 			if q.done || q.timerAt != at {
 				return
@@ -157,7 +175,7 @@
 
 func (q *query) finish(f *scatter.Finish) {
 	q.done = true
-	q.sched.Release(q.now(), q.permit, outcomeOf(f.Refusal))
+	q.sched.Release(q.now(), q.permit, admission.OutcomeOf(f.Refusal))
 	if f.Refusal != nil {
 		q.refuse(f.Refusal)
 		return
@@ -165,18 +183,6 @@
 	q.vm.world.check.answer(q, f.Answer)
 }
 
-func outcomeOf(r *verdict.Refusal) admission.Outcome {
-	switch {
-	case r == nil:
-		return admission.OutcomeDone
-	case r.Code == verdict.CodeOverloaded:
-		return admission.OutcomeOverloaded
-	case r.Code == verdict.CodeDeadline:
-		return admission.OutcomeLate
-	}
-	return admission.OutcomeDone
-}
-
 func (q *query) refuse(r *verdict.Refusal) {
 	q.done = true
 	if q.vm.world.hooks.reassure {
@@ -191,7 +197,7 @@
 	q.calls[a.ID] = c
 	w.check.dispatched(q.vm, c)
 	if q.vm.conns[c.leaf.id] == 0 {
-		w.clock.after(connectCost+w.latency(), func() { q.vm.run(c.connect) })
+		w.clock.After(connectCost+w.latency(), func() { q.vm.run(c.connect) })
 		return
 	}
 	c.write()
@@ -223,7 +229,7 @@
 	}
 	c.sent = true
 	instance := c.leaf.instance
-	w.clock.after(w.latency(), func() {
+	w.clock.After(w.latency(), func() {
 		if !c.leaf.up || c.leaf.instance != instance || w.isCut(v.self.Zone, c.leaf.zone) || c.ended {
 			return // loseConnections or the deadline ends the call
 		}
@@ -234,7 +240,7 @@
 			if w.isCut(v.self.Zone, c.leaf.zone) {
 				return
 			}
-			w.clock.after(w.latency(), func() { v.run(func() { c.end(r) }) })
+			w.clock.After(w.latency(), func() { v.run(func() { c.end(r) }) })
 		})
 	})
 }
@@ -256,7 +262,7 @@
 // called while its actions are being carried out.
 func (c *call) endLater(r scatter.Result) {
 	v := c.query.vm
-	v.world.clock.after(0, func() { v.run(func() { c.end(r) }) })
+	v.world.clock.After(0, func() { v.run(func() { c.end(r) }) })
 }
 
 // cancel gives a call up, as the closing of its connection does. The leaf stops
@@ -266,7 +272,7 @@
 	v := verdict.NotRun
 	if c.sent {
 		v = verdict.MayHaveRun
-		w.clock.after(w.latency(), func() { c.leaf.stop(c) })
+		w.clock.After(w.latency(), func() { c.leaf.stop(c) })
 	}
 	c.endLater(scatter.Result{Report: scatter.Report{Outcome: scatter.OutcomeCanceled, Load: -1}, Verdict: v})
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -44,7 +44,7 @@
 
 func runWith(seed uint64, steps int, h hooks) Result {
 	w := newWorld(seed, h)
-	w.clock.advance(settleTime)
+	w.clock.RunUntil(w.started.Add(settleTime))
 	for step := range steps {
 		w.step(step)
 	}
@@ -64,7 +64,7 @@
 	for range w.rng.IntN(requestsPerStep + 1) {
 		w.traffic()
 	}
-	w.clock.advance(stepTime)
+	w.clock.RunUntil(w.clock.Now().Add(stepTime))
 	if n%checkEvery == 0 {
 		w.check.converged()
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -96,10 +96,10 @@
 		k := key{v, customer}
 		b := buckets[k]
 		if b == nil {
-			b = &curve{rate: whole.rate, burst: whole.burst, at: v.world.clock.now}
+			b = &curve{rate: whole.rate, burst: whole.burst, at: v.world.clock.Now()}
 			buckets[k] = b
 		}
-		now := v.world.clock.now
+		now := v.world.clock.Now()
 		level := max(b.level-b.rate*now.Sub(b.at).Seconds(), 0)
 		b.level, b.at = level, now
 		if level+1 > b.burst {
--- a/internal/soak/tenants.go
+++ b/internal/soak/tenants.go
@@ -42,7 +42,7 @@
 		t.eager = i == 1
 		t.key = newKey(t.name, 0)
 		w.tenants = append(w.tenants, t)
-		w.check.curves[t.name] = &curve{rate: t.rate, burst: t.burst, at: w.clock.now}
+		w.check.curves[t.name] = &curve{rate: t.rate, burst: t.burst, at: w.clock.Now()}
 		files[t.file()] = t.config()
 	}
 	w.snapshots["s1"] = shardCount
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -42,7 +42,7 @@
 }
 
 func (l *leaf) cold() bool {
-	return l.answers < coldAnswers || l.world.clock.now.Sub(l.coldFrom) < coldTime
+	return l.answers < coldAnswers || l.world.clock.Now().Sub(l.coldFrom) < coldTime
 }
 
 // start begins a new, cold incarnation.
@@ -51,7 +51,7 @@
 	l.instance++
 	l.answers = 0
 	l.running = 0
-	l.coldFrom = l.world.clock.now
+	l.coldFrom = l.world.clock.Now()
 }
 
 func (l *leaf) crash() { l.up = false }
@@ -111,7 +111,7 @@
 	l.world.check.ran(c.query)
 	instance := l.instance
 	c.runningIn = instance
-	l.world.clock.after(l.serviceTime(), func() {
+	l.world.clock.After(l.serviceTime(), func() {
 		if !l.up || l.instance != instance || c.runningIn == 0 {
 			return // lost or canceled; the caller's side reports it
 		}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -43,6 +43,7 @@
 	// lostAt is when the last connection to a leaf was lost.
 	lostAt    map[string]time.Time
 	startedAt time.Time
+	fetchedAt time.Time
 }
 
 func newVM(w *world, self membership.VM) *vm {
@@ -53,13 +54,13 @@
 		schedulers: make(map[string]*admission.Scheduler),
 		conns:      make(map[string]int),
 		lostAt:     make(map[string]time.Time),
-		startedAt:  w.clock.now,
-		lastEvent:  w.clock.now,
+		startedAt:  w.clock.Now(),
+		lastEvent:  w.clock.Now(),
 	}
 	v.spread = spread.New(spread.Settings{Self: self, Seeds: w.seeds()}, v.rng)
-	v.quota = quota.New(quota.Params{Self: self, Incarnation: w.rng.Uint64(), Started: w.clock.now})
+	v.quota = quota.New(quota.Params{Self: self, Incarnation: w.rng.Uint64(), Started: w.clock.Now()})
 	v.router = routing.New(self, v.rng, routing.Config{})
-	w.clock.after(0, v.tick)
+	w.clock.After(0, v.tick)
 	return v
 }
 
@@ -69,8 +70,8 @@
 	if !v.up {
 		return
 	}
-	if wait := v.frozenUntil.Sub(v.world.clock.now); wait > 0 {
-		v.world.clock.after(wait, func() { v.run(f) })
+	if wait := v.frozenUntil.Sub(v.world.clock.Now()); wait > 0 {
+		v.world.clock.After(wait, func() { v.run(f) })
 		return
 	}
 	f()
@@ -78,7 +79,7 @@
 
 func (v *vm) tick() {
 	v.run(func() {
-		now := v.world.clock.now
+		now := v.world.clock.Now()
 		v.noticePause(now)
 		v.spreadActions(v.spread.Tick(now))
 		v.quotaActions(v.quota.Tick(now))
@@ -90,15 +91,15 @@
 		for _, s := range v.schedulers {
 			s.Expire(now)
 		}
-		v.world.clock.after(tickInterval, v.tick)
+		v.world.clock.After(tickInterval, v.tick)
 	})
 }
 
 // control runs f as the control goroutine does.
 func (v *vm) control(f func(now time.Time)) {
 	v.run(func() {
-		v.noticePause(v.world.clock.now)
-		f(v.world.clock.now)
+		v.noticePause(v.world.clock.Now())
+		f(v.world.clock.Now())
 	})
 }
 
@@ -113,18 +114,32 @@
 
 // catalog returns the catalog that traffic may act on, or nil.
 func (v *vm) catalog() *catalog.Catalog {
-	if !v.up || v.world.clock.now.Sub(v.confirmedAt) > maxViewAge && !v.world.hooks.stale {
+	if !v.up || v.world.clock.Now().Sub(v.confirmedAt) > maxViewAge && !v.world.hooks.stale {
 		return nil
 	}
 	return v.spread.Catalog()
 }
 
 // admit spends one request of the customer's limit.
-func (v *vm) admit(customer string) bool {
+func (v *vm) admit(customer string) quota.Decision {
 	if h := v.world.hooks.admit; h != nil {
-		return h(v, customer)
+		return quota.Decision{OK: h(v, customer)}
 	}
-	return v.quota.Admit(v.world.clock.now, customer).OK
+	return v.quota.Admit(v.world.clock.Now(), customer)
+}
+
+func (v *vm) admitAgain(customer string) quota.Decision {
+	return v.quota.AdmitAgain(v.world.clock.Now(), customer)
+}
+
+// fetch asks other VMs for tokens, at most every quota.FetchPause.
+func (v *vm) fetch() {
+	now := v.world.clock.Now()
+	if now.Sub(v.fetchedAt) < quota.FetchPause {
+		return
+	}
+	v.fetchedAt = now
+	v.control(func(now time.Time) { v.quotaActions(v.quota.Fetch(now)) })
 }
 
 func (v *vm) picker() scatter.Picker {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -7,6 +7,7 @@
 
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/simclock"
 )
 
 const (
@@ -19,6 +20,9 @@
 	requestsPerStep = 6
 )
 
+// epoch is the start of the virtual time.
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
 var zones = []string{"cz-a", "cz-b", "cz-c", "cz-d"}
 
 // hooks replace mechanisms of the product, to show that the checks can fail. A
@@ -43,7 +47,7 @@
 // world is the whole fleet with its surroundings.
 type world struct {
 	hooks    hooks
-	clock    *clock
+	clock    *simclock.Clock
 	rng      *rand.Rand
 	started  time.Time
 	platform *platform
@@ -73,7 +77,7 @@
 func newWorld(seed uint64, h hooks) *world {
 	w := &world{
 		hooks:     h,
-		clock:     newClock(),
+		clock:     simclock.New(epoch),
 		rng:       rand.New(rand.NewPCG(seed, 0)),
 		byAddress: make(map[string]*vm),
 		leaves:    make(map[string]*leaf),
@@ -82,7 +86,7 @@
 		withdrawn: make(map[string]time.Time),
 		zoneOut:   make(map[string]time.Time),
 	}
-	w.started = w.clock.now
+	w.started = w.clock.Now()
 	w.check = newChecker(w)
 	w.platform = &platform{world: w}
 	w.layOut()
@@ -136,9 +140,9 @@
 	if w.rng.Float64() < w.loss {
 		return
 	}
-	w.clock.after(w.latency(), do)
+	w.clock.After(w.latency(), do)
 	if w.rng.Float64() < w.repeat {
-		w.clock.after(20*w.latency(), do)
+		w.clock.After(20*w.latency(), do)
 	}
 }
 
@@ -155,10 +159,10 @@
 func (w *world) trouble(d time.Duration, begin, end func()) {
 	w.troubles++
 	begin()
-	w.clock.after(d, func() {
+	w.clock.After(d, func() {
 		end()
 		w.troubles--
-		w.troubleEnd = w.clock.now
+		w.troubleEnd = w.clock.Now()
 	})
 }
 
@@ -170,7 +174,7 @@
 	if w.troubleEnd.After(at) {
 		at = w.troubleEnd
 	}
-	return w.clock.now.Sub(at)
+	return w.clock.Now().Sub(at)
 }
 
 // loseConnections tells a VM that the leaf closed its connections. Requests that
@@ -180,6 +184,6 @@
 		return
 	}
 	v.conns[l.id] = 0
-	v.lostAt[l.id] = w.clock.now
-	v.router.OnConnectionsLost(w.clock.now, l.id)
+	v.lostAt[l.id] = w.clock.Now()
+	v.router.OnConnectionsLost(w.clock.Now(), l.id)
 }
