Don't send a call whose upstream has restarted since it was picked

Cause: a replica is picked as warm; before the request goes out the upstream restarts; the request then reaches the cold process on a new connection, beside the permits. Also, a connection that this side closed after a wrong answer counted as closed by the upstream. Ruled out: asking the router again before each write; one more lock on the way of every request for a case that the connection itself tells. Change: the pool remembers when the last connection was lost, and fails calls that were picked before as not run. The side that closed a connection is kept. Conclusion: what remains is the time in which the kernel has told of the close and the reader has not run yet.

--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -79,6 +79,8 @@
 	Snapshot string
 	// Target is the replica, reserved until the attempt ends.
 	Target Target
+	// PickedAt is not later than the reservation of Target.
+	PickedAt time.Time
 	// Deadline ends the attempt.
 	Deadline time.Time
 	// Hedge tells whether the attempt backs up a slow one that is running.
--- a/internal/core/scatter/attempts.go
+++ b/internal/core/scatter/attempts.go
@@ -153,6 +153,7 @@
 		Shard:    k,
 		Snapshot: q.wantedID(),
 		Target:   target,
+		PickedAt: now,
 		Deadline: q.spec.Deadline,
 		Hedge:    kind == kindHedge,
 	}})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -168,7 +168,10 @@
 		_, err := cn.br.Peek(1)
 		c := cn.take()
 		if c == nil {
-			return // closed while idle, or bytes that belong to no request
+			if err == nil {
+				cn.close() // bytes that belong to no request
+			}
+			return
 		}
 		if err == nil {
 			resp.Reset()
@@ -183,13 +186,13 @@
 		if !matches {
 			cn.host.pool.Stats.Mismatches.Inc()
 		}
-		if keep {
-			cn.host.release(cn)
-		}
-		c.finish(r)
 		if !keep {
+			cn.close()
+			c.finish(r)
 			return
 		}
+		cn.host.release(cn)
+		c.finish(r)
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -152,6 +152,10 @@
 	opening int
 	max     int
 	warm    int
+	// lostAt is when the upstream last closed the last connection. A call whose
+	// replica was picked before is not sent: the picker took the upstream for the
+	// one before its restart.
+	lostAt time.Time
 }
 
 func (h *host) idleAndEmpty() bool {
@@ -226,12 +230,19 @@
 	}
 }
 
+// outdated tells whether the call's replica was picked before the loss of the
+// last connection.
+func (h *host) outdated(c *Call) bool {
+	return !h.lostAt.IsZero() && !c.Attempt.PickedAt.After(h.lostAt)
+}
+
 // takeIdle returns an idle connection, or queues the call and returns nil. It
-// returns false when this VM has no share of the upstream's connections.
+// returns false when this VM has no share of the upstream's connections, or when
+// the call is outdated.
 func (h *host) takeIdle(c *Call) (*conn, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.max == 0 {
+	if h.max == 0 || h.outdated(c) {
 		return nil, false
 	}
 	if n := len(h.idle); n > 0 {
@@ -312,10 +323,17 @@
 	return c, false
 }
 
-// remove forgets a closed connection and opens another one if calls wait. The
-// loss of the last connection by the upstream's doing is reported first, so that
-// no request goes out on a new connection before.
+// remove forgets a closed connection and opens another one if calls wait.
 func (h *host) remove(cn *conn, byUpstream bool) {
+	failed := h.removeLocked(cn, byUpstream)
+	for _, c := range failed {
+		c.fail(scatter.OutcomeConnectFailed)
+	}
+}
+
+// removeLocked returns the waiting calls that are outdated. The loss of the last
+// connection by the upstream's doing is reported before another one is opened.
+func (h *host) removeLocked(cn *conn, byUpstream bool) []*Call {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if i := slices.Index(h.idle, cn); i >= 0 {
@@ -323,11 +341,17 @@
 	}
 	counted := cn.counted
 	h.forgetLocked(cn)
-	if byUpstream && counted && h.total == h.opening && h.pool.onLost != nil {
-		h.pool.onLost(h.addr)
+	var failed []*Call
+	if byUpstream && counted && h.total == h.opening {
+		if h.pool.onLost != nil {
+			h.pool.onLost(h.addr)
+		}
+		h.lostAt = time.Now()
+		failed, h.waiting = h.waiting, nil
 	}
 	h.dialForWaitingLocked()
 	h.openAheadLocked()
+	return failed
 }
 
 // forget takes a canceled call out of the queue.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -85,7 +85,8 @@
 func newCall(addr string, id int, s Sink) *Call {
 	return &Call{
 		Attempt: scatter.Attempt{
-			ID: id, Shard: 2, Target: scatter.Target{Address: addr}, Deadline: time.Now().Add(time.Minute),
+			ID: id, Shard: 2, Target: scatter.Target{Address: addr},
+			PickedAt: time.Now(), Deadline: time.Now().Add(time.Minute),
 		},
 		WireID:  fmt.Sprintf("w-%d", id),
 		Service: "svc",
@@ -304,6 +305,8 @@
 	p.Start(newCall(f.addr(), 1, s))
 	p.Start(newCall(f.addr(), 2, s))
 	a, b := <-f.conns, <-f.conns
+	receive(t, a) // both connections are open and in use
+	receive(t, b)
 	a.Close()
 	<-s
 	if len(lost) != 0 {
@@ -324,3 +327,28 @@
 		t.Fatal("reported a connection that this side closed")
 	}
 }
+
+// TestCallPickedBeforeARestart restarts the upstream between the choice of the
+// replica and the sending: the call must not reach the new process.
+func TestCallPickedBeforeARestart(t *testing.T) {
+	f, s := newFake(t), make(sink, 4)
+	p := newPool(t, f.addr(), 1)
+	p.Start(newCall(f.addr(), 1, s))
+	c := <-f.conns
+	req := receive(t, c)
+	late := newCall(f.addr(), 2, s) // picked now, sent after the restart
+	waiting := newCall(f.addr(), 3, s)
+	p.Start(waiting)
+	reply(t, c, req, nil)
+	want(t, <-s, scatter.OutcomeAnswered, verdict.Ran)
+	receive(t, c) // the waiting call has the connection now
+	c.Close()
+	want(t, <-s, scatter.OutcomeConnectionLost, verdict.MayHaveRun)
+	awaitNoConnection(p, f.addr())
+	p.Start(late)
+	want(t, <-s, scatter.OutcomeConnectFailed, verdict.NotRun)
+	p.Start(newCall(f.addr(), 4, s))
+	c = <-f.conns
+	reply(t, c, receive(t, c), nil)
+	want(t, <-s, scatter.OutcomeAnswered, verdict.Ran)
+}
