--- a/internal/core/scatter/query_test.go
+++ b/internal/core/scatter/query_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +72,30 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/shards, "ns/attempt")
 }
+
+// TestQueriesShareConcurrently gives the race detector work: queries of several
+// goroutines share budgets, latencies and the recent snapshot.
+func TestQueriesShareConcurrently(t *testing.T) {
+	layout := layoutOf(4, 2)
+	budgets, latency, recent := NewBudgets(), NewLatency(4), &Recent{}
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			shared := Shared{Picker: &roundRobin{layout: layout}, Budgets: budgets, Latency: latency, Recent: recent, Policy: DefaultPolicy()}
+			q := New(Spec{}, shared)
+			for range 500 {
+				q.Reset(Spec{Layout: layout, Deadline: epoch.Add(time.Second), Idempotent: true, Snapshots: true, MinCoverage: 1})
+				answered := q.firstID
+				q.Start(epoch)
+				for q.Pending() > 0 {
+					q.OnResult(epoch.Add(time.Millisecond), Result{Attempt: answered, Snapshot: SnapshotInfo{ID: "a", Shards: 4}, Report: Report{Latency: time.Millisecond}})
+					answered++
+				}
+				if q.finish.Answer == nil {
+					t.Errorf("refused: %v", q.finish.Refusal)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
