Check that the written operators' files name the stand-in upstreams

Change: a test builds a catalog from the files with the product's parser and compares IDs, addresses and zones; another checks that a leaf keeps its seed whichever process runs it.

--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+func testFile() *File {
+	return &File{
+		Seed:       3,
+		TruthLimit: 10,
+		Groups: []Group{
+			{
+				Service: "proof-studio", Prefix: "ps", Shards: 2, FirstPort: 7501, Zones: []string{"cz-a", "cz-b"},
+				Snapshot: "s1", DeadlineMS: 500, Idempotent: true,
+				Policy: leaf.Policy{Slots: 3, Connections: 30, ConnectCostMS: 6},
+			},
+			{
+				Service: "order-desk", Shards: 1, FirstPort: 7541, Zones: []string{"cz-a"}, DeadlineMS: 500, SingleShard: true,
+				Policy: leaf.Policy{Slots: 2, Connections: 110, ConnectCostMS: 1},
+			},
+		},
+	}
+}
+
+// TestOperatorFilesNameTheLeaves builds a catalog from the written files and
+// compares its upstreams with the leaves.
+func TestOperatorFilesNameTheLeaves(t *testing.T) {
+	f := testFile()
+	dir := t.TempDir()
+	if err := f.WriteOperatorFiles(dir); err != nil {
+		t.Fatal(err)
+	}
+	var files []catalog.Published
+	for _, name := range []string{"20-order-desk.json", "20-proof-studio.json"} {
+		content, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, catalog.Published{Name: name, Revision: 1, Content: content})
+	}
+	zones := []byte(`{"zones": {"cz-a": {"out": false}, "cz-b": {"out": false}}}`)
+	files = append(files, catalog.Published{Name: "30-zones.json", Revision: 1, Content: zones})
+	c, problems := catalog.Build(1, files)
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	named := 0
+	for _, s := range c.Services {
+		for _, shard := range s.Shards {
+			named += len(shard.Replicas)
+		}
+	}
+	leaves := f.Leaves(nil)
+	if named != len(leaves) || len(leaves) != 5 {
+		t.Fatalf("%d upstreams named, %d leaves", named, len(leaves))
+	}
+	for _, l := range leaves {
+		u := find(c, l)
+		if u == nil || u.Address != l.Address || u.Zone != l.Zone {
+			t.Errorf("%s: named as %+v, runs at %s in %s", l.ID, u, l.Address, l.Zone)
+		}
+	}
+}
+
+func find(c *catalog.Catalog, l leaf.Config) *catalog.Upstream {
+	replicas := c.Services[l.Service].Shards[l.Shard].Replicas
+	for i := range replicas {
+		if replicas[i].ID == l.ID {
+			return &replicas[i]
+		}
+	}
+	return nil
+}
+
+func TestLeavesOfPatternsKeepTheirSeeds(t *testing.T) {
+	f := testFile()
+	seeds := make(map[string]uint64)
+	for _, l := range f.Leaves(nil) {
+		for other, seed := range seeds {
+			if seed == l.Seed {
+				t.Errorf("%s and %s have the same seed", l.ID, other)
+			}
+		}
+		seeds[l.ID] = l.Seed
+	}
+	some := f.Leaves([]string{"*-b", "order-desk-0-a"})
+	if len(some) != 3 {
+		t.Fatalf("%d leaves, want 3", len(some))
+	}
+	for _, l := range some {
+		if l.Seed != seeds[l.ID] {
+			t.Errorf("%s: seed %d, want %d", l.ID, l.Seed, seeds[l.ID])
+		}
+	}
+}
