Make an upstream request cheaper and check that its answer is JSON

Profiles showed gzip writers for peer messages of 100 bytes (72 in 100 of the heap in use), header look-ups that each scan all headers, and one allocation after the other for an attempt. An upstream's body went into the caller's document unchecked. Ruled out: writing the request's bytes by hand; the library's header does. Change: answers of peers are compressed from 8 KB on; headers are read in one pass and written without look-ups; the attempts of a query are allocated together. At least two queries run for each slot of this VM's part. An answer that isn't JSON has failed.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -115,13 +115,22 @@
 		service:   r.service.Name,
 		header:    r.forwardedHeader(),
 		body:      slices.Clone([]byte(r.body.Query)),
-		calls:     make([]*upstream.Call, 0, len(r.service.Shards)+1),
-		inbox:     make([]event, 0, len(r.service.Shards)),
+		calls:     make([]*upstream.Call, 0, r.expectedCalls()+1),
+		block:     make([]upstream.Call, r.expectedCalls()),
+		inbox:     make([]event, 0, r.expectedCalls()),
 		wake:      make(chan struct{}, 1),
 	}
 	return x.execute()
 }
 
+// expectedCalls is the number of attempts of a query without hedges or retries.
+func (r *request) expectedCalls() int {
+	if r.service.SingleShard {
+		return 1
+	}
+	return len(r.service.Shards)
+}
+
 // forwardedHeader copies the allowed headers. A header that carries a key is
 // left out.
 func (r *request) forwardedHeader() []upstream.Field {
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -36,6 +36,7 @@
 
 	// The fields below belong to the working goroutine.
 	calls []*upstream.Call // by attempt ID
+	block []upstream.Call  // allocated together; the next calls are taken from it
 	spare []event
 }
 
@@ -180,18 +181,26 @@
 }
 
 func (r *run) send(a scatter.Attempt) {
-	c := &upstream.Call{
-		Attempt:   a,
-		WireID:    r.requestID + "-" + strconv.Itoa(a.ID),
-		RequestID: r.requestID,
-		Service:   r.service,
-		Header:    r.header,
-		Body:      r.body,
-		Sink:      r,
-	}
+	c := r.newCall()
+	c.Attempt = a
+	c.WireID = r.requestID + "-" + strconv.Itoa(a.ID)
+	c.RequestID = r.requestID
+	c.Service = r.service
+	c.Header = r.header
+	c.Body = r.body
+	c.Sink = r
 	for len(r.calls) <= a.ID {
 		r.calls = append(r.calls, nil)
 	}
 	r.calls[a.ID] = c
 	r.pool.Start(c)
 }
+
+func (r *run) newCall() *upstream.Call {
+	if len(r.block) == 0 {
+		r.block = make([]upstream.Call, 1)
+	}
+	c := &r.block[0]
+	r.block = r.block[1:]
+	return c
+}
--- a/internal/daemon/sharer.go
+++ b/internal/daemon/sharer.go
@@ -18,9 +18,12 @@
 	// openRouteRate is the weight, in requests per second, of all callers without
 	// a key together.
 	openRouteRate = 1.0
-	// minConcurrent is the least number of queries of a service that run at a
-	// time on one daemon.
+	// minConcurrent is added to the least number of queries of a service that run
+	// at a time on one daemon.
 	minConcurrent = 2
+	// queriesPerSlot is the number of queries of a service that run for each slot
+	// of this VM's part.
+	queriesPerSlot = 2
 )
 
 // sharer shares each service's capacity among customers. It is safe for
@@ -93,25 +96,38 @@
 	return e.scheduler
 }
 
-// limits bounds the queries that run at a time: at first this VM's even part of
-// the slots of the smallest shard, at most all of them.
+// limits bounds the queries that run at a time. A query lasts as long as its
+// slowest shard and uses a slot of each shard for a part of that, so that more
+// queries than slots can run. What upstreams run is bounded by the router; the
+// least limit keeps stragglers from starving a service that is not overloaded.
 func (s *sharer) limits(svc *catalog.Service) admission.LimitConfig {
-	vms := 1
+	slots := smallestShard(svc) * svc.Slots * shardFactor(svc)
+	part := max(slots/s.vms(), 1)
+	least := part*queriesPerSlot + minConcurrent
+	return admission.LimitConfig{
+		Initial: 2 * least,
+		Min:     least,
+		Max:     max(queriesPerSlot*slots, 2*least),
+	}
+}
+
+// vms returns the number of VMs that share the upstreams.
+func (s *sharer) vms() int {
 	if v := s.state.View(); v != nil {
-		vms = max(len(v.List.VMs), 1)
+		return max(len(v.List.VMs), 1)
 	}
+	return 1
+}
+
+// smallestShard returns the least number of replicas of a shard.
+func smallestShard(svc *catalog.Service) int {
 	smallest := 0
 	for i := range svc.Shards {
 		if n := len(svc.Shards[i].Replicas); i == 0 || n < smallest {
 			smallest = n
 		}
 	}
-	slots := smallest * svc.Slots * shardFactor(svc)
-	return admission.LimitConfig{
-		Initial: max(slots/vms, minConcurrent),
-		Min:     minConcurrent,
-		Max:     max(slots, minConcurrent),
-	}
+	return smallest
 }
 
 // shardFactor is the number of queries that each slot of a shard stands for: a
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,9 @@
 	callTimeout = time.Second
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 32 << 20
+	// minCompressedBytes is the size from which an answer is compressed. Below it
+	// a compressor costs more than the bytes that it saves.
+	minCompressedBytes = 8 << 10
 	// readHeaderTimeout bounds the time in which a peer sends its headers.
 	readHeaderTimeout = 2 * time.Second
 	// proofHeader carries the proof that the sender knows the fleet's secret.
@@ -73,7 +76,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
 		connect.WithInterceptors(connect.UnaryInterceptorFunc(guard)),
-		connect.WithReadMaxBytes(maxMessageBytes)))
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(minCompressedBytes)))
 	return &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,11 +3,8 @@
 import (
 	"bufio"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,23 +12,6 @@
 	"ryecourse.example/ryecourse/internal/core/verdict"
 )
 
-// Names of the headers of docs/UPSTREAM.md.
-const (
-	headerAttempt        = "X-Attempt-Id"
-	headerRequest        = "X-Request-Id"
-	headerService        = "X-Service"
-	headerShard          = "X-Shard"
-	headerSnapshot       = "X-Snapshot"
-	headerSnapshotShards = "X-Snapshot-Shards"
-	headerSnapshots      = "X-Snapshots"
-	headerDeadline       = "X-Deadline-Ms"
-	headerInstance       = "X-Instance"
-	headerLoad           = "X-Load"
-	headerCold           = "X-Cold"
-	headerNotRun         = "X-Not-Run"
-	headerDraining       = "X-Draining"
-)
-
 // conn is one connection. At most one call owns it.
 type conn struct {
 	host    *host
@@ -41,8 +21,9 @@
 	// closing tells that this side closed the connection.
 	closing atomic.Bool
 
-	// sending is held while a request is written.
+	// sending is held while a request is written, to out.
 	sending sync.Mutex
+	out     countingWriter
 
 	mu     sync.Mutex
 	cur    *Call
@@ -112,7 +93,8 @@
 	fillRequest(req, c, cn.host.addr)
 	bw := writers.Get().(*bufio.Writer)
 	defer writers.Put(bw)
-	bw.Reset(&countingWriter{nc: cn.nc, n: &c.written})
+	cn.out = countingWriter{nc: cn.nc, call: c}
+	bw.Reset(&cn.out)
 	err := req.Write(bw)
 	if err == nil {
 		err = bw.Flush()
@@ -124,39 +106,17 @@
 
 // countingWriter counts the bytes that the socket took.
 type countingWriter struct {
-	nc net.Conn
-	n  *atomic.Int64
+	nc   net.Conn
+	call *Call
 }
 
 // Write implements io.Writer.
 func (w *countingWriter) Write(b []byte) (int, error) {
 	n, err := w.nc.Write(b)
-	w.n.Add(int64(n))
+	w.call.written.Add(int64(n))
 	return n, err
 }
 
-var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, inlineWriteBytes+readBufferBytes) }}
-
-func fillRequest(req *fasthttp.Request, c *Call, addr string) {
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("/v1/query")
-	req.Header.SetHost(addr)
-	req.Header.SetContentType("application/json")
-	for _, f := range c.Header {
-		req.Header.Set(f.Name, f.Value)
-	}
-	req.Header.Set(headerAttempt, c.WireID)
-	req.Header.Set(headerRequest, c.RequestID)
-	req.Header.Set(headerService, c.Service)
-	req.Header.Set(headerShard, strconv.Itoa(c.Attempt.Shard))
-	if c.Attempt.Snapshot != "" {
-		req.Header.Set(headerSnapshot, c.Attempt.Snapshot)
-	}
-	left := max(time.Until(c.Attempt.Deadline).Milliseconds(), 1)
-	req.Header.Set(headerDeadline, strconv.FormatInt(left, 10))
-	req.SetBodyRaw(c.Body)
-}
-
 // readLoop owns the reading side of the connection until it is closed.
 func (cn *conn) readLoop() {
 	defer func() { cn.host.remove(cn, !cn.closing.Load()) }()
@@ -238,70 +198,3 @@
 	defer cn.mu.Unlock()
 	cn.closed = true
 }
-
-// parse turns an answer into a result. It returns false for an answer that
-// belongs to another attempt.
-func parse(c *Call, resp *fasthttp.Response) (scatter.Result, bool) {
-	h := &resp.Header
-	r := scatter.Result{Attempt: c.Attempt.ID, Verdict: verdict.MayHaveRun}
-	r.Report.Load = -1
-	if string(h.Peek(headerAttempt)) != c.WireID {
-		r.Report.Outcome = scatter.OutcomeMismatch
-		return r, false
-	}
-	if len(h.Peek(headerNotRun)) > 0 {
-		r.Verdict = verdict.NotRun
-	}
-	r.Report.Instance = c.host.instance.text(h.Peek(headerInstance))
-	r.Report.Cold = len(h.Peek(headerCold)) > 0
-	if load, err := strconv.ParseFloat(string(h.Peek(headerLoad)), 64); err == nil {
-		r.Report.Load = load
-	}
-	if s, err := strconv.Atoi(string(h.Peek(fasthttp.HeaderRetryAfter))); err == nil {
-		r.Report.RetryAfter = time.Duration(s) * time.Second
-	}
-	switch resp.StatusCode() {
-	case fasthttp.StatusOK:
-		return parseAnswer(c, resp, r)
-	case fasthttp.StatusConflict:
-		r.Report.Outcome = scatter.OutcomeSnapshotMissing
-		r.Held = parseHeld(string(h.Peek(headerSnapshots)))
-	case fasthttp.StatusServiceUnavailable:
-		r.Report.Outcome = scatter.OutcomeShed
-		if len(h.Peek(headerDraining)) > 0 {
-			r.Report.Outcome = scatter.OutcomeDraining
-		}
-	default:
-		r.Report.Outcome = scatter.OutcomeFailed
-	}
-	return r, true
-}
-
-func parseAnswer(c *Call, resp *fasthttp.Response, r scatter.Result) (scatter.Result, bool) {
-	h := &resp.Header
-	shard, err := strconv.Atoi(string(h.Peek(headerShard)))
-	if err != nil || shard != c.Attempt.Shard || string(h.Peek(headerService)) != c.Service {
-		r.Report.Outcome = scatter.OutcomeMismatch
-		return r, false
-	}
-	r.Report.Outcome = scatter.OutcomeAnswered
-	r.Verdict = verdict.Ran
-	r.Snapshot.ID = c.host.snapshot.text(h.Peek(headerSnapshot))
-	r.Snapshot.Shards, _ = strconv.Atoi(string(h.Peek(headerSnapshotShards)))
-	r.Body = append([]byte(nil), resp.Body()...)
-	return r, true
-}
-
-// parseHeld reads "ID:SHARDS,ID:SHARDS" and skips what it can't read.
-func parseHeld(s string) []scatter.SnapshotInfo {
-	var out []scatter.SnapshotInfo
-	for part := range strings.SplitSeq(s, ",") {
-		id, n, ok := strings.Cut(strings.TrimSpace(part), ":")
-		shards, err := strconv.Atoi(n)
-		if !ok || err != nil || shards < 1 {
-			continue
-		}
-		out = append(out, scatter.SnapshotInfo{ID: id, Shards: shards})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/upstream/fuzz_test.go
@@ -0,0 +1,41 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/scatter"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// FuzzAnswer feeds arbitrary bytes as an upstream's answer. An answer counts
+// only if it echoes its attempt and is valid JSON, and "not run" only if the
+// upstream says so.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Attempt-Id: w-1\r\nX-Service: svc\r\nX-Shard: 2\r\nX-Snapshot: s1\r\nX-Snapshot-Shards: 4\r\nContent-Length: 2\r\n\r\n{}"))
+	f.Add([]byte("HTTP/1.1 409 Conflict\r\nX-Attempt-Id: w-1\r\nX-Not-Run: 1\r\nX-Snapshots: s2:4,s1:4\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 503 Busy\r\nX-Attempt-Id: w-1\r\nRetry-After: 9\r\nContent-Length: 9\r\n\r\nx"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c := &Call{WireID: "w-1", Service: "svc", Attempt: scatter.Attempt{Shard: 2}, host: &host{}}
+		var resp fasthttp.Response
+		if resp.ReadLimitBody(bufio.NewReader(bytes.NewReader(raw)), maxAnswerBytes) != nil {
+			return
+		}
+		r, matches := parse(c, &resp)
+		says := len(resp.Header.Peek(headerNotRun)) > 0
+		if r.Verdict == verdict.NotRun && !says {
+			t.Fatalf("not run without the upstream's word: %q", raw)
+		}
+		if r.Report.Outcome != scatter.OutcomeAnswered {
+			return
+		}
+		echoes := string(resp.Header.Peek(headerAttempt)) == "w-1" && string(resp.Header.Peek(headerService)) == "svc"
+		if !matches || !echoes || !json.Valid(r.Body) {
+			t.Fatalf("taken as an answer: %q", raw)
+		}
+	})
+}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -132,6 +132,7 @@
 		{"other attempt", func(r *fasthttp.Response) { r.Header.Set(headerAttempt, "w-9") }, scatter.OutcomeMismatch, verdict.MayHaveRun, false},
 		{"other shard", func(r *fasthttp.Response) { r.Header.Set(headerShard, "1") }, scatter.OutcomeMismatch, verdict.MayHaveRun, false},
 		{"other service", func(r *fasthttp.Response) { r.Header.Set(headerService, "x") }, scatter.OutcomeMismatch, verdict.MayHaveRun, false},
+		{"not JSON", func(r *fasthttp.Response) { r.SetBodyString(`{"hits":`) }, scatter.OutcomeFailed, verdict.Ran, true},
 		{"shed before it ran", func(r *fasthttp.Response) { r.SetStatusCode(503); r.Header.Set(headerNotRun, "1") }, scatter.OutcomeShed, verdict.NotRun, true},
 		{"shed in mid-run", func(r *fasthttp.Response) { r.SetStatusCode(503) }, scatter.OutcomeShed, verdict.MayHaveRun, true},
 		{"draining", func(r *fasthttp.Response) {
