Check that a slot never has two holders

Change: a property test of the owners alone, with cuts between single VMs, VMs that run on after they were dropped, stale lists, pauses, and messages that come again; four rules taken away must each give two holders. The comparison is strict now, and new processes announce themselves every 200 ms.

--- /dev/null
+++ b/internal/core/lease/owners_test.go
@@ -0,0 +1,352 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
+
+// owners is a zone's worth of Owners, and witnesses elsewhere, that talk to each
+// other on a virtual clock. All messages arrive at once or not at all, but late
+// answers and handovers are kept and delivered again.
+type owners struct {
+	now     time.Duration
+	running []*process
+	lists   []*membership.List
+	nextID  int
+	late    []func()
+	// spoil takes a rule away before each step of an Owner.
+	spoil   func(o *Owner, now membership.Reading)
+	failure string
+}
+
+type process struct {
+	owner *Owner
+	vm    membership.VM
+	group int
+	// cut is a VM that the process can't reach, nor be reached by.
+	cut string
+	// stale is the newest list that the process can read; 0 is no bound.
+	stale  uint64
+	frozen time.Duration
+	known  uint64
+}
+
+// fault is one of the things that owners must bear.
+type fault int
+
+const (
+	crash fault = iota
+	drop
+	cut
+	stale
+	freeze
+	heal
+	repeat
+	cutPair
+	leave
+	faultCount
+)
+
+const step = 100 * time.Millisecond
+
+func newOwners(spoil func(*Owner, membership.Reading)) *owners {
+	w := &owners{spoil: spoil, nextID: 10}
+	zones := []string{"a", "a", "a", "b", "b", "c", "c", "d", "d"}
+	var vms []membership.VM
+	for i, z := range zones {
+		vms = append(vms, membership.VM{ID: fmt.Sprintf("vm-%d", i+1), Zone: z})
+	}
+	w.publish(vms)
+	for _, vm := range vms {
+		w.start(vm)
+	}
+	w.run(12 * time.Second)
+	return w
+}
+
+func (w *owners) clock() membership.Reading {
+	return membership.Reading{Mono: w.now, Wall: w.now}
+}
+
+func (w *owners) newest() *membership.List { return w.lists[len(w.lists)-1] }
+
+func (w *owners) publish(vms []membership.VM) {
+	w.lists = append(w.lists, &membership.List{Revision: uint64(len(w.lists) + 1), VMs: vms})
+}
+
+func (w *owners) start(vm membership.VM) {
+	w.nextID++
+	w.running = append(w.running, &process{vm: vm, owner: NewOwner(vm, uint64(w.nextID), w.clock())})
+}
+
+func (w *owners) find(id string) *process {
+	for _, p := range w.running {
+		if p.vm.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *owners) run(d time.Duration) {
+	for end := w.now + d; w.now < end && w.failure == ""; w.now += step {
+		for _, p := range w.running {
+			if w.now >= p.frozen {
+				w.tick(p)
+				w.check()
+			}
+		}
+	}
+}
+
+func (w *owners) tick(p *process) {
+	list := w.newest()
+	if p.stale != 0 {
+		list = w.lists[min(p.stale, list.Revision)-1]
+	}
+	w.learn(p, list)
+	w.update(p)
+	for _, vm := range p.owner.Probes(w.clock()) {
+		w.probe(p, w.find(vm.ID))
+	}
+}
+
+func (w *owners) learn(p *process, list *membership.List) {
+	if list == nil || list.Revision <= p.known {
+		return
+	}
+	p.known = list.Revision
+	w.prepare(p)
+	w.handOver(p, p.owner.SetList(w.clock(), list))
+}
+
+func (w *owners) prepare(p *process) {
+	if w.spoil != nil {
+		w.spoil(p.owner, w.clock())
+	}
+}
+
+func (w *owners) update(p *process) {
+	w.prepare(p)
+	w.handOver(p, p.owner.Update(w.clock()))
+}
+
+func (w *owners) probe(from, to *process) {
+	if to == nil || !connected(from, to) || w.now < to.frozen {
+		return
+	}
+	asked := w.clock()
+	to.owner.OnPush(asked, from.owner.Digest())
+	w.update(to)
+	answer := to.owner.Digest()
+	known := to.known
+	deliver := func() {
+		if known > 0 {
+			w.learn(from, w.lists[known-1])
+		}
+		from.owner.OnAnswer(asked, answer)
+		w.update(from)
+	}
+	deliver()
+	w.keep(deliver)
+}
+
+func connected(a, b *process) bool {
+	return a.group == b.group && a.cut != b.vm.ID && b.cut != a.vm.ID
+}
+
+// keep stores a message so that it can be delivered again.
+func (w *owners) keep(deliver func()) {
+	const most = 300
+	w.late = append(w.late, deliver)
+	if len(w.late) > 2*most {
+		w.late = append([]func(){}, w.late[most:]...)
+	}
+}
+
+func (w *owners) handOver(p *process, changes []SlotChange) {
+	for _, c := range changes {
+		to := w.find(c.Next)
+		if c.Acquired || c.Next == "" || !c.Clear || to == nil || !connected(p, to) {
+			continue
+		}
+		h := Handover{
+			Giver:       p.owner.Digest(),
+			To:          c.NextIncarnation,
+			ListSettled: p.owner.ListSettled(w.clock()),
+			Slots:       []SlotHandover{{Slot: c.Slot}},
+		}
+		deliver := func() {
+			to.owner.OnHandover(w.clock(), h)
+			w.update(to)
+		}
+		w.keep(deliver)
+		if w.now >= to.frozen {
+			deliver()
+		}
+	}
+}
+
+// check requires that no slot has two holders.
+func (w *owners) check() {
+	type key struct {
+		zone string
+		slot int
+	}
+	holders := make(map[key]string)
+	for _, p := range w.running {
+		if w.clock().Reached(p.owner.rights) {
+			continue
+		}
+		for i := range SlotsPerZone {
+			if !p.owner.Holds(i) {
+				continue
+			}
+			k := key{zone: p.vm.Zone, slot: i}
+			if other := holders[k]; other != "" && w.failure == "" {
+				w.failure = fmt.Sprintf("%s and %s both hold %s/%d at %v", other, p.vm.ID, k.zone, i, w.now)
+			}
+			holders[k] = p.vm.ID
+		}
+	}
+}
+
+// disturb does one of the things that owners must bear. The platform's rule of
+// docs/design/quota.md is kept: a settled VM of the zone stays in its list.
+func (w *owners) disturb(kind fault, pick func(n int) int) {
+	p := w.running[pick(len(w.running))]
+	switch kind {
+	case crash:
+		w.replace(p, false)
+	case drop:
+		w.replace(p, true)
+	case cut:
+		p.group = pick(3)
+	case stale:
+		p.stale = p.known
+	case freeze:
+		p.frozen = w.now + time.Duration(pick(60))*time.Second/4
+	case heal:
+		for _, q := range w.running {
+			q.group, q.stale, q.cut = 0, 0, ""
+		}
+	case repeat:
+		if len(w.late) > 0 {
+			w.late[len(w.late)-1-pick(min(len(w.late), 200))]()
+		}
+	case cutPair:
+		p.cut = w.mateOf(p, pick).vm.ID
+		w.run(time.Duration(pick(400)) * step)
+	case leave:
+		w.handOver(p, p.owner.Leave(w.clock()))
+		w.replace(p, true)
+	}
+	w.run(time.Duration(pick(40)) * step)
+}
+
+// mateOf picks a process of the same zone.
+func (w *owners) mateOf(p *process, pick func(n int) int) *process {
+	var mates []*process
+	for _, q := range w.running {
+		if q.vm.Zone == p.vm.Zone {
+			mates = append(mates, q)
+		}
+	}
+	return mates[pick(len(mates))]
+}
+
+// replace lists a new VM in the place of another, which may run on.
+func (w *owners) replace(p *process, runsOn bool) {
+	vms := append([]membership.VM(nil), w.newest().VMs...)
+	kept, at := false, -1
+	for i, vm := range vms {
+		q := w.find(vm.ID)
+		if vm.ID == p.vm.ID {
+			at = i
+		} else if q != nil && vm.Zone == p.vm.Zone && q.owner.Settled() {
+			kept = true
+		}
+	}
+	if at < 0 || !kept {
+		return
+	}
+	w.nextID++
+	vms[at] = membership.VM{ID: fmt.Sprintf("vm-%d", w.nextID), Zone: p.vm.Zone}
+	w.publish(vms)
+	w.start(vms[at])
+	if runsOn {
+		return
+	}
+	for i, q := range w.running {
+		if q == p {
+			w.running = append(w.running[:i], w.running[i+1:]...)
+			break
+		}
+	}
+}
+
+func TestRapidOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newOwners(nil)
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			kind := fault(rapid.IntRange(0, int(faultCount)-1).Draw(t, "fault"))
+			w.disturb(kind, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
+			if w.failure != "" {
+				t.Fatal(w.failure)
+			}
+		}
+	})
+}
+
+// TestRapidOneHolderNeedsItsRules requires the check of TestRapidOneHolder to
+// fail for each rule that is taken away.
+func TestRapidOneHolderNeedsItsRules(t *testing.T) {
+	all := []fault{crash, drop, cut, stale, freeze, heal, repeat, cutPair, leave}
+	type rule struct {
+		faults []fault
+		spoil  func(o *Owner, now membership.Reading)
+	}
+	for name, v := range map[string]rule{
+		"NoHoldDown": {all, func(o *Owner, _ membership.Reading) {
+			o.known, o.knownWait = o.list != nil, 0
+		}},
+		"NotAnnounced": {all, func(o *Owner, now membership.Reading) {
+			o.settledAt = membership.Reading{Mono: now.Mono - DrainTerm}
+		}},
+		"NoSupport": {[]fault{drop, cut, stale}, func(o *Owner, now membership.Reading) {
+			for _, e := range o.peers {
+				e.supports, e.supportAt = true, now
+			}
+		}},
+		"OldWordOfBetterCandidates": {[]fault{drop, cutPair, heal}, func(o *Owner, now membership.Reading) {
+			for _, e := range o.peers {
+				if !e.settled {
+					e.askedAt = now
+				}
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				r := rand.New(rand.NewPCG(seed, 3))
+				w := newOwners(v.spoil)
+				for range 40 {
+					if w.failure == "" {
+						w.disturb(v.faults[r.IntN(len(v.faults))], r.IntN)
+					}
+				}
+				if w.failure != "" {
+					t.Logf("seed %d: %s", seed, w.failure)
+					return
+				}
+			}
+			t.Fatal("no run had two holders")
+		})
+	}
+}
--- a/internal/core/lease/slots.go
+++ b/internal/core/lease/slots.go
@@ -54,10 +54,11 @@
 	o.settle(now)
 	o.learnKnown(now)
 	lapsed := now.Reached(o.rights)
+	mayOwn := o.settled && !o.draining && o.Supported(now)
 	var out []SlotChange
 	for i := range o.slots {
 		s := &o.slots[i]
-		may := o.mayHold(s, now)
+		may := mayOwn && s.eligible && o.outAt(s, now)
 		if s.held && (lapsed || !may) {
 			out = append(out, o.lose(i, now))
 		}
@@ -73,11 +74,6 @@
 	return out
 }
 
-// mayHold is what a holder must fulfil at all times.
-func (o *Owner) mayHold(s *slot, now membership.Reading) bool {
-	return o.settled && !o.draining && s.eligible && o.Supported(now) && o.outAt(s, now)
-}
-
 // mayTake is what a process must fulfil besides to become a holder.
 func (o *Owner) mayTake(s *slot, now membership.Reading) bool {
 	if !o.announced(now) {
--- a/internal/core/lease/support.go
+++ b/internal/core/lease/support.go
@@ -151,7 +151,8 @@
 			continue
 		}
 		e := o.peers[vm.ID]
-		if e == nil || !e.answered || e.askedAt.Mono < o.settledAt.Mono {
+		// A probe of the very moment of settling may have gone out before.
+		if e == nil || !e.answered || e.askedAt.Mono <= o.settledAt.Mono {
 			return false
 		}
 	}
@@ -164,19 +165,18 @@
 	if o.list == nil {
 		return nil
 	}
-	out := o.due(nil, o.strangers, now)
-	out = o.due(out, o.relied, now)
+	out := o.due(nil, o.strangers, now, announceInterval)
 	if !o.settled || !o.announced(now) {
-		out = o.due(out, o.zone, now)
+		out = o.due(out, o.zone, now, announceInterval)
 	}
-	return out
+	return o.due(out, o.relied, now, ProbeInterval)
 }
 
-// due appends the VMs that were not asked within ProbeInterval.
-func (o *Owner) due(out, vms []membership.VM, now membership.Reading) []membership.VM {
+// due appends the VMs that were not asked within the interval.
+func (o *Owner) due(out, vms []membership.VM, now membership.Reading, interval time.Duration) []membership.VM {
 	for _, vm := range vms {
 		last, asked := o.probedAt[vm.ID]
-		if vm.ID == o.self.ID || (asked && now.Mono-last < ProbeInterval) {
+		if vm.ID == o.self.ID || (asked && now.Mono-last < interval) {
 			continue
 		}
 		o.probedAt[vm.ID] = now.Mono
--- a/internal/core/lease/timing.go
+++ b/internal/core/lease/timing.go
@@ -33,6 +33,9 @@
 	AdoptWait = 500 * time.Millisecond
 	// ProbeInterval is the time between two probes of the same peer.
 	ProbeInterval = 600 * time.Millisecond
+	// announceInterval replaces ProbeInterval for zone mates that don't know yet
+	// that the process is settled.
+	announceInterval = 200 * time.Millisecond
 	// SlotGuard is the remaining time of a peer's word below which a slot is
 	// given up.
 	SlotGuard = 150 * time.Millisecond
--- a/internal/core/quota/faults_test.go
+++ b/internal/core/quota/faults_test.go
@@ -35,6 +35,7 @@
 			w.jumpWall(w.pick(c), c.between(-time.Hour, time.Hour))
 		},
 		"cutVM":        func(w *world, c chooser) { w.pick(c).Group = c(4) },
+		"cutPair":      func(w *world, c chooser) { w.pick(c).Cut = w.pick(c).VM.ID },
 		"cutZone":      func(w *world, c chooser) { w.cutZone(w.pick(c).VM.Zone, c(4)) },
 		"platformDown": func(w *world, c chooser) { w.pick(c).PlatformDown = c(3) > 0 },
 		"stale":        func(w *world, c chooser) { w.pin(w.pick(c)) },
--- a/internal/core/quota/quotasim/fleet.go
+++ b/internal/core/quota/quotasim/fleet.go
@@ -54,6 +54,8 @@
 	FrozenUntil time.Duration
 	// Group is the side of a cut that the VM is on.
 	Group int
+	// Cut is a VM that this one can't reach, nor be reached by.
+	Cut string
 	// PlatformDown tells whether the VM can't read the list and the catalog.
 	PlatformDown bool
 	// Pinned is the newest list revision that the VM's replica of the platform
--- a/internal/core/quota/quotasim/network.go
+++ b/internal/core/quota/quotasim/network.go
@@ -97,7 +97,7 @@
 	for range copies {
 		f.At(f.delay(), nil, func() {
 			to := f.Node(id)
-			if to == nil || to.Group != group {
+			if to == nil || to.Group != group || to.Cut == from.VM.ID || from.Cut == id {
 				return
 			}
 			// A frozen process handles the message when it wakes.
--- a/internal/core/quota/world_test.go
+++ b/internal/core/quota/world_test.go
@@ -256,7 +256,7 @@
 
 func (w *world) heal() {
 	for _, n := range w.fleet.Nodes {
-		n.Group, n.PlatformDown, n.Pinned = 0, false, 0
+		n.Group, n.Cut, n.PlatformDown, n.Pinned = 0, "", false, 0
 	}
 	w.fleet.Net = quotasim.NewFleet(0).Net
 }
