--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 )
 
@@ -44,36 +46,54 @@
 	})
 }
 
+// BenchmarkUpdate takes in a changed catalog, or the joining and forgetting of a
+// VM of this zone or of another.
 func BenchmarkUpdate(b *testing.B) {
-	zones := make([]string, 20)
-	for i := range zones {
-		zones[i] = fmt.Sprintf("z-%02d", i)
-	}
+	zones := benchZones()
 	for _, size := range []struct{ vms, shards, replicas int }{
-		{9, 10, 3}, {9, 10, 10}, {9, 130, 8}, {9, 130, 77},
-		{105, 130, 77}, {525, 130, 175}, {2100, 130, 700},
+		{9, 10, 1}, {9, 10, 10}, {9, 100, 10}, {9, 100, 100}, {105, 100, 100}, {525, 130, 175}, {2100, 130, 700},
 	} {
 		name := fmt.Sprintf("vms=%d/upstreams=%d", size.vms, size.shards*size.replicas)
-		b.Run(name, func(b *testing.B) {
-			c := testCatalog(zones, size.shards, size.replicas)
+		c := testCatalog(zones, size.shards, size.replicas)
+		b.Run(name+"/catalog", func(b *testing.B) {
 			r, now := newMature(testList(1, zones, size.vms), 0, c, Config{})
-			b.ReportAllocs()
-			revision := uint64(2)
+			list := testList(1, zones, size.vms)
 			for b.Loop() {
-				r.Update(now, c, testList(revision, zones, size.vms-int(revision%2)))
-				r.Tick(now)
-				revision++
+				next := *r.catalog
+				next.Version++
+				r.Update(now, &next, list)
 			}
 		})
+		for kind, zone := range map[string]string{"own_zone": zones[0], "other_zone": zones[len(zones)-1]} {
+			b.Run(name+"/"+kind, func(b *testing.B) { benchmarkListChange(b, c, zones, size.vms, zone) })
+		}
 	}
 }
 
-// BenchmarkMemory reports the bytes that a Router keeps.
-func BenchmarkMemory(b *testing.B) {
+func benchmarkListChange(b *testing.B, c *catalog.Catalog, zones []string, vms int, zone string) {
+	r, now := newMature(testList(1, zones, vms), 0, c, Config{})
+	list := testList(1, zones, vms)
+	listed := list.VMs
+	for b.Loop() {
+		list.Revision++
+		joined := membership.VM{ID: fmt.Sprint("vm-new-", list.Revision), Zone: zone}
+		list.VMs = append(listed[:len(listed):len(listed)], joined)
+		now = now.Add(r.cfg.HoldDown)
+		r.Update(now, c, list)
+	}
+}
+
+func benchZones() []string {
 	zones := make([]string, 20)
 	for i := range zones {
 		zones[i] = fmt.Sprintf("z-%02d", i)
 	}
+	return zones
+}
+
+// BenchmarkMemory reports the bytes that a Router keeps.
+func BenchmarkMemory(b *testing.B) {
+	zones := benchZones()
 	for _, size := range []struct{ vms, shards, replicas int }{
 		{9, 10, 1}, {9, 10, 10}, {9, 100, 10}, {9, 100, 100}, {105, 130, 77}, {2100, 130, 700},
 	} {
@@ -101,10 +121,7 @@
 }
 
 func BenchmarkTick(b *testing.B) {
-	zones := make([]string, 20)
-	for i := range zones {
-		zones[i] = fmt.Sprintf("z-%02d", i)
-	}
+	zones := benchZones()
 	r, now := newMature(testList(1, zones, 2100), 0, testCatalog(zones, 130, 700), Config{})
 	now = warm(r, now)
 	for b.Loop() {
