--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -207,3 +207,55 @@
 		t.Fatalf("answer %q", got)
 	}
 }
+
+// slowSharer holds a request in progress until it is let go.
+type slowSharer struct {
+	*stub
+	entered, letGo chan struct{}
+}
+
+func (s *slowSharer) Enter(*catalog.Service, *catalog.Customer, time.Time) (Leave, *verdict.Refusal) {
+	close(s.entered)
+	<-s.letGo
+	return func(*verdict.Refusal) {}, nil
+}
+
+// TestDrainCutsNoRequest shuts the listener down while a request runs. The
+// request gets its answer, and a request on a kept connection that comes after
+// the drain a refusal.
+func TestDrainCutsNoRequest(t *testing.T) {
+	s := &stub{catalog: newCatalog(t, goodKey)}
+	slow := &slowSharer{stub: s, entered: make(chan struct{}), letGo: make(chan struct{})}
+	srv := New(Deps{
+		Config: s, Limiter: s, Sharer: slow, Planner: s,
+		Pool: upstream.NewPool(nil), Metrics: telemetry.New(), Log: zerolog.Nop(),
+	}, settings.Default().Limits)
+	ln := fasthttputil.NewInmemoryListener()
+	go srv.Serve(ln)
+	running, err := ln.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late, err := ln.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw := "POST /v1/services/orders/query HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + goodKey + "\r\nContent-Length: 11\r\n\r\n{\"query\":1}"
+	if _, err := running.Write([]byte(raw)); err != nil {
+		t.Fatal(err)
+	}
+	<-slow.entered
+	srv.Drain()
+	if got := exchange(t, late, raw); !strings.Contains(got, `"not_ready"`) {
+		t.Fatalf("after the drain: %s", got)
+	}
+	stopped := make(chan error)
+	go func() { stopped <- srv.Shutdown() }()
+	close(slow.letGo)
+	if got := readAnswer(t, running); !strings.Contains(got, `"code":"unavailable"`) {
+		t.Fatalf("the running request got %q", got)
+	}
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+}
