Size loans and witnesses for large zones

A replaced VM's slots also paused for 3.4 s, because its zone mates couldn't vouch for the list yet when it settled. Change: each zone has witnesses of its own; only VMs that stand by for a slot probe them; the demand of VMs with few arrivals is a slow average unless the window differs by more than chance; a process settles after 5 s.

--- a/internal/core/lease/owner.go
+++ b/internal/core/lease/owner.go
@@ -39,6 +39,8 @@
 	zone          []membership.VM
 	witnesses     []membership.VM
 	zoneWitnesses []membership.VM
+	// duties are the sets of witnesses, of other zones, that this VM is in.
+	duties [][]membership.VM
 
 	// relied are the VMs to ask as long as the list stays.
 	relied []membership.VM
@@ -154,7 +156,8 @@
 	o.list = list
 	o.zone = membership.InZone(list.VMs, o.self.Zone)
 	o.listed = slices.ContainsFunc(o.zone, o.isSelf)
-	o.witnesses = membership.RendezvousN("witness", list.VMs, maxWitnesses)
+	o.witnesses = fleetWitnessesFor(o.self.Zone, list.VMs)
+	o.duties = o.witnessDuties()
 	o.zoneWitnesses = membership.RendezvousN("zone-witness", o.zone, maxZoneWitnesses)
 	o.known = false
 	o.knownWait = LostWait
@@ -194,6 +197,28 @@
 	return membership.RendezvousN(fmt.Sprintf("slot/%s/%d", zone, slot), vms, maxRank)
 }
 
+// fleetWitnessesFor returns the VMs of the whole fleet that support the views of
+// one zone's VMs. Each zone has its own, which bounds the probes that one gets.
+func fleetWitnessesFor(zone string, vms []membership.VM) []membership.VM {
+	return membership.RendezvousN("witness/"+zone, vms, maxWitnesses)
+}
+
+func (o *Owner) witnessDuties() [][]membership.VM {
+	seen := map[string]bool{o.self.Zone: true}
+	var out [][]membership.VM
+	for _, vm := range o.list.VMs {
+		if seen[vm.Zone] {
+			continue
+		}
+		seen[vm.Zone] = true
+		set := fleetWitnessesFor(vm.Zone, o.list.VMs)
+		if slices.ContainsFunc(set, o.isSelf) {
+			out = append(out, set)
+		}
+	}
+	return out
+}
+
 // forget drops what VMs have said that are no longer listed.
 func (o *Owner) forget() {
 	listed := make(map[string]bool, len(o.list.VMs))
--- a/internal/core/lease/support.go
+++ b/internal/core/lease/support.go
@@ -82,21 +82,31 @@
 }
 
 func (o *Owner) heardSettled(now membership.Reading) bool {
-	count := 0
-	for _, vm := range o.witnesses {
-		if o.supportsNow(now, vm.ID) {
-			count++
-		}
-	}
-	if count < quorum(len(o.witnesses)) {
+	if !o.heardQuorum(now, o.witnesses) {
 		return false
 	}
+	for _, set := range o.duties {
+		if !o.heardQuorum(now, set) {
+			return false
+		}
+	}
 	return slices.ContainsFunc(o.zone, func(vm membership.VM) bool {
 		e := o.peers[vm.ID]
 		return o.supportsNow(now, vm.ID) && e.revision == o.list.Revision
 	})
 }
 
+// heardQuorum reports whether a quorum besides this process supports its view.
+func (o *Owner) heardQuorum(now membership.Reading, set []membership.VM) bool {
+	count := 0
+	for _, vm := range set {
+		if vm.ID != o.self.ID && o.supportsNow(now, vm.ID) {
+			count++
+		}
+	}
+	return count >= quorum(len(set))
+}
+
 func (o *Owner) supportsNow(now membership.Reading, id string) bool {
 	e := o.peers[id]
 	if e == nil {
@@ -169,6 +179,12 @@
 	if !o.settled || !o.announced(now) {
 		out = o.due(out, o.zone, now, announceInterval)
 	}
+	if !o.settled {
+		for _, set := range o.duties {
+			out = o.due(out, set, now, ProbeInterval)
+		}
+		out = o.due(out, o.witnesses, now, ProbeInterval)
+	}
 	return o.due(out, o.relied, now, ProbeInterval)
 }
 
@@ -186,8 +202,11 @@
 }
 
 // reliedOn returns the VMs whose word matters to this process as long as the
-// list stays.
+// list stays. A VM that stands by for no slot relies on nobody.
 func (o *Owner) reliedOn() []membership.VM {
+	if !slices.ContainsFunc(o.slots[:], func(s slot) bool { return s.eligible }) {
+		return nil
+	}
 	out := slices.Concat(o.witnesses, o.zoneWitnesses)
 	for _, vm := range o.zone {
 		for i := range o.slots {
--- a/internal/core/lease/timing.go
+++ b/internal/core/lease/timing.go
@@ -18,8 +18,9 @@
 	// returned. It exceeds LoanTerm by the clock margin.
 	LoanWait = 2200 * time.Millisecond
 	// SettleWait is the shortest time from the start of a process until it may
-	// own slots or support the view of others.
-	SettleWait = 2500 * time.Millisecond
+	// own slots or support the view of others. It leaves time for its zone mates
+	// to hear of it and wait out HoldDown, so that they can hand slots over.
+	SettleWait = 5 * time.Second
 	// LostWait replaces the support of settled peers where there are none: after
 	// the loss of a whole zone or the start of a whole fleet.
 	LostWait = 6 * time.Second
--- a/internal/core/quota/demand.go
+++ b/internal/core/quota/demand.go
@@ -50,31 +50,41 @@
 	return sum
 }
 
-// rate estimates the arrival rate in requests per second. It is the largest
-// rate that a window of 2, 5 or 20 ticks shows with some confidence, unless a
-// short window, long enough to judge, shows that the demand has fallen.
+// rate estimates the arrival rate in requests per second. It is the steady rate,
+// unless a window of 2 or 5 ticks, with enough arrivals to judge, shows that the
+// demand has risen or fallen.
 func (d *demandWindow) rate() float64 {
 	if d.idle() {
 		return 0
 	}
-	best := lowerRate(d.sum, demandTicks)
+	best := d.steadyRate()
 	for _, n := range [...]int{2, 5} {
 		count := d.last(n)
 		expected := best * seconds(n)
 		if expected >= enoughArrivals && float64(count) < expected/2 {
 			return float64(count) / seconds(n)
 		}
-		best = max(best, lowerRate(count, n))
+		if count >= enoughArrivals {
+			best = max(best, lowerRate(count, n))
+		}
 	}
 	return best
 }
 
+// steadyRate is the slow average, unless the window differs from it by more than
+// chance: the window of a VM with few arrivals varies by a third.
+func (d *demandWindow) steadyRate() float64 {
+	const deviations = 2
+	expected := d.slow * seconds(demandTicks)
+	if math.Abs(float64(d.sum)-expected) <= deviations*math.Sqrt(max(expected, 1)) {
+		return d.slow
+	}
+	return float64(d.sum) / seconds(demandTicks)
+}
+
 // lowerRate is the rate less one standard deviation of a Poisson count.
 func lowerRate(count int64, ticks int) float64 {
 	n := float64(count)
-	if ticks == demandTicks {
-		return n / seconds(ticks)
-	}
 	return (n - math.Sqrt(n)) / seconds(ticks)
 }
 
