Refuse strangers before their message is read

Cause: the proof was checked in a connect interceptor, which runs after the message has been read (up to 32 MiB) and decoded. A stranger's garbage was answered as a format error and not audited. The sender named inside a message was never looked at, so that a daemon could talk to itself under another spelling of its address and take the answer for a peer's, and a second process with this VM's ID was believed. Each refusal made an audit entry; 4,096 of them pushed the daemon's own out. Headers, connections and the time to read were not bounded.

Change: the proof is checked on the headers, and the connection closed. Headers are bounded to 8 KiB, connections to 512, a message to 5 s. The client ignores HTTP_PROXY, keeps 8 idle connections to a peer (the library's default is 2) and forgets clients beyond 4,096 addresses.

Ruled out: a nonce in the proof. Contents aren't encrypted either, so that it would not help where others read the fleet's packets; the doc comment says so.

Seen failing first with the check put back into the interceptor, without the limits and without the budget: TestSendersThatAreRefused, TestStrangersContentIsNotRead, TestCallersRequestsAreRefused, TestHeadersAreLimited, TestConnectionsAreLimited and TestStrangersDontFlushTheTrail.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	callers  *caller.Server
 	peers    *peer.Server
 	operator *operator.Server
+	refusals refusalBudget
 	leaving  chan struct{}
 }
 
@@ -96,7 +97,7 @@
 		VM:          membership.VM{ID: s.VM, Zone: s.Zone, PeerAddress: s.PeerListen},
 		Incarnation: randomUint64(),
 	}
-	identity := peer.Identity{Fleet: s.Fleet, Secret: s.FleetSecret}
+	identity := peer.Identity{Fleet: s.Fleet, Secret: s.FleetSecret, VM: s.VM, Incarnation: self.Incarnation}
 	d.quota = quota.New(quota.Params{Self: self.VM, Incarnation: self.Incarnation, Started: time.Now()})
 	d.spread = spread.New(spread.Settings{Self: self.VM, Seeds: seeds(s.Seeds)}, newRand())
 	d.router = routing.New(self.VM, newRand(), routing.Config{})
@@ -127,15 +128,25 @@
 		Metrics: d.metrics,
 		Log:     d.log,
 	}, s.Limits)
-	d.peers = peer.NewServer(identity, d.control.Peers(), d.stranger)
+	d.peers = peer.NewServer(identity, d.control.Peers(), d.refused)
 	d.operator = operator.New(d, d.trail, d.metrics)
 	d.gauges()
 }
 
-// stranger records a refused sender on the peers' listener.
-func (d *Daemon) stranger(addr, procedure string) {
-	d.metrics.Count("peer_strangers_total", 1)
-	d.trail.Add(audit.Entry{Time: time.Now(), Kind: "peer_refused", Subject: addr, Cause: "not of this fleet: " + procedure})
+// refused records a message that the peers' listener did not handle. The
+// metric counts all of them, the audit trail is spared a flood.
+func (d *Daemon) refused(r peer.Refusal) {
+	now := time.Now()
+	d.metrics.Count("peer_refused_total", 1)
+	ok, suppressed := d.refusals.take(now)
+	if !ok {
+		return
+	}
+	cause := r.Reason + ": " + r.Procedure
+	if suppressed > 0 {
+		cause += fmt.Sprintf("; %d more were not recorded", suppressed)
+	}
+	d.trail.Add(audit.Entry{Time: now, Kind: "peer_refused", Subject: r.Address, Cause: cause})
 }
 
 // Run listens and serves until the context ends.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,7 +2,7 @@
 // connect-go.
 //
 // The listener takes no callers' requests. A message from another fleet, or
-// without the fleet's secret, is refused before its content is looked at.
+// without the fleet's secret, is refused before its content is read.
 package peer
 
 import (
@@ -28,8 +28,13 @@
 	callTimeout = time.Second
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 32 << 20
-	// readHeaderTimeout bounds the time in which a peer sends its headers.
-	readHeaderTimeout = 2 * time.Second
+	// idlePerPeer is the number of idle connections kept to one peer.
+	idlePerPeer = 8
+	// idleTimeout closes connections without a call.
+	idleTimeout = 30 * time.Second
+	// maxClients bounds the peers whose clients are kept. Addresses come and go
+	// as VMs are replaced.
+	maxClients = 4096
 	// proofHeader carries the proof that the sender knows the fleet's secret.
 	proofHeader = "X-Fleet-Proof"
 )
@@ -37,58 +42,33 @@
 // ErrStranger refuses a sender that is not of this fleet.
 var ErrStranger = errors.New("sender is not of this fleet")
 
-// Identity names a fleet and proves membership in it.
+// Identity names a daemon's fleet and proves membership in it.
 type Identity struct {
 	Fleet  string
 	Secret string
+	// VM and Incarnation are those of this process.
+	VM          string
+	Incarnation uint64
 }
 
-// proof is an HMAC-SHA-256 (RFC 2104) of the fleet's name. It keeps a
-// misdirected daemon out; it doesn't replace a private network.
+// proof is an HMAC-SHA-256 (RFC 2104) of the fleet's name.
+//
+// It is the same for all daemons and messages of a fleet. That keeps out what a
+// private network lets happen by mistake: a daemon of another fleet, of another
+// secret, or a health check on the wrong port. It is not enough where others can
+// read the fleet's packets: who has seen one message can make more. There, the
+// peers' addresses need an encrypted network below. A nonce or a time in the
+// proof would not mend that, since contents are not encrypted either.
+//
+// A message that arrives twice does no harm without it: lend requests and
+// releases carry increasing IDs, and what digests, claims and notices tell is
+// idempotent.
 func (id Identity) proof() string {
 	mac := hmac.New(sha256.New, []byte(id.Secret))
 	mac.Write([]byte(id.Fleet))
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
-// Server is the peers' listener.
-type Server struct {
-	http *http.Server
-}
-
-// NewServer returns a server for the handler. Refused senders are reported to
-// stranger with their address.
-func NewServer(id Identity, h peerv1connect.PeerServiceHandler, stranger func(addr, procedure string)) *Server {
-	want := []byte(id.proof())
-	guard := func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			got := []byte(req.Header().Get(proofHeader))
-			if !hmac.Equal(got, want) {
-				stranger(req.Peer().Addr, req.Spec().Procedure)
-				return nil, connect.NewError(connect.CodePermissionDenied, ErrStranger)
-			}
-			return next(ctx, req)
-		}
-	}
-	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
-		connect.WithInterceptors(connect.UnaryInterceptorFunc(guard)),
-		connect.WithReadMaxBytes(maxMessageBytes)))
-	return &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
-}
-
-// Serve answers on the listener until Shutdown.
-func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// Shutdown waits for running calls until the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // Client calls other daemons. It is safe for concurrent use.
 type Client struct {
 	id    Identity
@@ -104,16 +84,30 @@
 	return &Client{
 		id:    id,
 		proof: id.proof(),
-		http:  &http.Client{Timeout: callTimeout},
+		http:  &http.Client{Timeout: callTimeout, Transport: newTransport()},
 		peers: make(map[string]peerv1connect.PeerServiceClient),
 	}
 }
 
+// newTransport returns a transport that ignores the proxies of the environment:
+// peers are called by their addresses.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerPeer,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
 func (c *Client) peer(addr string) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.peers[addr]
 	if !ok {
+		if len(c.peers) >= maxClients {
+			clear(c.peers)
+		}
 		p = peerv1connect.NewPeerServiceClient(c.http, fmt.Sprintf("http://%s", addr),
 			connect.WithInterceptors(connect.UnaryInterceptorFunc(c.sign)),
 			connect.WithReadMaxBytes(maxMessageBytes))
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
+)
+
+const (
+	// readHeaderTimeout bounds the time in which a peer sends its headers.
+	readHeaderTimeout = 2 * time.Second
+	// readTimeout bounds the time in which a peer sends a whole message.
+	readTimeout = 5 * time.Second
+	// writeTimeout bounds the time from the end of the headers to the end of the
+	// answer.
+	writeTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the headers of one message. The HTTP library allows
+	// 4 KiB more.
+	maxHeaderBytes = 8 << 10
+	// maxConnections bounds the open connections. One more is closed at once.
+	maxConnections = 512
+)
+
+// Refusal tells of a message that was not handled.
+type Refusal struct {
+	Address   string
+	Procedure string
+	Reason    string
+}
+
+// Server is the peers' listener.
+type Server struct {
+	http *http.Server
+	open atomic.Int64
+}
+
+// NewServer returns a server for the handler. Refused messages are reported to
+// refused, which must be safe for concurrent use.
+func NewServer(id Identity, h peerv1connect.PeerServiceHandler, refused func(Refusal)) *Server {
+	g := &guard{id: id, want: []byte(id.proof()), refused: refused}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(g.checkSender)),
+		connect.WithReadMaxBytes(maxMessageBytes)))
+	s := &Server{}
+	s.http = &http.Server{
+		Handler:           g.checkProof(mux),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       2 * idleTimeout, // The client ends idle connections first.
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.connState,
+		ErrorLog:          log.New(io.Discard, "", 0), // It would quote requests.
+	}
+	return s
+}
+
+// Serve answers on the listener until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	err := s.http.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown waits for running calls until the context ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// connState counts the open connections and closes those beyond the limit.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.open.Add(1) > maxConnections {
+			_ = c.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// guard tells the daemons of the fleet from others.
+type guard struct {
+	id      Identity
+	want    []byte
+	refused func(Refusal)
+}
+
+// checkProof refuses a request without the fleet's proof before its body is
+// read, and closes its connection.
+func (g *guard) checkProof(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if hmac.Equal([]byte(r.Header.Get(proofHeader)), g.want) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		g.refused(Refusal{Address: r.RemoteAddr, Procedure: r.URL.Path, Reason: "wrong proof"})
+		w.Header().Set("Connection", "close")
+		err := connect.NewError(connect.CodePermissionDenied, ErrStranger)
+		if connect.NewErrorWriter().IsSupported(r) {
+			_ = connect.NewErrorWriter().Write(w, r, err)
+			return
+		}
+		http.Error(w, err.Error(), http.StatusForbidden)
+	})
+}
+
+// checkSender refuses a message that names another fleet, or this VM.
+func (g *guard) checkSender(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		var sender *peerv1.Sender
+		if m, ok := req.Any().(interface{ GetSender() *peerv1.Sender }); ok {
+			sender = m.GetSender()
+		}
+		if reason := g.problem(sender); reason != "" {
+			g.refused(Refusal{Address: req.Peer().Addr, Procedure: req.Spec().Procedure, Reason: reason})
+			return nil, connect.NewError(connect.CodePermissionDenied, errors.New(reason))
+		}
+		return next(ctx, req)
+	}
+}
+
+// problem returns why messages of the sender are not handled, or "".
+func (g *guard) problem(s *peerv1.Sender) string {
+	switch {
+	case s.GetVm() == "":
+		return "no sender is named"
+	case s.GetFleet() != g.id.Fleet:
+		return "the sender names another fleet"
+	case s.GetVm() != g.id.VM:
+		return ""
+	case s.GetIncarnation() == g.id.Incarnation:
+		return "the daemon called itself"
+	}
+	return "another process has this VM's ID"
+}
