--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -14,12 +14,12 @@
 key-owner|ok|caller|TestRefusals
 key-hidden|partly|core/keys caller|TestCarriesEscaped|TestNaiveDetector|TestRefusals
 key-withdrawn|ok|caller|TestWithdrawnKeyOnKeptConnection
-quota|ok|core/quota core/lease|TestRapidCurve|TestRapidNaiveFail|TestLender.*|TestTimingRelations|TestSlot.*
+quota|ok|core/quota core/lease|TestRapidCurve|TestRapidNaiveFail|TestLender.*|TestTimingRelations|TestRapidOneHolder.*
 whole-answer|ok|upstream core/scatter|TestOutcomes|TestShortAnswerIsDiscarded|TestBytesWithoutRequest|TestQueryInFakeWorld
 true-not-run|ok|upstream core/scatter|TestConnectRefusedIsNotRun|TestCancel.*|TestOutcomes|TestQueryInFakeWorld|TestWorldRejectsNaiveQueries
 at-most-once|ok|core/scatter upstream|TestQueryInFakeWorld|TestWorldRejectsNaiveQueries|TestClosedIdleConnectionIsNotUsed
 leaving-upstream|ok|core/routing|TestDrainActsAtNextPick|TestScripts
-graceful-shutdown|partly|caller|TestDrain.*
+graceful-shutdown|ok|caller standin/load|TestDrainCutsNoRequest|TestCheckerFindsEachFlaw
 configuration|ok|core/catalog core/spread|TestAcceptorAgainstOracle|TestNaivePolicies|TestConvergesUnderFaults|TestReplacedDuringStaleSpell|TestRestartDuringOutage|TestOutageStopsNothing|TestForgettingGoesBack
 all-together|ok|soak|TestNothingIsViolated|TestChecksBite|TestSameSeedSameLine
 '
