--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,13 +28,6 @@
 	callTimeout = time.Second
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 32 << 20
-<<<<<<< .merge_file_Jf88Ws
-	// minCompressedBytes is the size from which an answer is compressed. Below it
-	// a compressor costs more than the bytes that it saves.
-	minCompressedBytes = 8 << 10
-	// readHeaderTimeout bounds the time in which a peer sends its headers.
-	readHeaderTimeout = 2 * time.Second
-=======
 	// idlePerPeer is the number of idle connections kept to one peer.
 	idlePerPeer = 8
 	// idleTimeout closes connections without a call.
@@ -42,7 +35,6 @@
 	// maxClients bounds the peers whose clients are kept. Addresses come and go
 	// as VMs are replaced.
 	maxClients = 4096
->>>>>>> .merge_file_IT4Wyw
 	// proofHeader carries the proof that the sender knows the fleet's secret.
 	proofHeader = "X-Fleet-Proof"
 )
@@ -77,48 +69,6 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
-<<<<<<< .merge_file_Jf88Ws
-// Server is the peers' listener.
-type Server struct {
-	http *http.Server
-}
-
-// NewServer returns a server for the handler. Refused senders are reported to
-// stranger with their address.
-func NewServer(id Identity, h peerv1connect.PeerServiceHandler, stranger func(addr, procedure string)) *Server {
-	want := []byte(id.proof())
-	guard := func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			got := []byte(req.Header().Get(proofHeader))
-			if !hmac.Equal(got, want) {
-				stranger(req.Peer().Addr, req.Spec().Procedure)
-				return nil, connect.NewError(connect.CodePermissionDenied, ErrStranger)
-			}
-			return next(ctx, req)
-		}
-	}
-	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
-		connect.WithInterceptors(connect.UnaryInterceptorFunc(guard)),
-		connect.WithReadMaxBytes(maxMessageBytes),
-		connect.WithCompressMinBytes(minCompressedBytes)))
-	return &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
-}
-
-// Serve answers on the listener until Shutdown.
-func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// Shutdown waits for running calls until the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
-=======
->>>>>>> .merge_file_IT4Wyw
 // Client calls other daemons. It is safe for concurrent use.
 type Client struct {
 	id    Identity
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// minCompressedBytes is the size from which an answer is compressed. Below it
+	// a compressor costs more than the bytes that it saves.
+	minCompressedBytes = 8 << 10
 	// readHeaderTimeout bounds the time in which a peer sends its headers.
 	readHeaderTimeout = 2 * time.Second
 	// readTimeout bounds the time in which a peer sends a whole message.
@@ -52,7 +55,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
 		connect.WithInterceptors(connect.UnaryInterceptorFunc(g.checkSender)),
-		connect.WithReadMaxBytes(maxMessageBytes)))
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(minCompressedBytes)))
 	s := &Server{}
 	s.http = &http.Server{
 		Handler:           g.checkProof(mux),
