Rebuild only services that a new catalog changes; measure overload

Change: a service is compared with that of the old catalog, and its tables are taken over if it and the zones are the same. The first sharer of a replica is found in one pass. A benchmark offers the model more than its upstreams can do.

--- a/internal/core/routing/bench_test.go
+++ b/internal/core/routing/bench_test.go
@@ -46,7 +46,7 @@
 	})
 }
 
-// BenchmarkUpdate takes in a changed catalog, or the joining and forgetting of a
+// BenchmarkUpdate takes in a new catalog with the same services, or the joining and forgetting of a
 // VM of this zone or of another.
 func BenchmarkUpdate(b *testing.B) {
 	zones := benchZones()
@@ -58,9 +58,10 @@
 		b.Run(name+"/catalog", func(b *testing.B) {
 			r, now := newMature(testList(1, zones, size.vms), 0, c, Config{})
 			list := testList(1, zones, size.vms)
-			for b.Loop() {
-				next := *r.catalog
-				next.Version++
+			twins := [2]*catalog.Catalog{c, testCatalog(zones, size.shards, size.replicas)}
+			for i := uint64(0); b.Loop(); i++ {
+				next := *twins[i%2]
+				next.Version = i + 2
 				r.Update(now, &next, list)
 			}
 		})
--- a/internal/core/routing/build.go
+++ b/internal/core/routing/build.go
@@ -17,11 +17,12 @@
 	oldCatalog *catalog.Catalog
 	domains    *domains
 	self       sharer
-	// unchanged tells whether only the VM list has changed since the old table.
-	unchanged bool
-	old       *table
-	out       *table
-	router    *Router
+	// sameVM tells whether this VM uses its shares as in the old table, and
+	// sameZones whether the zones' state is the same.
+	sameVM, sameZones bool
+	old               *table
+	out               *table
+	router            *Router
 }
 
 func (b *builder) build() *table {
@@ -41,14 +42,16 @@
 	} else {
 		st.stats = &serviceStats{}
 	}
+	unchanged := b.sameVM && b.sameZones && b.isUnchanged(name, svc)
 	for i := range svc.Shards {
 		sb := shardBuilder{
-			builder: b,
-			svc:     svc,
-			shard:   &svc.Shards[i],
-			index:   i,
-			stats:   st.stats,
-			out:     &st.shards[i],
+			builder:   b,
+			unchanged: unchanged,
+			svc:       svc,
+			shard:     &svc.Shards[i],
+			index:     i,
+			stats:     st.stats,
+			out:       &st.shards[i],
 		}
 		if old != nil && i < len(old.shards) {
 			sb.old = &old.shards[i]
@@ -58,6 +61,37 @@
 	return st
 }
 
+// isUnchanged reports whether the old catalog has the same service, as far as
+// routing is concerned.
+func (b *builder) isUnchanged(name string, svc *catalog.Service) bool {
+	if b.oldCatalog == nil {
+		return false
+	}
+	old := b.oldCatalog.Services[name]
+	if old == svc {
+		return true
+	}
+	if old == nil || old.Slots != svc.Slots || old.Connections != svc.Connections {
+		return false
+	}
+	if old.ColdPermits != svc.ColdPermits {
+		return false
+	}
+	return slices.EqualFunc(old.Shards, svc.Shards, func(a, b catalog.Shard) bool {
+		return slices.Equal(a.Replicas, b.Replicas)
+	})
+}
+
+// areZonesEqual reports whether the same zones are out.
+func areZonesEqual(a, b *catalog.Catalog) bool {
+	if a == nil {
+		return false
+	}
+	return a == b || maps.EqualFunc(a.Zones, b.Zones, func(x, y *catalog.Zone) bool {
+		return x.Out == y.Out
+	})
+}
+
 // keepRunning keeps the state of removed upstreams until their requests ended.
 func (b *builder) keepRunning() {
 	for _, u := range b.old.ordered {
@@ -83,6 +117,8 @@
 	old     *shardTable
 	out     *shardTable
 	domains *shardDomains
+	// unchanged tells whether only the VM list may have changed.
+	unchanged bool
 	// ruleChanged tells whether the sharing VMs are chosen by another rule than
 	// in the old table.
 	ruleChanged bool
--- a/internal/core/routing/measure_test.go
+++ b/internal/core/routing/measure_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/scatter"
 )
 
 const modelSeeds = 5
@@ -69,6 +71,33 @@
 		&p50, &p99, &partial, &over, &extra, &shed)
 }
 
+// BenchmarkModelOverload offers more than the upstreams can do.
+func BenchmarkModelOverload(b *testing.B) {
+	for _, sheds := range []bool{false, true} {
+		for name, policy := range map[string]func(*Router, *rand.Rand, *catalog.Catalog) scatter.Picker{
+			"assured_and_spare": nil, "connections_only": newConnectionsOnly,
+		} {
+			b.Run(fmt.Sprintf("sheds=%t/%s", sheds, name), func(b *testing.B) {
+				var whole, over, shed spread
+				for seed := range uint64(2) {
+					m := runModel(setup{seed: seed + 1, vms: 8, perVM: 200, duration: 2 * time.Second,
+						stragglers: 0.02, hedge: true, sheds: sheds, policy: policy})
+					answered := 0
+					for _, q := range m.queries {
+						if q.open == 0 && q.missing == 0 {
+							answered++
+						}
+					}
+					whole.add(float64(answered) / 2)
+					over.add(100 * float64(m.overSlots) / float64(m.arrivals))
+					shed.add(float64(m.sheds) / 2)
+				}
+				b.Logf("whole answers %s /s, above slots %s %%, sheds %s /s", &whole, &over, &shed)
+			})
+		}
+	}
+}
+
 func freezeOneOfThree(m *model) {
 	for id, u := range m.ups {
 		if id[len(id)-1] == '0' {
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -97,7 +97,8 @@
 		oldCatalog: r.catalog,
 		domains:    newDomains(self, r.fleet, c),
 		self:       self,
-		unchanged:  c == r.catalog && mature == r.mature,
+		sameVM:     mature == r.mature,
+		sameZones:  areZonesEqual(r.catalog, c),
 		old:        old,
 		router:     r,
 	}
--- a/internal/core/routing/share.go
+++ b/internal/core/routing/share.go
@@ -78,32 +78,21 @@
 // first returns the sharer of rank zero for the replica at a position, or nil.
 func (r *ring) first(at uint64, zone string) *sharer {
 	var best *sharer
+	var bestDistance uint64
 	for i, position := range r.positions {
 		vm := &r.sharers[i]
-		if best == nil || isCloser(vm, position, best, r.positionOf(best), at, zone) {
-			best = vm
+		d := distance(position, at)
+		if best != nil {
+			near, bestNear := vm.zone == zone, best.zone == zone
+			if bestNear && !near || near == bestNear && d >= bestDistance {
+				continue
+			}
 		}
+		best, bestDistance = vm, d
 	}
 	return best
 }
 
-func (r *ring) positionOf(vm *sharer) uint64 {
-	for i := range r.sharers {
-		if &r.sharers[i] == vm {
-			return r.positions[i]
-		}
-	}
-	return 0
-}
-
-func isCloser(a *sharer, aAt uint64, b *sharer, bAt uint64, at uint64, zone string) bool {
-	aNear, bNear := a.zone == zone, b.zone == zone
-	if aNear != bNear {
-		return aNear
-	}
-	return distance(aAt, at) < distance(bAt, at)
-}
-
 // spacedPosition returns the position of the replica with the given index among
 // count.
 func spacedPosition(index, count int) uint64 {
