Tell peers changes of lists and folders instead of the whole

Cause: by calculation a whole VM list is about 105 KB and the names of a folder about 10 KB at the size of two years, 45 and 18 KB/s a daemon at its churn; 8 is allowed. Ruled out: merging changes over several seconds, which costs time for urgent ones; a digest per part of the list, since a short history does. Change: a daemon remembers its last 16 lists and folders and tells a peer what has changed since the peer's; a peer that is further behind gets the whole.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
 	"ryecourse.example/ryecourse/internal/core/routing"
@@ -56,6 +57,10 @@
 	calls pond.Pool
 	reads pond.Pool
 
+	// lists and fileSets are the past states from which changes are told.
+	lists    *history[uint64, *membership.List]
+	fileSets *history[string, *catalog.FileSet]
+
 	serving   bool
 	fetchedAt time.Time
 
@@ -70,6 +75,9 @@
 		loop:  NewLoop(),
 		calls: pond.NewPool(maxCalls),
 		reads: pond.NewPool(maxReads),
+
+		lists:    newHistory[uint64, *membership.List](),
+		fileSets: newHistory[string, *catalog.FileSet](),
 	}
 }
 
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -48,16 +48,20 @@
 	return spread.Digest{Version: d.GetConfigVersion(), Digest: d.GetConfigDigest(), ListRevision: d.GetListRevision(), ListAge: age}
 }
 
+func vmToWire(v membership.VM) *peerv1.VM {
+	return &peerv1.VM{Id: v.ID, Zone: v.Zone, PeerAddress: v.PeerAddress, Leaving: v.Leaving}
+}
+
+func vmFromWire(v *peerv1.VM) membership.VM {
+	return membership.VM{ID: v.GetId(), Zone: v.GetZone(), PeerAddress: v.GetPeerAddress(), Leaving: v.GetLeaving()}
+}
+
 func listToWire(l *membership.List) *peerv1.VMList {
-	return &peerv1.VMList{Revision: l.Revision, Vms: convert(l.VMs, func(v membership.VM) *peerv1.VM {
-		return &peerv1.VM{Id: v.ID, Zone: v.Zone, PeerAddress: v.PeerAddress, Leaving: v.Leaving}
-	})}
+	return &peerv1.VMList{Revision: l.Revision, Vms: convert(l.VMs, vmToWire)}
 }
 
 func listFromWire(l *peerv1.VMList) *membership.List {
-	return &membership.List{Revision: l.GetRevision(), VMs: convert(l.GetVms(), func(v *peerv1.VM) membership.VM {
-		return membership.VM{ID: v.GetId(), Zone: v.GetZone(), PeerAddress: v.GetPeerAddress(), Leaving: v.GetLeaving()}
-	})}
+	return &membership.List{Revision: l.GetRevision(), VMs: convert(l.GetVms(), vmFromWire)}
 }
 
 func revisionsToWire(in []catalog.FileRevision) []*peerv1.FileRevision {
--- /dev/null
+++ b/internal/control/delta_test.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+)
+
+func drawVMs(t *rapid.T) []membership.VM {
+	out := []membership.VM{}
+	for i := range 12 {
+		if rapid.Bool().Draw(t, "listed") {
+			out = append(out, membership.VM{ID: fmt.Sprintf("vm-%02d", i), Leaving: rapid.Bool().Draw(t, "leaving")})
+		}
+	}
+	return out
+}
+
+func drawNames(t *rapid.T) []catalog.FileRevision {
+	out := []catalog.FileRevision{}
+	for i := range 12 {
+		if rapid.Bool().Draw(t, "published") {
+			out = append(out, catalog.FileRevision{Name: fmt.Sprintf("%02d.json", i), Revision: rapid.Uint64Range(1, 3).Draw(t, "revision")})
+		}
+	}
+	return out
+}
+
+// TestChangesLeadToTheNextState applies the change between two random states.
+func TestChangesLeadToTheNextState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, next := drawVMs(t), drawVMs(t)
+		if got := changeOf(base, next, vmKey).apply(base, vmKey); !reflect.DeepEqual(got, next) {
+			t.Fatalf("got %v, want %v", got, next)
+		}
+		a, b := drawNames(t), drawNames(t)
+		if got := changeOf(a, b, fileKey).apply(a, fileKey); !reflect.DeepEqual(got, b) {
+			t.Fatalf("got %v, want %v", got, b)
+		}
+	})
+}
+
+func TestChangeOfOneVMIsSmall(t *testing.T) {
+	var base []membership.VM
+	for i := range 2100 {
+		base = append(base, membership.VM{ID: fmt.Sprintf("vm-%04d", i)})
+	}
+	next := append([]membership.VM(nil), base...)
+	next[7].Leaving = true
+	if c := changeOf(base, next, vmKey); len(c.Changed) != 1 || len(c.Removed) != 0 {
+		t.Fatalf("change %v", c)
+	}
+}
+
+func TestHistoryForgetsTheOldest(t *testing.T) {
+	h := newHistory[int, string]()
+	for i := range historyLength + 1 {
+		h.add(i, "state")
+	}
+	if _, ok := h.get(0); ok {
+		t.Fatal("the oldest is still there")
+	}
+	if _, ok := h.get(1); !ok {
+		t.Fatal("the second oldest is gone")
+	}
+}
+
+// TestListTravelsAsAChange gives a list to a peer that is one revision behind, to
+// one that nothing is known of, and to one whose list has changed meanwhile.
+func TestListTravelsAsAChange(t *testing.T) {
+	one := &membership.List{Revision: 1, VMs: []membership.VM{{ID: "a"}, {ID: "b"}}}
+	two := &membership.List{Revision: 2, VMs: []membership.VM{{ID: "b", Leaving: true}, {ID: "c"}}}
+	c := &Control{lists: newHistory[uint64, *membership.List]()}
+	c.lists.add(1, one)
+	c.lists.add(2, two)
+
+	behind := &peerv1.ExchangeResponse{}
+	c.giveList(behind, two, 1)
+	if behind.GetList() != nil || !reflect.DeepEqual(listOf(behind, one), two) {
+		t.Fatalf("one revision behind: %v", behind)
+	}
+	if got := listOf(behind, two); got != nil {
+		t.Fatalf("a change from another list was applied: %v", got)
+	}
+	unknown := &peerv1.ExchangeResponse{}
+	c.giveList(unknown, two, 0)
+	if !reflect.DeepEqual(listOf(unknown, nil), two) {
+		t.Fatalf("nothing known: %v", unknown)
+	}
+}
+
+// TestFilesTravelAsAChange pulls the change of one file and the deletion of
+// another.
+func TestFilesTravelAsAChange(t *testing.T) {
+	file := func(name string, revision uint64) catalog.Published {
+		return catalog.Published{Name: name, Revision: revision, Content: []byte(`{}`)}
+	}
+	set := func(version uint64, files ...catalog.Published) *catalog.FileSet {
+		a := catalog.NewAcceptor()
+		o := catalog.Offer{Version: version, Files: files}
+		for _, f := range files {
+			o.All = append(o.All, f.ID())
+		}
+		if d := a.Offer(o); d.Outcome != catalog.Accepted {
+			t.Fatal(d.Outcome)
+		}
+		return a.Files()
+	}
+	one := set(3, file("a.json", 1), file("b.json", 2), file("c.json", 3))
+	two := set(5, file("a.json", 1), file("b.json", 4))
+	resp := changedSet(one, two)
+	if len(resp.GetAll()) != 1 || len(resp.GetFiles()) != 1 || !reflect.DeepEqual(namesOf(resp, one), two.All) {
+		t.Fatalf("changed %v", resp)
+	}
+	whole := wholeSet(two, nil)
+	if len(whole.GetFiles()) != 2 || !reflect.DeepEqual(namesOf(whole, one), two.All) {
+		t.Fatalf("whole %v", whole)
+	}
+}
--- /dev/null
+++ b/internal/control/delta_wire.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+)
+
+// giveList puts the list into an answer: as the change from the asker's revision
+// if that list is remembered, or else whole.
+func (c *Control) giveList(out *peerv1.ExchangeResponse, list *membership.List, have uint64) {
+	base, ok := c.lists.get(have)
+	if !ok {
+		out.List = listToWire(list)
+		return
+	}
+	ch := changeOf(base.VMs, list.VMs, vmKey)
+	out.ListChange = &peerv1.VMListChange{
+		Base:     have,
+		Revision: list.Revision,
+		Changed:  convert(ch.Changed, vmToWire),
+		Removed:  ch.Removed,
+	}
+}
+
+// listOf returns the list that an answer gives, or nil.
+func listOf(resp *peerv1.ExchangeResponse, base *membership.List) *membership.List {
+	if resp.GetList() != nil {
+		return listFromWire(resp.GetList())
+	}
+	wire := resp.GetListChange()
+	if wire == nil || base == nil || base.Revision != wire.GetBase() {
+		return nil
+	}
+	ch := change[membership.VM]{Changed: convert(wire.GetChanged(), vmFromWire), Removed: wire.GetRemoved()}
+	return &membership.List{Revision: wire.GetRevision(), VMs: ch.apply(base.VMs, vmKey)}
+}
+
+// wholeSet answers a peer whose files aren't known here.
+func wholeSet(set *catalog.FileSet, have []catalog.FileRevision) *peerv1.FetchFilesResponse {
+	return &peerv1.FetchFilesResponse{
+		ConfigVersion: set.Version,
+		All:           revisionsToWire(set.All),
+		Files:         filesToWire(set.Lacking(have)),
+	}
+}
+
+// changedSet answers a peer that holds base.
+func changedSet(base, set *catalog.FileSet) *peerv1.FetchFilesResponse {
+	ch := changeOf(base.All, set.All, fileKey)
+	return &peerv1.FetchFilesResponse{
+		ConfigVersion: set.Version,
+		All:           revisionsToWire(ch.Changed),
+		Files:         filesToWire(set.Lacking(base.Have())),
+		Base:          base.Digest,
+		Removed:       ch.Removed,
+	}
+}
+
+// namesOf returns all names of the version that an answer gives.
+func namesOf(resp *peerv1.FetchFilesResponse, base *catalog.FileSet) []catalog.FileRevision {
+	names := revisionsFromWire(resp.GetAll())
+	if resp.GetBase() == "" {
+		return names
+	}
+	return change[catalog.FileRevision]{Changed: names, Removed: resp.GetRemoved()}.apply(base.All, fileKey)
+}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -37,7 +37,7 @@
 		answer := s.Digest(now)
 		out.Sender, out.Digest = c.sender(), digestToWire(answer)
 		if answer.ListRevision > req.GetDigest().GetListRevision() {
-			out.List = listToWire(s.List())
+			c.giveList(out, s.List(), req.GetDigest().GetListRevision())
 		}
 	})
 	return out, err
@@ -45,15 +45,20 @@
 
 // FetchFiles implements peerv1connect.PeerServiceHandler.
 func (p *Peers) FetchFiles(_ context.Context, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
-	var set *catalog.FileSet
-	if err := p.on(func(_ time.Time, c *Control) { set = c.deps.Spread.Files() }); err != nil {
+	var set, base *catalog.FileSet
+	err := p.on(func(_ time.Time, c *Control) {
+		set = c.deps.Spread.Files()
+		base, _ = c.fileSets.get(req.GetDigest())
+	})
+	switch {
+	case err != nil:
 		return nil, err
+	case req.GetDigest() == "":
+		return wholeSet(set, revisionsFromWire(req.GetHave())), nil
+	case base == nil:
+		return &peerv1.FetchFilesResponse{UnknownDigest: true}, nil
 	}
-	return &peerv1.FetchFilesResponse{
-		ConfigVersion: set.Version,
-		All:           revisionsToWire(set.All),
-		Files:         filesToWire(set.Lacking(revisionsFromWire(req.GetHave()))),
-	}, nil
+	return changedSet(base, set), nil
 }
 
 // Probe implements peerv1connect.PeerServiceHandler.
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -38,12 +38,15 @@
 func (c *Control) spreadChange(now time.Time, a spread.Action) {
 	switch a := a.(type) {
 	case spread.Accept:
+		set := c.deps.Spread.Files()
+		c.fileSets.add(set.Digest, set)
 		c.auditDecision(now, a.Decision)
 		c.quotaActions(c.deps.Quota.OnCatalog(now, a.Decision.Catalog))
 		c.publish(now)
 	case spread.Ignore:
 		c.auditDecision(now, a.Decision)
 	case spread.AdoptList:
+		c.lists.add(a.List.Revision, a.List)
 		c.auditList(now, a.List)
 		c.quotaActions(c.deps.Quota.OnList(now, a.List, a.ConfirmedAt))
 		c.publish(now)
@@ -120,7 +123,10 @@
 	})
 }
 
+// exchange trades digests with a peer. The answer gives a newer VM list as the
+// change from this daemon's, or whole.
 func (c *Control) exchange(a spread.Exchange) {
+	base := c.deps.Spread.List()
 	req := &peerv1.ExchangeRequest{Sender: c.sender(), Digest: digestToWire(a.Digest)}
 	c.calls.Go(func() {
 		resp, err := c.deps.Peers.Exchange(a.Peer.PeerAddress, req)
@@ -130,26 +136,30 @@
 				c.spreadActions(s.OnPeerError(now, a.Seq, a.Peer.ID))
 				return
 			}
-			var list *membership.List
-			if resp.GetList() != nil {
-				list = listFromWire(resp.GetList())
-			}
-			c.spreadActions(s.OnPeerAnswer(now, a.Seq, a.Peer.ID, digestFromWire(resp.GetDigest()), list))
+			digest := digestFromWire(resp.GetDigest())
+			c.spreadActions(s.OnPeerAnswer(now, a.Seq, a.Peer.ID, digest, listOf(resp, base)))
 		})
 	})
 }
 
+// pullFiles asks a peer for what it has more than this daemon. The digest of the
+// files stands for their names; only a peer that doesn't know it gets them.
 func (c *Control) pullFiles(a spread.PullFiles) {
-	req := &peerv1.FetchFilesRequest{Sender: c.sender(), Have: revisionsToWire(a.Have)}
+	base := c.deps.Spread.Files()
 	c.calls.Go(func() {
+		req := &peerv1.FetchFilesRequest{Sender: c.sender(), Digest: base.Digest}
 		resp, err := c.deps.Peers.FetchFiles(a.Peer.PeerAddress, req)
+		if err == nil && resp.GetUnknownDigest() {
+			req = &peerv1.FetchFilesRequest{Sender: c.sender(), Have: revisionsToWire(a.Have)}
+			resp, err = c.deps.Peers.FetchFiles(a.Peer.PeerAddress, req)
+		}
 		c.loop.Post(func(now time.Time) {
 			s := c.deps.Spread
 			if err != nil {
 				c.spreadActions(s.OnPullError(now, a.Peer.ID))
 				return
 			}
-			all, files := revisionsFromWire(resp.GetAll()), filesFromWire(resp.GetFiles())
+			all, files := namesOf(resp, base), filesFromWire(resp.GetFiles())
 			c.spreadActions(s.OnFiles(now, a.Peer.ID, resp.GetConfigVersion(), all, files))
 		})
 	})
