Drop two audit events that nothing reports

Cause: the list of events named changes of support that no code emits. Change: removed. Ruled out: emitting them; slots lost and acquired say the same. Conclusion: the operators' page lists what is emitted.

--- a/internal/core/quota/api.go
+++ b/internal/core/quota/api.go
@@ -140,16 +140,14 @@
 
 // The events of the audit trail.
 const (
-	EventSlotAcquired  Event = "quota_slot_acquired"
-	EventSlotLost      Event = "quota_slot_lost"
-	EventLent          Event = "quota_lent"
-	EventLoanEnded     Event = "quota_loan_ended"
-	EventBorrowed      Event = "quota_borrowed"
-	EventBorrowEnded   Event = "quota_borrow_ended"
-	EventLimitRaised   Event = "quota_limit_raised"
-	EventLimitLowered  Event = "quota_limit_lowered"
-	EventViewLost      Event = "quota_view_lost"
-	EventViewSupported Event = "quota_view_supported"
+	EventSlotAcquired Event = "quota_slot_acquired"
+	EventSlotLost     Event = "quota_slot_lost"
+	EventLent         Event = "quota_lent"
+	EventLoanEnded    Event = "quota_loan_ended"
+	EventBorrowed     Event = "quota_borrowed"
+	EventBorrowEnded  Event = "quota_borrow_ended"
+	EventLimitRaised  Event = "quota_limit_raised"
+	EventLimitLowered Event = "quota_limit_lowered"
 )
 
 // Status is one VM's part of every limit, for the operators' page.
