Name whom notices go to; audit lost shares by their cause

Cause: the control goroutine has to know which VMs a notice goes to. A VM that lost its share because the fleet grew audited the upstream as removed from the catalog, and a new daemon audited every upstream at its first table. An upstream that changed its address while this VM had no share of it had no domain, which Tick would have followed.

Change: Router.Sharers; the cause vm_list; the first table is no change; a new upstream starts with an empty domain. A test makes the fleet too large to share all upstreams.

--- a/internal/core/routing/asking.go
+++ b/internal/core/routing/asking.go
@@ -85,7 +85,7 @@
 func (u *upstream) takeQuestion(now time.Time, at int64, self string, random uint64) (RampQuestion, []string, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.active || u.ramp.warm || now.Before(u.ramp.askAt) || len(u.sharers) == 0 {
+	if !u.active || u.ramp.warm || now.Before(u.ramp.askAt) || len(u.domain.home) == 0 {
 		return RampQuestion{}, nil, false
 	}
 	refusedAt := u.shard.refusedAt.Load()
@@ -95,13 +95,34 @@
 	if u.warmer != self {
 		to = append(to, u.warmer)
 	}
-	other := u.sharers[random%uint64(len(u.sharers))].id
+	other := u.domain.home[random%uint64(len(u.domain.home))].id
 	if other != self && other != u.warmer {
 		to = append(to, other)
 	}
 	return RampQuestion{Upstream: u.id, WantPermit: wanted}, to, len(to) > 0
 }
 
+// Sharers returns the IDs of the other VMs that share an upstream: those that
+// its notices go to.
+func (r *Router) Sharers(id string) []string {
+	u := r.lookup(id)
+	if u == nil {
+		return nil
+	}
+	u.mu.Lock()
+	d := u.domain
+	u.mu.Unlock()
+	out := make([]string, 0, len(d.home)+len(d.visitors))
+	for _, list := range [2][]sharer{d.home, d.visitors} {
+		for i := range list {
+			if list[i].id != r.self.ID {
+				out = append(out, list[i].id)
+			}
+		}
+	}
+	return out
+}
+
 // OnRampQuery answers a peer's questions. Permits that it lends are given up
 // before it returns.
 func (r *Router) OnRampQuery(now time.Time, questions []RampQuestion) []RampAnswer {
--- a/internal/core/routing/build.go
+++ b/internal/core/routing/build.go
@@ -100,7 +100,7 @@
 		if kept == u {
 			continue
 		}
-		b.router.deactivate(b.now, u)
+		b.router.deactivate(b.now, u, CauseRemoved)
 		if kept == nil && u.gate.running() > 0 {
 			b.out.upstreams[id] = u
 		}
@@ -180,7 +180,8 @@
 	replicas []*catalog.Upstream
 }
 
-// groups returns the groups in which this VM is a sharer.
+// groups returns the groups in which this VM is a sharer. Work to upstreams of
+// which it no longer is one ends.
 func (s *shardBuilder) groups() []replicaGroup {
 	byZone := make(map[string]int)
 	var out []replicaGroup
@@ -201,6 +202,10 @@
 		}
 		if at >= 0 {
 			out[at].replicas = append(out[at].replicas, u)
+			continue
+		}
+		if old := s.builder.old.upstreams[u.ID]; old != nil {
+			s.router.deactivate(s.now, old, CauseVMList)
 		}
 	}
 	for _, g := range out {
@@ -218,7 +223,7 @@
 		at := spacedPosition(i, len(g.replicas))
 		sh := s.shares(&home, &visitors, at, replica.Zone)
 		if u := s.upstream(replica, sh); u != nil {
-			u.setSharers(g.domain.home, home.first(at, replica.Zone))
+			u.setDomain(g.domain, home.first(at, replica.Zone))
 			s.out.add(u, s.self.zone)
 		}
 	}
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -131,32 +131,38 @@
 	u.refreshLimit()
 }
 
-// setInactive records what the catalog says of an upstream. The caller holds
-// mu.
+// setInactive records what the catalog says of an upstream. What the first table
+// finds is no change, and not audited. The caller holds mu.
 func (r *Router) setInactive(now time.Time, u *upstream, isNew bool, cause Cause) {
+	back := CauseOperatorReturn
+	if u.inactive == CauseVMList {
+		back = CauseVMList
+	}
 	u.inactive = cause
 	switch {
+	case r.table.Load() == nil:
 	case cause != "":
 		r.audit(now, u.id, ChangeDrained, cause)
 	case isNew:
 		r.audit(now, u.id, ChangeCold, CauseFirstSeen)
 	default:
-		r.audit(now, u.id, ChangeReturned, CauseOperatorReturn)
-		r.turnCold(now, u, CauseOperatorReturn)
+		r.audit(now, u.id, ChangeReturned, back)
+		r.turnCold(now, u, back)
 	}
 }
 
-// deactivate stops work to an upstream that left the catalog.
-func (r *Router) deactivate(now time.Time, u *upstream) {
+// deactivate stops work to an upstream that is no longer in the table, unless
+// that happened already.
+func (r *Router) deactivate(now time.Time, u *upstream, cause Cause) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.inactive == CauseRemoved {
+	if u.inactive != "" {
 		return
 	}
 	u.active = false
-	u.inactive = CauseRemoved
+	u.inactive = cause
 	u.refreshLimit()
-	r.audit(now, u.id, ChangeDrained, CauseRemoved)
+	r.audit(now, u.id, ChangeDrained, cause)
 }
 
 // Tick runs what depends on time and returns the queued actions in order. The
--- a/internal/core/routing/subsets_test.go
+++ b/internal/core/routing/subsets_test.go
@@ -181,3 +181,25 @@
 		}
 	}
 }
+
+// TestChangedSharersEndWork makes a fleet too large to share all upstreams: a VM
+// loses those of zones where it is neither at home nor a visitor.
+func TestChangedSharersEndWork(t *testing.T) {
+	c := testCatalog(fourZones, 1, 8)
+	r, now := newMature(testList(1, fourZones, 8), 0, c, Config{})
+	before := len(subset(r, 0))
+	r.Tick(now)
+	r.Update(now, c, testList(2, fourZones, 60))
+	lost := 0
+	for _, a := range r.Tick(now) {
+		if audit, ok := a.(Audit); ok && audit.Change == ChangeDrained && audit.Cause == CauseVMList {
+			lost++
+		}
+	}
+	if before != 8 || lost < 4 || len(subset(r, 0)) > before-lost {
+		t.Errorf("%d upstreams before, %d lost, %d after", before, lost, len(subset(r, 0)))
+	}
+	if peers := r.Sharers(subset(r, 0)[0]); len(peers) < 2 || slices.Contains(peers, r.self.ID) {
+		t.Errorf("sharers: %v", peers)
+	}
+}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -56,10 +56,10 @@
 	// spare is the number of requests beyond the assured ones that the upstream
 	// has shown room for, in units of 1/spareUnit.
 	spare int
-	// sharers are the VMs whose home the upstream is, and warmer is the one of
-	// rank zero. The slice is immutable.
-	sharers []sharer
-	warmer  string
+	// domain holds the VMs that share the upstream. It is immutable.
+	domain *domain
+	// warmer is the ID of the VM of rank zero.
+	warmer string
 }
 
 func newUpstream(replica *catalog.Upstream, stats *serviceStats, shard *shardState, now time.Time) *upstream {
@@ -69,6 +69,7 @@
 		zone:    replica.Zone,
 		service: stats,
 		shard:   shard,
+		domain:  &domain{},
 	}
 	u.ramp.turnCold(now)
 	u.cold.Store(true)
@@ -167,11 +168,11 @@
 	a.Store(max(old+(sample-old)>>latencyShift, 1))
 }
 
-// setSharers remembers whom to ask about the upstream.
-func (u *upstream) setSharers(home []sharer, warmer *sharer) {
+// setDomain remembers whom to tell and to ask about the upstream.
+func (u *upstream) setDomain(d *domain, warmer *sharer) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.sharers = home
+	u.domain = d
 	u.warmer = ""
 	if warmer != nil {
 		u.warmer = warmer.id
