Take reported load only from an upstream's own answer

Cause: a canceled or failed attempt has no load to report; a zero there would make a frozen replica look idle.

--- a/internal/core/routing/done.go
+++ b/internal/core/routing/done.go
@@ -32,7 +32,7 @@
 // observe learns from the end of an attempt. The caller holds mu.
 func (r *Router) observe(now time.Time, at int64, u *upstream, rep *scatter.Report) {
 	u.loans.lastUse = now
-	if rep.Load >= 0 {
+	if rep.Load >= 0 && isFromUpstream(rep.Outcome) {
 		u.load.Store(int32(min(rep.Load, maxLoadHint) * thousandth))
 	}
 	switch rep.Outcome {
@@ -55,6 +55,12 @@
 	}
 }
 
+// isFromUpstream reports whether the upstream itself ended the attempt, so that
+// the rest of the report is its word.
+func isFromUpstream(o scatter.Outcome) bool {
+	return o == scatter.OutcomeAnswered || o == scatter.OutcomeSnapshotMissing || o == scatter.OutcomeShed
+}
+
 func (r *Router) answered(now time.Time, u *upstream, rep *scatter.Report) {
 	silence := now.Sub(u.health.lastAnswer)
 	r.recover(now, u)
