Report ready only once a daemon can serve

Cause: readiness looked at the view alone. A lone daemon said "ready" after 0.6 s and answered 429 "the customer's rate is spent" until 8.7 s, when it had its shares of the limits; a new VM in a running fleet said so after 1 s and could send nothing for 6 s, when its shares of the upstreams matured. A balancer that follows /readyz sent it callers whom it refused wrongly.

Change: before the first time, readiness waits for the router's shares and for a part of some limit (or, for a settled daemon without a slot, 3 s: it borrows). A daemon that can't get a part, since its zone mates can't be reached, becomes ready after 15 s; it still serves what needs none. Once ready it stays so: what it loses later the others lose too. A daemon whose VM no list names has no share of any upstream and isn't ready.

Also: a failed start left the other listeners open, and a listener that failed later left the rest running; both now close all. The view was published before the pool had the new upstreams' limits; now after.

Ruled out: refusing callers with not_ready before that, since services open to all could be served by then.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -43,7 +43,8 @@
 	Router   *routing.Router
 	Trail    *audit.Trail
 	Log      zerolog.Logger
-	// Changed is called on the loop after a new view was published.
+	// Changed is called on the loop before a new view is published, so that
+	// traffic finds all parts prepared for it.
 	Changed func(now time.Time, v *View)
 }
 
@@ -57,6 +58,7 @@
 	reads pond.Pool
 
 	serving   bool
+	startup   startup
 	fetchedAt time.Time
 
 	// fetching tells that a fetch of tokens is posted to the loop.
@@ -92,6 +94,7 @@
 		c.State.confirm(now)
 	}
 	c.routerActions(c.deps.Router.Tick(now))
+	c.checkWarm(now)
 }
 
 // Paused implements Ticker. The spread state machine sees the pause too, and
@@ -104,7 +107,8 @@
 	c.spreadActions(c.deps.Spread.Tick(now))
 }
 
-// publish gives traffic a new view once there is a catalog and a VM list.
+// publish gives traffic a new view once there is a catalog and a VM list. The
+// quota manager, the router and the connection pool know it before.
 func (c *Control) publish(now time.Time) {
 	cat, list := c.deps.Spread.Catalog(), c.deps.Spread.List()
 	if cat == nil || list == nil {
@@ -112,8 +116,8 @@
 	}
 	v := &View{Catalog: cat, List: *list}
 	c.deps.Router.Update(now, v.Catalog, v.List)
-	c.State.view.Store(v)
 	c.deps.Changed(now, v)
+	c.State.view.Store(v)
 }
 
 // Leave gives up this daemon's slots and hands them over. It runs on the
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -25,6 +25,7 @@
 type State struct {
 	view      atomic.Pointer[View]
 	confirmed atomic.Pointer[time.Time]
+	warm      atomic.Bool
 }
 
 // View returns the newest view, or nil before the first one.
@@ -47,6 +48,10 @@
 	return at != nil && membership.Elapsed(*at, now) <= maxViewAge
 }
 
+// Warm tells whether the daemon has had its shares of upstreams and of limits
+// since it started.
+func (s *State) Warm() bool { return s.warm.Load() }
+
 // distrust makes the view too old to act on until the next confirm.
 func (s *State) distrust() { s.confirmed.Store(nil) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -151,26 +151,34 @@
 
 // Run listens and serves until the context ends.
 func (d *Daemon) Run(ctx context.Context) error {
-	failed := make(chan error, 3)
-	listeners, err := d.listen()
+	l, err := d.listen()
 	if err != nil {
 		return err
 	}
-	go func() { failed <- d.operator.Serve(listeners.operator) }()
-	go func() { failed <- d.peers.Serve(listeners.peer) }()
+	return d.serve(ctx, l)
+}
+
+// serve answers on the listeners until the context ends or one of them fails,
+// and then shuts down gracefully.
+func (d *Daemon) serve(ctx context.Context, l listeners) error {
+	failed := make(chan error, 3)
+	go func() { failed <- d.operator.Serve(l.operator) }()
+	go func() { failed <- d.peers.Serve(l.peer) }()
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	go d.control.Run(controlCtx)
 	go d.planner.refresh(controlCtx)
-	go func() { failed <- d.callers.Serve(listeners.caller) }()
-	d.log.Info().Str("callers", d.settings.CallerListen).Str("peers", d.settings.PeerListen).
-		Str("operators", d.settings.OperatorListen).Msg("serving")
+	go func() { failed <- d.callers.Serve(l.caller) }()
+	d.log.Info().Stringer("callers", l.caller.Addr()).Stringer("peers", l.peer.Addr()).
+		Stringer("operators", l.operator.Addr()).Msg("serving")
 	select {
 	case err := <-failed:
-		return fmt.Errorf("a listener failed: %w", err)
+		err = fmt.Errorf("a listener failed: %w", err)
+		d.log.Error().Err(err).Msg("stopping")
+		return errors.Join(err, d.shutdown())
 	case <-ctx.Done():
+		return d.shutdown()
 	}
-	return d.shutdown()
 }
 
 // shutdown refuses new requests, lets running ones end, hands shares back and
@@ -198,15 +206,31 @@
 
 type listeners struct{ caller, peer, operator net.Listener }
 
+// listen opens all three listeners or none.
 func (d *Daemon) listen() (listeners, error) {
 	var out listeners
-	var err error
-	if out.operator, err = net.Listen("tcp", d.settings.OperatorListen); err != nil {
-		return out, err
+	for _, l := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{d.settings.OperatorListen, &out.operator},
+		{d.settings.PeerListen, &out.peer},
+		{d.settings.CallerListen, &out.caller},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			out.close()
+			return listeners{}, err
+		}
+		*l.into = ln
 	}
-	if out.peer, err = net.Listen("tcp", d.settings.PeerListen); err != nil {
-		return out, err
+	return out, nil
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.operator, l.peer, l.caller} {
+		if ln != nil {
+			_ = ln.Close()
+		}
 	}
-	out.caller, err = net.Listen("tcp", d.settings.CallerListen)
-	return out, err
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -46,6 +46,9 @@
 	if !d.control.State.Fresh(time.Now()) {
 		return false, "the view is too old"
 	}
+	if !d.control.State.Warm() {
+		return false, "no shares of upstreams or limits yet"
+	}
 	return true, "ready"
 }
 
--- /dev/null
+++ b/internal/daemon/world_test.go
@@ -0,0 +1,248 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/keys"
+	"ryecourse.example/ryecourse/internal/settings"
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+	"ryecourse.example/ryecourse/internal/standin/platform"
+)
+
+const (
+	// testKey is the key of the customer of the test folder.
+	testKey = "rye_key-of-the-test-customer-0123456789abcdef"
+	// overall bounds every wait. Tests poll for states and time nothing.
+	overall   = 30 * time.Second
+	pollPause = 20 * time.Millisecond
+)
+
+// world is a platform and upstreams on loopback ports for daemons under test.
+type world struct {
+	t        *testing.T
+	dir      string
+	store    *platform.Store
+	replica  *platform.Replica
+	platform string
+	leaves   []*leaf.Leaf
+	vms      []platform.VM
+}
+
+func newWorld(t *testing.T, shards int) *world {
+	t.Helper()
+	w := &world{t: t, dir: t.TempDir()}
+	w.writeService(shards)
+	w.write("10-zones.json", map[string]any{"zones": map[string]any{"cz-a": map[string]bool{"out": false}}})
+	w.write("30-customer.json", map[string]any{"customers": map[string]any{"buyers": map[string]any{
+		"rate": 1000, "burst": 1000, "key_hashes": []string{keys.Hash(testKey)},
+	}}})
+	w.writeVMs()
+	var err error
+	w.store, err = platform.NewStore(w.dir, w.vmsFile(), 1, time.Now())
+	w.must(err)
+	w.replica = platform.NewReplica(w.store)
+	ln := w.listen()
+	server := &fasthttp.Server{Handler: w.replica.Handler(), CloseOnShutdown: true}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	w.platform = "http://" + ln.Addr().String()
+	return w
+}
+
+func (w *world) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) listen() net.Listener {
+	w.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	w.must(err)
+	return ln
+}
+
+func (w *world) vmsFile() string { return filepath.Join(w.dir, "vms.list") }
+
+func (w *world) write(name string, v any) {
+	w.t.Helper()
+	content, err := json.Marshal(v)
+	w.must(err)
+	w.must(os.WriteFile(filepath.Join(w.dir, name), content, 0o644))
+}
+
+func (w *world) writeVMs() {
+	w.t.Helper()
+	w.write(filepath.Base(w.vmsFile()), map[string]any{"vms": w.vms})
+}
+
+// writeService starts an upstream for each shard and describes them.
+func (w *world) writeService(shards int) {
+	w.t.Helper()
+	var layout []any
+	for shard := range shards {
+		id := fmt.Sprintf("proof-studio-%d", shard)
+		addr := w.startLeaf(id, shard, shards)
+		layout = append(layout, []any{map[string]any{"id": id, "address": addr, "zone": "cz-a"}})
+	}
+	w.write("20-service.json", map[string]any{"services": map[string]any{"proof-studio": map[string]any{
+		"shards": layout, "slots": 12, "connections": 60, "cold_permits": 6, "deadline_ms": 2000, "idempotent": true, "snapshots": true,
+	}}})
+}
+
+// startLeaf starts an upstream on a free port. Another process may take the port
+// in between, so that it tries again.
+func (w *world) startLeaf(id string, shard, shards int) string {
+	w.t.Helper()
+	var err error
+	for range 10 {
+		ln := w.listen()
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		l := leaf.New(leaf.Config{
+			ID: id, Address: addr, Zone: "cz-a", Service: "proof-studio", Shard: shard,
+			Snapshots: []leaf.Snapshot{{ID: "s7", Shards: shards}},
+			Policy:    leaf.Policy{Slots: 12, Queue: 3, Connections: 60, ServiceMS: 1, Hold: 1, ColdPermits: 6},
+			Secrets:   []string{testKey}, TruthLimit: 100,
+		})
+		if err = l.Start(); err == nil {
+			w.leaves = append(w.leaves, l)
+			w.t.Cleanup(l.Crash)
+			return addr
+		}
+	}
+	w.t.Fatal(err)
+	return ""
+}
+
+// node is a running daemon with what it wrote.
+type node struct {
+	*Daemon
+	world    *world
+	caller   string
+	operator string
+	peer     string
+	out      *output
+	stop     func() error
+
+	listeners listeners
+}
+
+// output collects the log. It is safe for concurrent use.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+// start lists a VM and runs its daemon.
+func (w *world) start(vm string) *node {
+	w.t.Helper()
+	n := w.prepare(vm)
+	n.run()
+	return n
+}
+
+// prepare lists a VM whose daemon doesn't run yet. The seeds are peers'
+// addresses.
+func (w *world) prepare(vm string, seeds ...string) *node {
+	w.t.Helper()
+	l := listeners{caller: w.listen(), peer: w.listen(), operator: w.listen()}
+	s := settings.Default()
+	s.Fleet, s.FleetSecret, s.VM, s.Zone = "cz", "a-secret-of-the-fleet", vm, "cz-a"
+	s.PeerListen = l.peer.Addr().String()
+	s.Platform, s.Seeds, s.LogLevel = []string{w.platform}, seeds, "debug"
+	n := &node{
+		world: w, out: &output{}, listeners: l,
+		caller: l.caller.Addr().String(), operator: l.operator.Addr().String(), peer: s.PeerListen,
+	}
+	w.vms = append(w.vms, platform.VM{ID: vm, Zone: s.Zone, PeerAddress: n.peer, State: "live"})
+	w.writeVMs()
+	w.must(w.store.Poll(time.Now()))
+	var err error
+	n.Daemon, err = New(&s, n.out)
+	w.must(err)
+	w.t.Cleanup(l.close)
+	return n
+}
+
+func (n *node) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.serve(ctx, n.listeners) }()
+	n.stop = sync.OnceValue(func() error { cancel(); return <-ended })
+	n.world.t.Cleanup(func() { _ = n.stop() })
+}
+
+// waitFor polls until the condition holds.
+func (w *world) waitFor(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(overall); !ok(); time.Sleep(pollPause) {
+		if time.Now().After(end) {
+			w.t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+func (n *node) waitReady() {
+	n.world.t.Helper()
+	n.world.waitFor(n.settings.VM+" is ready", func() bool {
+		status, _ := n.get("/readyz")
+		return status == http.StatusOK
+	})
+}
+
+// waitAnswer queries until it is answered: upstreams start cold, and the first
+// queries may be refused.
+func (n *node) waitAnswer() {
+	n.world.t.Helper()
+	n.world.waitFor(n.settings.VM+" answers", func() bool {
+		status, _ := n.query(testKey, anyQuery)
+		return status == http.StatusOK
+	})
+}
+
+func (n *node) get(path string) (int, []byte) {
+	n.world.t.Helper()
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+n.operator+path, overall)
+	n.world.must(err)
+	return status, body
+}
+
+// query asks with the key in the header.
+func (n *node) query(key, body string) (int, []byte) {
+	n.world.t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + n.caller + "/v1/services/proof-studio/query")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.SetBodyString(body)
+	n.world.must(fasthttp.DoTimeout(req, resp, overall))
+	return resp.StatusCode(), bytes.Clone(resp.Body())
+}
