Run the commands of docs/API.md against a daemon and look for keys

TestReadyMeansServing now runs the page's curl commands against a lone daemon and compares the fields of an answer and of a refusal with those that the page shows. It then sends the key in each place where a caller may put it, to all three listeners, with debug logs, and looks for it in the log, the status, the audit trail, the metrics and the upstreams.

Found by it: the audit entry of a request refused on the peers' listener repeated the path, which may hold a key. Only procedures of the protocol are repeated now. Seen failing first: "/audit holds the key", "log holds the key".

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -14,7 +14,7 @@
 const anyQuery = `{"query":{"thread":"teal"}}`
 
 // TestReadyMeansServing takes the first answer of a lone daemon after it has
-// said that it is ready.
+// said that it is ready, and then tries what docs/API.md shows.
 func TestReadyMeansServing(t *testing.T) {
 	t.Parallel()
 	n := newWorld(t, 4).start("vm-1")
@@ -22,6 +22,8 @@
 	if status, body := n.query(testKey, anyQuery); status != http.StatusOK {
 		t.Fatalf("the first query was answered %d: %s", status, body)
 	}
+	t.Run("page", func(t *testing.T) { checkPage(t, n) })
+	t.Run("keys", func(t *testing.T) { checkNoKeys(t, n) })
 }
 
 // TestPlatformDown takes the platform down once two daemons have read it, and
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,10 +8,12 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
@@ -106,7 +108,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		g.refused(Refusal{Address: r.RemoteAddr, Procedure: r.URL.Path, Reason: "wrong proof"})
+		g.refused(Refusal{Address: r.RemoteAddr, Procedure: procedureOf(r.URL.Path), Reason: "wrong proof"})
 		w.Header().Set("Connection", "close")
 		err := connect.NewError(connect.CodePermissionDenied, ErrStranger)
 		if connect.NewErrorWriter().IsSupported(r) {
@@ -117,6 +119,17 @@
 	})
 }
 
+// procedureOf returns the path if it is one of the protocol's. Others are not
+// repeated: a stranger's path may hold anything, a key too.
+func procedureOf(path string) string {
+	name, _ := strings.CutPrefix(path, "/"+peerv1connect.PeerServiceName+"/")
+	methods := peerv1.File_peer_v1_peer_proto.Services().ByName("PeerService").Methods()
+	if methods.ByName(protoreflect.Name(name)) == nil {
+		return "unknown path"
+	}
+	return path
+}
+
 // checkSender refuses a message that names another fleet, or this VM.
 func (g *guard) checkSender(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
