Keep slow peers and a busy loop from holding up the rest

Cause: a notice went to up to 32 peers on every tick of 50 ms however long the last ones took, on a pool with an endless queue. 4 silent peers and 200 ticks put 800 calls before every probe and loan (13 s of work); the shutdown waited for all of them. A peer's call ran on the loop even when its sender had long given up, so that a loan granted late was lost for its term. Requests that were short of a token waited when the loop's queue was full. Ages from the wire could wrap round: 2^62 ms became 0, the age of a fresh list.

Change: one notice at a time to each peer; 256 calls wait and more are dropped (a dropped loan is reported as failed); Flush ends with the drain; Call ends with its context and runs f never or to the end; traffic uses TryPost; times from the wire are held within 0 and 24 h.

Seen failing first, each with its mechanism taken away: TestPauseIsSeenBeforePostedWork, TestCallersDontWaitForAStuckLoop, TestSilentPeersHoldUpNothing, TestFullCallQueue, TestWireAgesDontOverflow.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,10 @@
 const (
 	// maxCalls is the number of peer calls in progress.
 	maxCalls = 64
+	// callQueue is the number of peer calls that wait for one in progress to
+	// end. Peers that don't answer hold up calls for a second each; what comes
+	// beyond the queue is dropped and made up for later.
+	callQueue = 256
 	// maxReads is the number of reads of the platform in progress, waiting
 	// watches included.
 	maxReads = 16
@@ -57,8 +61,10 @@
 	calls pond.Pool
 	reads pond.Pool
 
-	serving   bool
-	startup   startup
+	serving bool
+	startup startup
+	// noticing holds the addresses to which a notice is on its way.
+	noticing  map[string]bool
 	fetchedAt time.Time
 
 	// fetching tells that a fetch of tokens is posted to the loop.
@@ -70,8 +76,10 @@
 	return &Control{
 		deps:  deps,
 		loop:  NewLoop(),
-		calls: pond.NewPool(maxCalls),
+		calls: pond.NewPool(maxCalls, pond.WithQueueSize(callQueue), pond.WithNonBlocking(true)),
 		reads: pond.NewPool(maxReads),
+
+		noticing: make(map[string]bool),
 	}
 }
 
@@ -82,8 +90,19 @@
 	c.reads.Stop()
 }
 
-// Call runs f on the control goroutine and waits for it.
-func (c *Control) Call(f func(now time.Time)) bool { return c.loop.Call(f) }
+// Call runs f on the control goroutine and waits for it, until the context ends.
+func (c *Control) Call(ctx context.Context, f func(now time.Time)) bool {
+	return c.loop.Call(ctx, f)
+}
+
+// call runs a peer call. It returns false when it was dropped.
+func (c *Control) call(f func()) bool {
+	if err := c.calls.Go(f); err != nil {
+		c.deps.Log.Debug().Err(err).Msg("peer call dropped")
+		return false
+	}
+	return true
+}
 
 // Tick implements Ticker.
 func (c *Control) Tick(now time.Time) {
@@ -128,8 +147,14 @@
 // after the last request.
 func (c *Control) Close(now time.Time) { c.quotaActions(c.deps.Quota.Close(now)) }
 
-// Flush waits for the peer calls in progress.
-func (c *Control) Flush() { c.calls.StopAndWait() }
+// Flush waits for the peer calls in progress until the context ends. No call
+// begins afterwards.
+func (c *Control) Flush(ctx context.Context) {
+	select {
+	case <-c.calls.Stop().Done():
+	case <-ctx.Done():
+	}
+}
 
 func (c *Control) sender() *peerv1.Sender {
 	return &peerv1.Sender{
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -28,7 +28,14 @@
 	return (d + time.Millisecond - 1).Milliseconds()
 }
 
-func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+// maxAge bounds times that come from the wire.
+const maxAge = 24 * time.Hour
+
+// milliseconds converts a time of the wire. What is out of range becomes the
+// nearest value in it, so that an age can't wrap round to a small one.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
+}
 
 const unknownAgeMs = -1
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/membership"
@@ -44,23 +45,52 @@
 	}
 }
 
-// Call runs f on the loop and waits for it. It returns false when the loop
-// ended before f ran.
-func (l *Loop) Call(f func(now time.Time)) bool {
+// TryPost is Post for goroutines that must not wait. It returns false when the
+// queue is full, too.
+func (l *Loop) TryPost(f func(now time.Time)) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
+	select {
+	case l.work <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Call runs f on the loop and waits for it. It returns false when the loop or
+// the context ended before f began; f never runs then.
+func (l *Loop) Call(ctx context.Context, f func(now time.Time)) bool {
+	var taken atomic.Bool // by the loop or by the caller who gives up
 	ran := make(chan struct{})
-	posted := l.Post(func(now time.Time) {
+	work := func(now time.Time) {
+		if taken.Swap(true) {
+			return
+		}
+		defer close(ran)
 		f(now)
-		close(ran)
-	})
-	if !posted {
+	}
+	select {
+	case l.work <- work:
+	case <-ctx.Done():
+		return false
+	case <-l.done:
 		return false
 	}
 	select {
 	case <-ran:
 		return true
+	case <-ctx.Done():
 	case <-l.done:
-		return false
 	}
+	if taken.Swap(true) {
+		<-ran
+		return true
+	}
+	return false
 }
 
 // Ticker is told of the passing of time.
--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/spread"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+	"ryecourse.example/ryecourse/internal/peer"
+)
+
+// ticks records what the loop tells its ticker.
+type ticks struct {
+	events []string
+}
+
+func (k *ticks) Tick(time.Time)                  { k.events = append(k.events, "tick") }
+func (k *ticks) Paused(time.Time, time.Duration) { k.events = append(k.events, "paused") }
+
+// TestPauseIsSeenBeforePostedWork blocks the loop for longer than the limit and
+// requires that the work posted meanwhile runs after Paused.
+func TestPauseIsSeenBeforePostedWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l, k := NewLoop(), &ticks{}
+		go l.Run(ctx, k)
+		l.Post(func(time.Time) { k.events = nil; time.Sleep(2 * pauseLimit) })
+		l.Call(ctx, func(time.Time) { k.events = append(k.events, "work") })
+		cancel()
+		synctest.Wait()
+		if len(k.events) == 0 || k.events[0] != "paused" {
+			t.Fatalf("after the pause: %v", k.events)
+		}
+	})
+}
+
+// TestCallersDontWaitForAStuckLoop fills the queue of a loop that doesn't run. A
+// call ends with its context and doesn't run later; TryPost doesn't wait.
+func TestCallersDontWaitForAStuckLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLoop()
+		late := false
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if l.Call(ctx, func(time.Time) { late = true }) {
+			t.Error("a call was answered")
+		}
+		for l.TryPost(func(time.Time) {}) {
+		}
+		if l.Call(ctx, func(time.Time) { late = true }) {
+			t.Error("a call was answered with the queue full")
+		}
+		running, stop := context.WithCancel(t.Context())
+		go l.Run(running, &ticks{})
+		synctest.Wait()
+		stop()
+		synctest.Wait()
+		if late {
+			t.Error("a call ran after its caller had gone")
+		}
+		if l.TryPost(func(time.Time) {}) || l.Call(t.Context(), func(time.Time) {}) {
+			t.Error("work was taken after the end")
+		}
+	})
+}
+
+// newSilent returns a Control whose peers take connections and never answer.
+func newSilent(t *testing.T, peers int) *Control {
+	t.Helper()
+	now := time.Now()
+	list := &membership.List{Revision: 1, VMs: []membership.VM{{ID: "self", Zone: "cz-a", PeerAddress: "127.0.0.1:1"}}}
+	for i := range peers {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		list.VMs = append(list.VMs, membership.VM{ID: string(rune('a' + i)), Zone: "cz-a", PeerAddress: ln.Addr().String()})
+	}
+	s := spread.New(spread.Settings{Self: list.VMs[0]}, nil)
+	s.OnList(now, 0, list)
+	log := zerolog.Nop()
+	return New(Deps{
+		Self: Self{VM: list.VMs[0]}, Peers: peer.NewClient(peer.Identity{}),
+		Spread: s, Trail: audit.New(log), Log: log,
+	})
+}
+
+// TestSilentPeersHoldUpNothing sends notices to silent peers for many ticks. No
+// more than one waits for each, so that other calls find a free worker.
+func TestSilentPeersHoldUpNothing(t *testing.T) {
+	const peers, rounds = 4, 200
+	c := newSilent(t, peers)
+	for range rounds {
+		c.routerActions([]routing.Action{routing.ColdNotice{Upstream: "u"}})
+	}
+	if n := c.calls.SubmittedTasks(); n != peers {
+		t.Errorf("%d notices are on their way to %d silent peers", n, peers)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	c.Flush(ctx) // must not wait for the peers
+}
+
+// TestFullCallQueue requires that calls beyond the queue are dropped at once.
+func TestFullCallQueue(t *testing.T) {
+	c := newSilent(t, 1)
+	held := make(chan struct{})
+	defer close(held)
+	dropped := 0
+	for range maxCalls + callQueue + 10 {
+		if !c.call(func() { <-held }) {
+			dropped++
+		}
+	}
+	if dropped == 0 {
+		t.Error("every call was queued")
+	}
+}
+
+func TestWireAgesDontOverflow(t *testing.T) {
+	const huge = int64(1) << 62
+	d := digestFromWire(&peerv1.Digest{ListAgeMs: huge})
+	cold := coldFromWire(&peerv1.ColdNotice{AgeMs: huge})
+	ramp := rampFromWire(&peerv1.RampNotice{AgeMs: -huge})
+	if d.ListAge < time.Hour || cold.Age < time.Hour || ramp.Age < 0 {
+		t.Errorf("list %v, cold %v, ramp %v", d.ListAge, cold.Age, ramp.Age)
+	}
+}
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -36,7 +36,7 @@
 	if c.fetching.Swap(true) {
 		return
 	}
-	c.loop.Post(func(now time.Time) {
+	posted := c.loop.TryPost(func(now time.Time) {
 		c.fetching.Store(false)
 		if now.Sub(c.fetchedAt) < quota.FetchPause {
 			return
@@ -44,11 +44,14 @@
 		c.fetchedAt = now
 		c.quotaActions(c.deps.Quota.Fetch(now))
 	})
+	if !posted {
+		c.fetching.Store(false)
+	}
 }
 
 func (c *Control) sendLend(a quota.SendLend) {
 	req := lendToWire(c.sender(), a.Request)
-	c.calls.Go(func() {
+	sent := c.call(func() {
 		resp, err := c.deps.Peers.Lend(a.To.PeerAddress, req)
 		c.loop.Post(func(now time.Time) {
 			if err != nil {
@@ -58,11 +61,14 @@
 			c.quotaActions(c.deps.Quota.OnGranted(now, a.To.ID, lendResponseFromWire(resp)))
 		})
 	})
+	if !sent {
+		c.deps.Quota.OnLendFailed(time.Now(), a.To.ID, a.Request.ID)
+	}
 }
 
 func (c *Control) sendRelease(a quota.SendRelease) {
 	req := &peerv1.ReleaseRequest{Sender: c.sender(), Id: a.Release.ID, Returned: grantsToWire(a.Release.Returned)}
-	c.calls.Go(func() {
+	c.call(func() {
 		if err := c.deps.Peers.Release(a.To.PeerAddress, req); err != nil {
 			c.deps.Log.Debug().Err(err).Str("peer", a.To.ID).Msg("release lost")
 		}
@@ -71,7 +77,7 @@
 
 func (c *Control) sendHandover(a quota.SendHandover) {
 	req := handoverToWire(c.sender(), a.Handover)
-	c.calls.Go(func() {
+	c.call(func() {
 		if err := c.deps.Peers.Handover(a.To.PeerAddress, req); err != nil {
 			c.deps.Log.Debug().Err(err).Str("peer", a.To.ID).Msg("handover lost")
 		}
@@ -80,7 +86,7 @@
 
 func (c *Control) probe(a quota.Probe) {
 	req := &peerv1.ProbeRequest{Sender: c.sender(), Claim: claimToWire(c.deps.Quota.Digest())}
-	c.calls.Go(func() {
+	c.call(func() {
 		resp, err := c.deps.Peers.Probe(a.To.PeerAddress, req)
 		if err != nil {
 			return
--- a/internal/control/ramps.go
+++ b/internal/control/ramps.go
@@ -37,12 +37,17 @@
 	}
 }
 
-// notify sends the notices to daemons that share upstreams with this one. A
-// notice that is lost is made up for by the questions of the others.
+// notify sends the notices to daemons that share upstreams with this one, one at
+// a time to each. A notice that is lost or left out is made up for by the
+// questions of the others.
 func (c *Control) notify(req *peerv1.NotifyRequest) {
 	req.Sender = c.sender()
 	for _, vm := range c.notified() {
-		c.calls.Go(func() {
+		if c.noticing[vm.PeerAddress] {
+			continue
+		}
+		c.noticing[vm.PeerAddress] = c.call(func() {
+			defer c.loop.Post(func(time.Time) { delete(c.noticing, vm.PeerAddress) })
 			if err := c.deps.Peers.Notify(vm.PeerAddress, req); err != nil {
 				c.deps.Log.Debug().Err(err).Str("peer", vm.ID).Msg("notice lost")
 			}
@@ -74,7 +79,7 @@
 	}
 	addr := list.VMs[i].PeerAddress
 	req := &peerv1.AskRampsRequest{Sender: c.sender(), Questions: questionsToWire(a.Questions)}
-	c.calls.Go(func() {
+	c.call(func() {
 		resp, err := c.deps.Peers.AskRamps(addr, req)
 		if err != nil {
 			return
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -11,7 +11,7 @@
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 )
 
-var errStopping = errors.New("the daemon is stopping")
+var errStopping = errors.New("the daemon is stopping or busy")
 
 // Peers answers the other daemons of the fleet. It implements
 // peerv1connect.PeerServiceHandler.
@@ -20,18 +20,18 @@
 // Peers returns the handler for other daemons' messages.
 func (c *Control) Peers() *Peers { return &Peers{control: c} }
 
-// on runs f on the control goroutine.
-func (p *Peers) on(f func(now time.Time, c *Control)) error {
-	if !p.control.loop.Call(func(now time.Time) { f(now, p.control) }) {
+// on runs f on the control goroutine, unless the sender has given up before.
+func (p *Peers) on(ctx context.Context, f func(now time.Time, c *Control)) error {
+	if !p.control.loop.Call(ctx, func(now time.Time) { f(now, p.control) }) {
 		return connect.NewError(connect.CodeUnavailable, errStopping)
 	}
 	return nil
 }
 
 // Exchange implements peerv1connect.PeerServiceHandler.
-func (p *Peers) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+func (p *Peers) Exchange(ctx context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
 	out := &peerv1.ExchangeResponse{}
-	err := p.on(func(now time.Time, c *Control) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		s := c.deps.Spread
 		c.spreadActions(s.OnPeerDigest(now, req.GetSender().GetVm(), digestFromWire(req.GetDigest())))
 		answer := s.Digest(now)
@@ -44,9 +44,9 @@
 }
 
 // FetchFiles implements peerv1connect.PeerServiceHandler.
-func (p *Peers) FetchFiles(_ context.Context, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
+func (p *Peers) FetchFiles(ctx context.Context, req *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
 	var set *catalog.FileSet
-	if err := p.on(func(_ time.Time, c *Control) { set = c.deps.Spread.Files() }); err != nil {
+	if err := p.on(ctx, func(_ time.Time, c *Control) { set = c.deps.Spread.Files() }); err != nil {
 		return nil, err
 	}
 	return &peerv1.FetchFilesResponse{
@@ -57,9 +57,9 @@
 }
 
 // Probe implements peerv1connect.PeerServiceHandler.
-func (p *Peers) Probe(_ context.Context, req *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+func (p *Peers) Probe(ctx context.Context, req *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
 	out := &peerv1.ProbeResponse{}
-	err := p.on(func(now time.Time, c *Control) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		claim, actions := c.deps.Quota.OnProbe(now, claimFromWire(req.GetSender(), req.GetClaim()))
 		c.quotaActions(actions)
 		out.Sender, out.Claim = c.sender(), claimToWire(claim)
@@ -68,17 +68,17 @@
 }
 
 // Handover implements peerv1connect.PeerServiceHandler.
-func (p *Peers) Handover(_ context.Context, req *peerv1.HandoverRequest) (*peerv1.HandoverResponse, error) {
-	err := p.on(func(now time.Time, c *Control) {
+func (p *Peers) Handover(ctx context.Context, req *peerv1.HandoverRequest) (*peerv1.HandoverResponse, error) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		c.quotaActions(c.deps.Quota.OnHandover(now, handoverFromWire(req)))
 	})
 	return &peerv1.HandoverResponse{}, err
 }
 
 // Lend implements peerv1connect.PeerServiceHandler.
-func (p *Peers) Lend(_ context.Context, req *peerv1.LendRequest) (*peerv1.LendResponse, error) {
+func (p *Peers) Lend(ctx context.Context, req *peerv1.LendRequest) (*peerv1.LendResponse, error) {
 	var out *peerv1.LendResponse
-	err := p.on(func(now time.Time, c *Control) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		resp, actions := c.deps.Quota.OnLend(now, lendFromWire(req))
 		c.quotaActions(actions)
 		out = lendResponseToWire(resp)
@@ -87,16 +87,16 @@
 }
 
 // Release implements peerv1connect.PeerServiceHandler.
-func (p *Peers) Release(_ context.Context, req *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
-	err := p.on(func(now time.Time, c *Control) {
+func (p *Peers) Release(ctx context.Context, req *peerv1.ReleaseRequest) (*peerv1.ReleaseResponse, error) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		c.quotaActions(c.deps.Quota.OnRelease(now, releaseFromWire(req)))
 	})
 	return &peerv1.ReleaseResponse{}, err
 }
 
 // Notify implements peerv1connect.PeerServiceHandler.
-func (p *Peers) Notify(_ context.Context, req *peerv1.NotifyRequest) (*peerv1.NotifyResponse, error) {
-	err := p.on(func(now time.Time, c *Control) {
+func (p *Peers) Notify(ctx context.Context, req *peerv1.NotifyRequest) (*peerv1.NotifyResponse, error) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		for _, n := range req.GetCold() {
 			c.deps.Router.OnColdNotice(now, coldFromWire(n))
 		}
@@ -108,9 +108,9 @@
 }
 
 // AskRamps implements peerv1connect.PeerServiceHandler.
-func (p *Peers) AskRamps(_ context.Context, req *peerv1.AskRampsRequest) (*peerv1.AskRampsResponse, error) {
+func (p *Peers) AskRamps(ctx context.Context, req *peerv1.AskRampsRequest) (*peerv1.AskRampsResponse, error) {
 	out := &peerv1.AskRampsResponse{}
-	err := p.on(func(now time.Time, c *Control) {
+	err := p.on(ctx, func(now time.Time, c *Control) {
 		out.Answers = answersToWire(c.deps.Router.OnRampQuery(now, questionsFromWire(req.GetQuestions())))
 	})
 	return out, err
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -122,7 +122,7 @@
 
 func (c *Control) exchange(a spread.Exchange) {
 	req := &peerv1.ExchangeRequest{Sender: c.sender(), Digest: digestToWire(a.Digest)}
-	c.calls.Go(func() {
+	c.call(func() {
 		resp, err := c.deps.Peers.Exchange(a.Peer.PeerAddress, req)
 		c.loop.Post(func(now time.Time) {
 			s := c.deps.Spread
@@ -141,7 +141,7 @@
 
 func (c *Control) pullFiles(a spread.PullFiles) {
 	req := &peerv1.FetchFilesRequest{Sender: c.sender(), Have: revisionsToWire(a.Have)}
-	c.calls.Go(func() {
+	c.call(func() {
 		resp, err := c.deps.Peers.FetchFiles(a.Peer.PeerAddress, req)
 		c.loop.Post(func(now time.Time) {
 			s := c.deps.Spread
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	mathrand "math/rand/v2"
@@ -13,6 +14,9 @@
 	"ryecourse.example/ryecourse/internal/core/spread"
 )
 
+// statusPatience is how long the status waits for the control goroutine.
+const statusPatience = time.Second
+
 // Status is the document that `ryecourse status` shows.
 type Status struct {
 	VM            string         `json:"vm"`
@@ -65,7 +69,9 @@
 		st.ConfigVersion, st.ConfigDigest = v.Catalog.Version, v.Catalog.Digest
 		st.ListRevision, st.VMs = v.List.Revision, len(v.List.VMs)
 	}
-	d.control.Call(func(now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusPatience)
+	defer cancel()
+	d.control.Call(ctx, func(now time.Time) {
 		st.ListAgeMs = -1
 		if age, ok := d.spread.ListAge(now); ok {
 			st.ListAgeMs = age.Milliseconds()
