--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,6 +22,10 @@
 const (
 	// maxCalls is the number of peer calls in progress.
 	maxCalls = 64
+	// callQueue is the number of peer calls that wait for one in progress to
+	// end. Peers that don't answer hold up calls for a second each; what comes
+	// beyond the queue is dropped and made up for later.
+	callQueue = 256
 	// maxReads is the number of reads of the platform in progress, waiting
 	// watches included.
 	maxReads = 16
@@ -44,7 +48,8 @@
 	Router   *routing.Router
 	Trail    *audit.Trail
 	Log      zerolog.Logger
-	// Changed is called on the loop after a new view was published.
+	// Changed is called on the loop before a new view is published, so that
+	// traffic finds all parts prepared for it.
 	Changed func(now time.Time, v *View)
 }
 
@@ -61,7 +66,10 @@
 	lists    *history[uint64, *membership.List]
 	fileSets *history[string, *catalog.FileSet]
 
-	serving   bool
+	serving bool
+	startup startup
+	// noticing holds the addresses to which a notice is on its way.
+	noticing  map[string]bool
 	fetchedAt time.Time
 
 	// fetching tells that a fetch of tokens is posted to the loop.
@@ -73,11 +81,12 @@
 	return &Control{
 		deps:  deps,
 		loop:  NewLoop(),
-		calls: pond.NewPool(maxCalls),
+		calls: pond.NewPool(maxCalls, pond.WithQueueSize(callQueue), pond.WithNonBlocking(true)),
 		reads: pond.NewPool(maxReads),
 
 		lists:    newHistory[uint64, *membership.List](),
 		fileSets: newHistory[string, *catalog.FileSet](),
+		noticing: make(map[string]bool),
 	}
 }
 
@@ -88,8 +97,19 @@
 	c.reads.Stop()
 }
 
-// Call runs f on the control goroutine and waits for it.
-func (c *Control) Call(f func(now time.Time)) bool { return c.loop.Call(f) }
+// Call runs f on the control goroutine and waits for it, until the context ends.
+func (c *Control) Call(ctx context.Context, f func(now time.Time)) bool {
+	return c.loop.Call(ctx, f)
+}
+
+// call runs a peer call. It returns false when it was dropped.
+func (c *Control) call(f func()) bool {
+	if err := c.calls.Go(f); err != nil {
+		c.deps.Log.Debug().Err(err).Msg("peer call dropped")
+		return false
+	}
+	return true
+}
 
 // Tick implements Ticker.
 func (c *Control) Tick(now time.Time) {
@@ -100,6 +120,7 @@
 		c.State.confirm(now)
 	}
 	c.routerActions(c.deps.Router.Tick(now))
+	c.checkWarm(now)
 }
 
 // Paused implements Ticker. The spread state machine sees the pause too, and
@@ -112,7 +133,8 @@
 	c.spreadActions(c.deps.Spread.Tick(now))
 }
 
-// publish gives traffic a new view once there is a catalog and a VM list.
+// publish gives traffic a new view once there is a catalog and a VM list. The
+// quota manager, the router and the connection pool know it before.
 func (c *Control) publish(now time.Time) {
 	cat, list := c.deps.Spread.Catalog(), c.deps.Spread.List()
 	if cat == nil || list == nil {
@@ -120,8 +142,8 @@
 	}
 	v := &View{Catalog: cat, List: *list}
 	c.deps.Router.Update(now, v.Catalog, v.List)
-	c.State.view.Store(v)
 	c.deps.Changed(now, v)
+	c.State.view.Store(v)
 }
 
 // Leave gives up this daemon's slots and hands them over. It runs on the
@@ -132,8 +154,14 @@
 // after the last request.
 func (c *Control) Close(now time.Time) { c.quotaActions(c.deps.Quota.Close(now)) }
 
-// Flush waits for the peer calls in progress.
-func (c *Control) Flush() { c.calls.StopAndWait() }
+// Flush waits for the peer calls in progress until the context ends. No call
+// begins afterwards.
+func (c *Control) Flush(ctx context.Context) {
+	select {
+	case <-c.calls.Stop().Done():
+	case <-ctx.Done():
+	}
+}
 
 func (c *Control) sender() *peerv1.Sender {
 	return &peerv1.Sender{
