Don't count leaving VMs as witnesses of a view

After one VM of four was killed and another began to leave, the two settled ones were less than two thirds of the four witnesses, so that nobody held a part of any limit for 2.5 s (audit: quota_slot_lost 2 s after the list, acquired when the new VM had settled). Ruled out: a smaller quorum, since quorums of successive lists must share a member; and letting a leaving process support until its end, since the platform lists it after that. Change: a VM that the platform lists as leaving is no witness, as if it had left the list; it stays a candidate for its slots. The check of holders now marks VMs as leaving, too. The package's tests pass.

--- a/internal/core/lease/owner.go
+++ b/internal/core/lease/owner.go
@@ -158,7 +158,7 @@
 	o.listed = slices.ContainsFunc(o.zone, o.isSelf)
 	o.witnesses = fleetWitnessesFor(o.self.Zone, list.VMs)
 	o.duties = o.witnessDuties()
-	o.zoneWitnesses = membership.RendezvousN("zone-witness", o.zone, maxZoneWitnesses)
+	o.zoneWitnesses = membership.RendezvousN("zone-witness", staying(o.zone), maxZoneWitnesses)
 	o.known = false
 	o.knownWait = LostWait
 	if overlaps(previous, o.witnesses) {
@@ -200,7 +200,23 @@
 // fleetWitnessesFor returns the VMs of the whole fleet that support the views of
 // one zone's VMs. Each zone has its own, which bounds the probes that one gets.
 func fleetWitnessesFor(zone string, vms []membership.VM) []membership.VM {
-	return membership.RendezvousN("witness/"+zone, vms, maxWitnesses)
+	return membership.RendezvousN("witness/"+zone, staying(vms), maxWitnesses)
+}
+
+// staying returns the VMs that the platform isn't taking out, or all if it takes
+// out all. A VM that leaves may fall silent at any time, so that it is no
+// witness; it stays a candidate for its slots until it says that it drains.
+func staying(vms []membership.VM) []membership.VM {
+	var out []membership.VM
+	for _, vm := range vms {
+		if !vm.Leaving {
+			out = append(out, vm)
+		}
+	}
+	if len(out) == 0 {
+		return vms
+	}
+	return out
 }
 
 func (o *Owner) witnessDuties() [][]membership.VM {
--- a/internal/core/lease/owners_test.go
+++ b/internal/core/lease/owners_test.go
@@ -50,6 +50,7 @@
 	repeat
 	cutPair
 	leave
+	mark
 	faultCount
 )
 
@@ -243,6 +244,8 @@
 	case cutPair:
 		p.cut = w.mateOf(p, pick).vm.ID
 		w.run(time.Duration(pick(400)) * step)
+	case mark:
+		w.mark(p)
 	case leave:
 		w.handOver(p, p.owner.Leave(w.clock()))
 		w.replace(p, true)
@@ -261,6 +264,17 @@
 	return mates[pick(len(mates))]
 }
 
+// mark lists the VM as leaving, or no longer.
+func (w *owners) mark(p *process) {
+	vms := append([]membership.VM(nil), w.newest().VMs...)
+	for i := range vms {
+		if vms[i].ID == p.vm.ID {
+			vms[i].Leaving = !vms[i].Leaving
+		}
+	}
+	w.publish(vms)
+}
+
 // replace lists a new VM in the place of another, which may run on.
 func (w *owners) replace(p *process, runsOn bool) {
 	vms := append([]membership.VM(nil), w.newest().VMs...)
@@ -307,7 +321,7 @@
 // TestRapidOneHolderNeedsItsRules requires the check of TestRapidOneHolder to
 // fail for each rule that is taken away.
 func TestRapidOneHolderNeedsItsRules(t *testing.T) {
-	all := []fault{crash, drop, cut, stale, freeze, heal, repeat, cutPair, leave}
+	all := []fault{crash, drop, cut, stale, freeze, heal, repeat, cutPair, leave, mark}
 	type rule struct {
 		faults []fault
 		spoil  func(o *Owner, now membership.Reading)
