--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -27,18 +27,20 @@
 QUERY='{"query": {"text": "crest, thread 40"}, "min_coverage": 1.0, "deadline_ms": 500}'
 ROUTE=/v1/services/proof-studio/query
 
-# first_answer tries each daemon in turn, as a balancer does, until the first
-# one has answered: the upstreams start cold.
+# first_answer tries each daemon in turn, as a balancer does, until one answers:
+# the upstreams and the daemons start cold. ANSWERED is that daemon's port.
 first_answer() {
-	local end=$((SECONDS + 30)) index
-	until ask 101 && [[ $(<"$RUN_DIR/answer") == *'"verdict":"ran","snapshot"'* ]]; do
-		((SECONDS < end)) || die "no answer within 30 s: $(<"$RUN_DIR/answer"); logs are in $RUN_DIR"
-		for index in 2 3 4; do
-			ask $((100 + index)) || true
+	local end=$((SECONDS + 60)) offset
+	while ((SECONDS < end)); do
+		for offset in 101 102 103 104; do
+			ANSWERED=$offset
+			if ask "$offset" && [[ $(<"$RUN_DIR/answer") == *'"verdict":"ran","snapshot"'* ]]; then
+				return
+			fi
 		done
 		sleep 0.2
 	done
-	cat "$RUN_DIR/answer"
+	die "no answer within 60 s: $(<"$RUN_DIR/answer"); logs are in $RUN_DIR"
 }
 
 # ask PORT sends the query to a daemon.
@@ -47,14 +49,14 @@
 		-H "Authorization: Bearer $KEY" -d "$QUERY"
 }
 
-ANSWER=$(first_answer)
+first_answer
 cat <<EOT
 Four daemons answer callers at $(address 101), $(address 102) (cz-a), $(address 103) and $(address 104) (cz-b).
 Operators' files: $FOLDER    logs: $RUN_DIR    operators' listener of vm-a1: http://$(address 301)/status
 
 Try a query:
 
-  curl -s http://$(address 101)$ROUTE \\
+  curl -s http://$(address "$ANSWERED")$ROUTE \\
     -H 'Authorization: Bearer $KEY' \\
     -d '$QUERY'
 
@@ -64,7 +66,7 @@
 
 The first answer:
 
-$ANSWER
+$(<"$RUN_DIR/answer")
 
 Ctrl-C ends the demo.
 EOT
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -47,13 +47,27 @@
 	return 1
 }
 
-# wait_http URL SECONDS waits for a 200.
+# wait_http URL SECONDS waits for a 200. All children must be running then, or
+# the answer may have come from another run's process.
 wait_http() {
-	local end=$((SECONDS + $2))
+	local end=$((SECONDS + $2)) pid
 	until curl -fsS --max-time 1 -o /dev/null "$1" 2>/dev/null; do
 		((SECONDS < end)) || die "no 200 from $1 after $2 s; logs are in $RUN_DIR"
 		sleep 0.1
 	done
+	for pid in "${PIDS[@]}"; do
+		kill -0 "$pid" 2>/dev/null || die "process $pid ended at the start; logs are in $RUN_DIR"
+	done
+}
+
+# check_ports refuses to start beside another run on the same ports.
+check_ports() {
+	local offset
+	for offset in 1 11 12 101 102 103 104 105 201 301 501; do
+		if (exec 3<>"/dev/tcp/$HOST/$(port "$offset")") 2>/dev/null; then
+			die "port $(port "$offset") is in use: is another demo or smoke run going on? BASE_PORT moves all ports"
+		fi
+	done
 }
 
 # publish NAME writes standard input as an operators' file, at once.
@@ -158,6 +172,7 @@
 	command -v curl >/dev/null || die "curl is needed"
 	BIN=${BIN:-bin}
 	[[ -x $BIN/ryecourse && -x $BIN/standin ]] || die "$BIN/ryecourse or $BIN/standin is missing: run make build"
+	check_ports
 	rm -rf "$RUN_DIR"
 	FOLDER=$RUN_DIR/folder
 	mkdir -p "$FOLDER"
