Let each kind of platform read go round the replicas

Cause: one counter gave the turns of all calls. A reader that alternates reads of the folder and of the VM list over two replicas sent all of one kind to the same replica: with that one down or stale, 4 of 4 reads of the list failed while the other replica would have answered. Any JSON object was taken for an index or a list ("{"error":"busy"}" became revision 0 without files), names and VMs could stand twice, and a file's name such as "a/../b.json" was normalised into the path of another file. Up to 64 MiB of a file were kept and passed on to peers.

Change: a counter for each kind of call; answers without a revision, with names that are empty or twice, or with a file from after the folder are errors of the service; paths go out as they are; of a file 1 MiB and a byte is kept, which the catalog refuses as one bad file among good ones. A VM without a zone or address still counts: refusing the list would freeze the fleet's.

Seen failing on the code before: TestEachKindOfCallGoesRound, TestAnswersThatAreRefused, TestFileNamesArriveAsTheyAre and TestFileAnswers. Passed before as well: TestHangingReplica, and one connection for repeated calls.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"errors"
@@ -24,6 +25,9 @@
 	callTimeout = 2 * time.Second
 	// maxIndexBytes bounds the answer to an index or list call.
 	maxIndexBytes = 64 << 20
+	// maxFileBytes is as much as is kept of a file. A larger one is cut to this
+	// size, at which the catalog refuses it: as one bad file among good ones.
+	maxFileBytes = catalog.MaxFileSize + 1
 )
 
 // ErrNotModified means that a watch ended without a change.
@@ -32,6 +36,17 @@
 // ErrDeleted means that a file no longer exists.
 var ErrDeleted = errors.New("file deleted")
 
+var errNoRevision = errors.New("the answer carries no revision")
+
+// EntryError is an answer with an entry that can't be right.
+type EntryError struct {
+	Entry   string
+	Message string
+}
+
+// Error implements error.
+func (e *EntryError) Error() string { return fmt.Sprintf("entry %q: %s", e.Entry, e.Message) }
+
 // CallError is a failed read of the platform. Reads have no side effects, so a
 // retry is always safe.
 type CallError struct {
@@ -64,24 +79,40 @@
 	Files    []FileInfo `json:"files"`
 }
 
-// Client reads from the replicas of the platform's service in turn. It is safe
-// for concurrent use.
+// call is a kind of call.
+type call int
+
+const (
+	callIndex call = iota
+	callFile
+	callList
+	calls
+)
+
+// Client reads from the replicas of the platform's service, each kind of call in
+// turn: were the turns shared, a reader that alternates two kinds of calls over
+// two replicas would send each kind to one replica forever. It is safe for
+// concurrent use.
 type Client struct {
-	bases []string
-	next  atomic.Uint64
-	http  *fasthttp.Client
-	reads atomic.Uint64
+	bases    []string
+	next     [calls]atomic.Uint64
+	http     *fasthttp.Client
+	reads    atomic.Uint64
+	patience time.Duration // beyond a call's wait
 }
 
 // New returns a client for the given base URLs.
 func New(bases []string) *Client {
 	return &Client{
-		bases: bases,
+		bases:    bases,
+		patience: callTimeout,
 		http: &fasthttp.Client{
 			Name:                      "ryecourse",
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       maxIndexBytes,
 			ReadBufferSize:            16 << 10,
+			// A file's name must not lead to another path.
+			DisablePathNormalizing: true,
 		},
 	}
 }
@@ -93,23 +124,49 @@
 // ErrNotModified after wait. A negative since asks for the index at once.
 func (c *Client) Index(since int64, wait time.Duration) (Index, error) {
 	var out Index
-	err := c.getJSON("/v1/config"+watchQuery(since, wait), wait, &out)
-	return out, err
+	err := c.getJSON(callIndex, "/v1/config"+watchQuery(since, wait), wait, &out, out.check)
+	if err != nil {
+		return Index{}, err
+	}
+	return out, nil
+}
+
+// check refuses what can't be an index. What the files' names may be is the
+// catalog's business.
+func (i *Index) check() error {
+	if i.Revision == 0 {
+		return errNoRevision
+	}
+	seen := make(map[string]bool, len(i.Files))
+	for _, f := range i.Files {
+		switch {
+		case f.Name == "" || seen[f.Name]:
+			return &EntryError{Entry: f.Name, Message: "a file's name must be set and unique"}
+		case f.Revision == 0 || f.Revision > i.Revision:
+			return &EntryError{Entry: f.Name, Message: "a file's revision must be from 1 to the folder's"}
+		}
+		seen[f.Name] = true
+	}
+	return nil
 }
 
 // File returns a file's content.
 func (c *Client) File(name string) (catalog.Published, error) {
 	var out catalog.Published
-	err := c.get("/v1/config/files/"+url.PathEscape(name), 0, func(resp *fasthttp.Response) error {
+	err := c.get(callFile, "/v1/config/files/"+url.PathEscape(name), 0, func(resp *fasthttp.Response) error {
 		rev, err := strconv.ParseUint(string(resp.Header.Peek("X-Revision")), 10, 64)
 		if err != nil {
 			return err
 		}
+		if rev == 0 {
+			return errNoRevision
+		}
+		content := resp.Body()
 		out = catalog.Published{
 			Name:      name,
 			Revision:  rev,
 			Publisher: string(resp.Header.Peek("X-Publisher")),
-			Content:   append([]byte(nil), resp.Body()...),
+			Content:   bytes.Clone(content[:min(len(content), maxFileBytes)]),
 		}
 		return nil
 	})
@@ -128,11 +185,27 @@
 	VMs      []vmJSON `json:"vms"`
 }
 
+// check refuses what can't be a list. A VM without a zone or an address still
+// counts as one.
+func (l *listJSON) check() error {
+	if l.Revision == 0 {
+		return errNoRevision
+	}
+	seen := make(map[string]bool, len(l.VMs))
+	for _, v := range l.VMs {
+		if v.ID == "" || seen[v.ID] {
+			return &EntryError{Entry: v.ID, Message: "a VM's id must be set and unique"}
+		}
+		seen[v.ID] = true
+	}
+	return nil
+}
+
 // VMs returns the VM list as soon as its revision exceeds since, or
 // ErrNotModified after wait. A negative since asks for the list at once.
 func (c *Client) VMs(since int64, wait time.Duration) (membership.List, error) {
 	var raw listJSON
-	if err := c.getJSON("/v1/vms"+watchQuery(since, wait), wait, &raw); err != nil {
+	if err := c.getJSON(callList, "/v1/vms"+watchQuery(since, wait), wait, &raw, raw.check); err != nil {
 		return membership.List{}, err
 	}
 	vms := make([]membership.VM, 0, len(raw.VMs))
@@ -150,22 +223,26 @@
 	return fmt.Sprintf("?since=%d&wait_ms=%d", since, wait.Milliseconds())
 }
 
-func (c *Client) getJSON(path string, wait time.Duration, out any) error {
-	return c.get(path, wait, func(resp *fasthttp.Response) error {
-		return json.Unmarshal(resp.Body(), out)
+func (c *Client) getJSON(kind call, path string, wait time.Duration, out any, check func() error) error {
+	return c.get(kind, path, wait, func(resp *fasthttp.Response) error {
+		if err := json.Unmarshal(resp.Body(), out); err != nil {
+			return err
+		}
+		return check()
 	})
 }
 
 // get calls the next replica once and hands a 200 answer to read.
-func (c *Client) get(path string, wait time.Duration, read func(*fasthttp.Response) error) error {
-	base := c.bases[c.next.Add(1)%uint64(len(c.bases))]
+func (c *Client) get(kind call, path string, wait time.Duration, read func(*fasthttp.Response) error) error {
+	base := c.bases[c.next[kind].Add(1)%uint64(len(c.bases))]
 	target := base + path
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	req.URI().DisablePathNormalizing = true
 	req.SetRequestURI(target)
 	c.reads.Add(1)
-	if err := c.http.DoTimeout(req, resp, wait+callTimeout); err != nil {
+	if err := c.http.DoTimeout(req, resp, wait+c.patience); err != nil {
 		return &CallError{URL: target, Err: err}
 	}
 	switch resp.StatusCode() {
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,172 @@
+package platform
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+)
+
+// serve answers on a loopback port and returns the base URL and the number of
+// connections that were opened.
+func serve(t *testing.T, handler fasthttp.RequestHandler) (string, *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened := &atomic.Int64{}
+	server := &fasthttp.Server{Handler: handler, ConnState: func(_ net.Conn, s fasthttp.ConnState) {
+		if s == fasthttp.StateNew {
+			opened.Add(1)
+		}
+	}}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = ln.Close() })
+	return "http://" + ln.Addr().String(), opened
+}
+
+func answer(body string) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(body) }
+}
+
+func TestAnswersThatAreRefused(t *testing.T) {
+	vm := `{"id":"a","zone":"z","peer_address":"127.0.0.1:1","state":"live"}`
+	for name, body := range map[string]string{
+		"garbage":               "<html>",
+		"nothing":               "",
+		"truncated":             `{"revision":3,"files":[`,
+		"another document":      `{"error":"busy"}`,
+		"null":                  `null`,
+		"no revision":           `{"files":[{"name":"a.json","revision":1}],"vms":[` + vm + `]}`,
+		"a file from later":     `{"revision":3,"files":[{"name":"a.json","revision":4}],"vms":[{"id":"","state":"live"}]}`,
+		"twice the same":        `{"revision":3,"files":[{"name":"a.json","revision":1},{"name":"a.json","revision":2}],"vms":[` + vm + "," + vm + `]}`,
+		"a file without a name": `{"revision":3,"files":[{"name":"","revision":1}],"vms":[{"zone":"z","peer_address":"127.0.0.1:1"}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			base, _ := serve(t, answer(body))
+			c := New([]string{base})
+			var call *CallError
+			if _, err := c.Index(-1, 0); !errors.As(err, &call) {
+				t.Errorf("index: %v", err)
+			}
+			if _, err := c.VMs(-1, 0); !errors.As(err, &call) {
+				t.Errorf("list: %v", err)
+			}
+		})
+	}
+}
+
+// TestEachKindOfCallGoesRound alternates two kinds of calls, as a reader does,
+// over a replica that is down and one that is not.
+func TestEachKindOfCallGoesRound(t *testing.T) {
+	down, _ := serve(t, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusServiceUnavailable) })
+	up, _ := serve(t, answer(`{"revision":3,"files":[],"vms":[]}`))
+	c := New([]string{down, up})
+	index, list := 0, 0
+	for range 4 {
+		if _, err := c.Index(-1, 0); err == nil {
+			index++
+		}
+		if _, err := c.VMs(-1, 0); err == nil {
+			list++
+		}
+	}
+	if index != 2 || list != 2 {
+		t.Errorf("of 4 calls each, %d of the index and %d of the list were answered", index, list)
+	}
+	if c.Reads() != 8 {
+		t.Errorf("%d reads counted", c.Reads())
+	}
+}
+
+// TestFileNamesArriveAsTheyAre requires that no name leads to another call.
+func TestFileNamesArriveAsTheyAre(t *testing.T) {
+	var path string
+	base, _ := serve(t, func(ctx *fasthttp.RequestCtx) {
+		path = string(ctx.Request.Header.RequestURI())
+		ctx.Response.Header.Set("X-Revision", "7")
+	})
+	c := New([]string{base})
+	for name, want := range map[string]string{
+		"10-a.json":    "10-a.json",
+		"a/../b.json":  "a%2F..%2Fb.json",
+		"..":           "..",
+		"a%2Fb.json":   "a%252Fb.json",
+		"a?b=1.json":   "a%3Fb=1.json",
+		"a#b.json":     "a%23b.json",
+		"ž a.json":     "%C5%BE%20a.json",
+		"a\r\nX: b":    "a%0D%0AX:%20b",
+		"../../v1/vms": "..%2F..%2Fv1%2Fvms",
+	} {
+		f, err := c.File(name)
+		if err != nil || f.Name != name || f.Revision != 7 {
+			t.Errorf("%q: %+v, %v", name, f, err)
+		}
+		if path != "/v1/config/files/"+want {
+			t.Errorf("%q was asked for as %q", name, path)
+		}
+	}
+}
+
+func TestFileAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		revision string
+		status   int
+		size     int
+		ok       bool
+	}{
+		"right":             {"7", 200, 1 << 20, true},
+		"over 1 MiB":        {"7", 200, 1<<20 + 1, true},
+		"far over":          {"7", 200, 8 << 20, true},
+		"no revision":       {"", 200, 1, false},
+		"wrong revision":    {"seven", 200, 1, false},
+		"revision zero":     {"0", 200, 1, false},
+		"an error's status": {"7", 500, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			base, opened := serve(t, func(ctx *fasthttp.RequestCtx) {
+				ctx.Response.Header.Set("X-Revision", test.revision)
+				ctx.SetStatusCode(test.status)
+				ctx.SetBodyString(strings.Repeat("x", test.size))
+			})
+			c := New([]string{base})
+			for range 3 {
+				f, err := c.File("a.json")
+				if (err == nil) != test.ok {
+					t.Errorf("error: %v", err)
+				}
+				if len(f.Content) > catalog.MaxFileSize+1 || test.ok && len(f.Content) < min(test.size, catalog.MaxFileSize+1) {
+					t.Errorf("%d bytes of %d were kept", len(f.Content), test.size)
+				}
+			}
+			if test.ok && opened.Load() != 1 {
+				t.Errorf("%d connections for 3 calls", opened.Load())
+			}
+		})
+	}
+}
+
+// TestHangingReplica requires that a call ends with its wait and that nothing
+// holds on to the connection.
+func TestHangingReplica(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	base, _ := serve(t, func(*fasthttp.RequestCtx) { <-release })
+	c := New([]string{base})
+	c.patience = 50 * time.Millisecond
+	for range 3 {
+		if _, err := c.Index(1, 0); !errors.Is(err, fasthttp.ErrTimeout) {
+			t.Errorf("error: %v", err)
+		}
+	}
+	if n := c.http.ConnsCount(); n != 0 {
+		t.Errorf("%d connections are held", n)
+	}
+}
