Bound the operators' listener and refuse what it doesn't know

Cause: the listener had no limit on connections or on the time to read a request; a kept connection never ended. The HTTP library's own log lines, which quote requests, went to standard error. /audit took any garbage as "since=0", so that a script with a mistake got the whole trail; a POST was answered like a GET. Counters of invariants appeared only after a violation, so that no alert could be written on them. Label values were quoted as Go does, which the metrics' format doesn't know (\x00).

Change: 64 connections, 8 KiB of headers, 5 s for a request, 2 minutes idle; 405 but for GET and HEAD; 400 for a wrong "since"; 413 and 431 are told from 400; ryecourse_invariant_violations is always shown, the counts by name besides. Labels are escaped as the format asks.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,9 +5,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/pprofhandler"
@@ -16,8 +18,19 @@
 	"ryecourse.example/ryecourse/internal/telemetry"
 )
 
-// maxRequestBytes bounds an operator's request. None of them has a body.
-const maxRequestBytes = 4 << 10
+const (
+	// maxRequestBytes bounds an operator's request. None of them has a body.
+	maxRequestBytes = 4 << 10
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 8 << 10
+	// maxConnections bounds the open connections.
+	maxConnections = 64
+	// readTimeout bounds the time in which a request arrives.
+	readTimeout = 5 * time.Second
+	// idleTimeout ends kept connections without a request. Scrapers come more
+	// often.
+	idleTimeout = 2 * time.Minute
+)
 
 // Source is what the daemon tells operators.
 type Source interface {
@@ -41,12 +54,38 @@
 	s.http = &fasthttp.Server{
 		Name:               "ryecourse",
 		Handler:            s.handle,
+		ErrorHandler:       badRequest,
 		MaxRequestBodySize: maxRequestBytes,
+		ReadBufferSize:     maxHeaderBytes,
+		ReadTimeout:        readTimeout,
+		IdleTimeout:        idleTimeout,
+		Concurrency:        maxConnections,
 		CloseOnShutdown:    true,
+		Logger:             silent{},
 	}
 	return s
 }
 
+// silent drops fasthttp's own log lines, which would quote requests.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// badRequest answers what fasthttp could not read.
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		ctx.Error("the headers are too large\n", fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		ctx.Error("no request here has a body\n", fasthttp.StatusRequestEntityTooLarge)
+	default:
+		ctx.Error("not a valid request, or too slow\n", fasthttp.StatusBadRequest)
+	}
+	ctx.SetConnectionClose()
+}
+
 // Serve answers on the listener until Shutdown.
 func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
 
@@ -54,6 +93,10 @@
 func (s *Server) Shutdown() error { return s.http.Shutdown() }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsGet() && !ctx.IsHead() {
+		ctx.Error("only GET and HEAD\n", fasthttp.StatusMethodNotAllowed)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/livez":
 		ctx.SetBodyString("ok\n")
@@ -65,8 +108,7 @@
 	case "/status":
 		writeJSON(ctx, s.source.Status())
 	case "/audit":
-		since, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("since")), 10, 64)
-		writeJSON(ctx, s.trail.Since(since))
+		s.audit(ctx)
 	default:
 		if strings.HasPrefix(string(ctx.Path()), "/debug/pprof/") {
 			pprofhandler.PprofHandler(ctx)
@@ -76,6 +118,19 @@
 	}
 }
 
+// audit answers the entries after the sequence number since, all without it.
+func (s *Server) audit(ctx *fasthttp.RequestCtx) {
+	var since uint64
+	if args := ctx.QueryArgs(); args.Has("since") {
+		var err error
+		if since, err = strconv.ParseUint(string(args.Peek("since")), 10, 64); err != nil {
+			ctx.Error("since must be the sequence number of an entry\n", fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	writeJSON(ctx, s.trail.Since(since))
+}
+
 func (s *Server) ready(ctx *fasthttp.RequestCtx) {
 	ok, why := s.source.Ready()
 	if !ok {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,12 +1,16 @@
 // Package telemetry holds the metrics of a daemon.
 //
-// Every metric is named ryecourse_*. No label carries a key. The invariant
-// counters must stay zero.
+// Every metric is named ryecourse_*. No label carries a key. Labels hold names of
+// the configuration and codes of the program, so that callers can't add any.
+// ryecourse_invariant_violations must stay zero.
 package telemetry
 
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,25 +28,32 @@
 	return &Metrics{set: metrics.NewSet()}
 }
 
+// escaper quotes label values as the Prometheus text format asks for.
+var escaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+func label(name, value string) string {
+	return name + `="` + escaper.Replace(value) + `"`
+}
+
 // Request counts an answered or refused request of a customer.
 func (m *Metrics) Request(service, customer, code string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`ryecourse_requests_total{service=%q,customer=%q,code=%q}`, service, customer, code)).Inc()
+	m.set.GetOrCreateCounter(`ryecourse_requests_total{` + label("service", service) + "," + label("customer", customer) + "," + label("code", code) + "}").Inc()
 }
 
 // Latency records the duration of a query of a service.
 func (m *Metrics) Latency(service string, d time.Duration) {
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`ryecourse_query_seconds{service=%q}`, service)).Update(d.Seconds())
+	m.set.GetOrCreateHistogram(`ryecourse_query_seconds{` + label("service", service) + "}").Update(d.Seconds())
 }
 
 // Attempts counts the upstream requests of a query and how many were hedges.
 func (m *Metrics) Attempts(service string, attempts, hedges int) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`ryecourse_attempts_total{service=%q}`, service)).Add(attempts)
-	m.set.GetOrCreateCounter(fmt.Sprintf(`ryecourse_hedges_total{service=%q}`, service)).Add(hedges)
+	m.set.GetOrCreateCounter(`ryecourse_attempts_total{` + label("service", service) + "}").Add(attempts)
+	m.set.GetOrCreateCounter(`ryecourse_hedges_total{` + label("service", service) + "}").Add(hedges)
 }
 
 // Missing counts shards without an answer in partial answers.
 func (m *Metrics) Missing(service string, shards int) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`ryecourse_missing_shards_total{service=%q}`, service)).Add(shards)
+	m.set.GetOrCreateCounter(`ryecourse_missing_shards_total{` + label("service", service) + "}").Add(shards)
 }
 
 // Count adds to a counter without labels.
@@ -58,8 +69,17 @@
 // Write writes the page in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) {
 	m.set.WritePrometheus(w)
-	for name, n := range invariant.Violations() {
-		fmt.Fprintf(w, "ryecourse_invariant_violations_total{name=%q} %d\n", name, n)
-	}
+	writeViolations(w, invariant.Violations())
 	metrics.WriteProcessMetrics(w)
 }
+
+// writeViolations writes the sum always, for alerts to look at, and the count of
+// each violated invariant.
+func writeViolations(w io.Writer, counts map[string]uint64) {
+	var sum uint64
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		sum += counts[name]
+		fmt.Fprintf(w, "ryecourse_invariant_violations_total{%s} %d\n", label("name", name), counts[name])
+	}
+	fmt.Fprintf(w, "ryecourse_invariant_violations %d\n", sum)
+}
