--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -75,25 +75,3 @@
 	table(w)
 	return w.Flush()
 }
-
-func printAudit(w io.Writer, entries []audit.Entry) {
-	fmt.Fprintln(w, "SEQ\tTIME\tKIND\tSUBJECT\tVERSION\tCAUSE")
-	for _, e := range entries {
-		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%s\n", e.Seq, e.Time.Format(time.RFC3339), e.Kind, e.Subject, e.Version, e.Cause)
-		for _, d := range e.Details {
-			fmt.Fprintf(w, "\t\t\t\t\t%s\n", d)
-		}
-	}
-}
-
-func printStatus(w io.Writer, st *daemon.Status) {
-	fmt.Fprintf(w, "vm\t%s\n", st.VM)
-	fmt.Fprintf(w, "zone\t%s\n", st.Zone)
-	fmt.Fprintf(w, "ready\t%t (%s)\n", st.Ready, st.ReadyReason)
-	fmt.Fprintf(w, "configuration\tversion %d, digest %s\n", st.ConfigVersion, st.ConfigDigest)
-	fmt.Fprintf(w, "vm list\trevision %d, %d VMs, confirmed %d ms ago\n", st.ListRevision, st.VMs, st.ListAgeMs)
-	fmt.Fprintf(w, "platform reads\t%d, reader of its zone: %t\n", st.PlatformReads, st.Reader)
-	fmt.Fprintf(w, "quota\tslots %v, settled %t, supported by peers %t\n", st.Quota.Slots, st.Quota.Settled, st.Quota.Supported)
-	fmt.Fprintf(w, "routing\tshares in force %t, view current %t\n", st.Routing.Mature, st.Routing.ViewCurrent)
-	fmt.Fprintf(w, "running requests\t%d\n", st.Running)
-}
