--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -9,9 +9,10 @@
 )
 
 // maxViewAge is how long traffic may act on a view that the control goroutine
-// has not confirmed. The goroutine confirms it on every tick. A process that
-// was paused finds the view too old until the control goroutine has looked for
-// news.
+// has not confirmed. The goroutine confirms it on every tick. Traffic that wakes
+// first after a pause finds the view too old. After a pause of 2 s or more (see
+// package spread) it stays so until the control goroutine has looked for news;
+// after a shorter one, until the next tick.
 const maxViewAge = time.Second
 
 // View is what traffic goroutines read of the control state. It is immutable.
--- /dev/null
+++ b/internal/daemon/faults_test.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/standin/leaf"
+)
+
+// checkPause stops the control goroutine, as a pause of the process would, until
+// callers are refused and the pause is long enough to be checked. Then the daemon
+// looks for news and serves again.
+func checkPause(t *testing.T, n *node) {
+	before := n.trail.Since(0)
+	stopped, release, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.control.Call(t.Context(), func(time.Time) { close(stopped); <-release })
+	}()
+	<-stopped
+	began := time.Now()
+	n.world.waitFor("refusals", func() bool {
+		status, _ := n.query(testKey, anyQuery)
+		return status == http.StatusServiceUnavailable
+	})
+	if ok, _ := n.Ready(); ok {
+		t.Error("ready with an old view")
+	}
+	n.world.waitFor("a pause that is checked", func() bool { return time.Since(began) > 2*time.Second })
+	close(release)
+	<-ended
+	n.waitReady()
+	n.waitAnswer()
+	var kinds []string
+	for _, e := range n.trail.Since(before[len(before)-1].Seq) {
+		kinds = append(kinds, e.Kind)
+	}
+	paused, checked := slices.Index(kinds, "process_paused"), slices.Index(kinds, "not_ready")
+	if paused < 0 || checked < paused || slices.Index(kinds, "ready") < checked {
+		t.Errorf("the audit trail shows %v", kinds)
+	}
+}
+
+// checkShutdown stops the daemon under a running request.
+func checkShutdown(t *testing.T, n *node) {
+	for _, l := range n.world.leaves {
+		n.world.must(l.SetPolicy(func(p *leaf.Policy) error { p.ServiceMS = 1000; return nil }))
+	}
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := n.query(testKey, anyQuery)
+		answered <- status
+	}()
+	n.world.waitFor("a running request", func() bool { return n.callers.Running() == 1 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.stop() }()
+	n.world.waitFor("not ready", func() bool { ok, _ := n.Ready(); return !ok })
+	// The listener may be gone already on a slow machine.
+	resp, err := http.Post("http://"+n.caller+"/v1/services/proof-studio/query", "application/json", http.NoBody)
+	if err == nil {
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a request while draining: %d", resp.StatusCode)
+		}
+	}
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("the running request was answered %d", status)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	for _, addr := range []string{n.caller, n.operator, n.peer} {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			_ = c.Close()
+			t.Errorf("%s still listens", addr)
+		}
+	}
+}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -24,6 +24,8 @@
 	}
 	t.Run("page", func(t *testing.T) { checkPage(t, n) })
 	t.Run("keys", func(t *testing.T) { checkNoKeys(t, n) })
+	t.Run("pause", func(t *testing.T) { checkPause(t, n) })
+	t.Run("shutdown", func(t *testing.T) { checkShutdown(t, n) })
 }
 
 // TestPlatformDown takes the platform down once two daemons have read it, and
