--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
 	"ryecourse.example/ryecourse/internal/core/routing"
@@ -61,6 +62,10 @@
 	calls pond.Pool
 	reads pond.Pool
 
+	// lists and fileSets are the past states from which changes are told.
+	lists    *history[uint64, *membership.List]
+	fileSets *history[string, *catalog.FileSet]
+
 	serving bool
 	startup startup
 	// noticing holds the addresses to which a notice is on its way.
@@ -79,6 +84,8 @@
 		calls: pond.NewPool(maxCalls, pond.WithQueueSize(callQueue), pond.WithNonBlocking(true)),
 		reads: pond.NewPool(maxReads),
 
+		lists:    newHistory[uint64, *membership.List](),
+		fileSets: newHistory[string, *catalog.FileSet](),
 		noticing: make(map[string]bool),
 	}
 }
--- a/internal/soak/query.go
+++ b/internal/soak/query.go
@@ -68,6 +68,9 @@
 		q.refuse(verdict.Refuse(verdict.CodeUnknownKey, 0, "unknown key"))
 		return
 	}
+	if h := q.vm.world.hooks.owner; h != nil {
+		customer = h(cat, customer)
+	}
 	q.vm.world.check.authenticated(q, customer.Name)
 	q.service = cat.Services[service]
 	q.admit(customer, q.vm.admit, q.now().Add(quota.FetchPatience))
