--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,37 @@
+package capacity
+
+// Point is one measured value at one size.
+type Point struct{ X, Y float64 }
+
+// Line is a linear cost.
+type Line struct{ Base, PerUnit float64 }
+
+// At returns the cost at a size.
+func (l Line) At(x float64) float64 { return l.Base + l.PerUnit*x }
+
+// Fit returns the line with the least squared error through the points. One
+// point gives a constant. A negative base, which noise can give, is refitted as
+// a line through the origin.
+func Fit(points []Point) Line {
+	n := float64(len(points))
+	if n == 0 {
+		return Line{}
+	}
+	var x, y, xx, xy float64
+	for _, p := range points {
+		x += p.X
+		y += p.Y
+		xx += p.X * p.X
+		xy += p.X * p.Y
+	}
+	spread := n*xx - x*x
+	if spread == 0 {
+		return Line{Base: y / n}
+	}
+	slope := (n*xy - x*y) / spread
+	base := (y - slope*x) / n
+	if base < 0 {
+		return Line{PerUnit: xy / xx}
+	}
+	return Line{Base: base, PerUnit: slope}
+}
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,91 @@
+// Package capacity works out what each duty of a daemon costs at a given size
+// of the fleet, from slopes that benchmarks of this repository measured.
+//
+// The measured points are the raw output of `go test -bench`, kept in
+// measured.txt. The package has no I/O besides reading that embedded file.
+package capacity
+
+// secondsPerDay converts daily counts to rates.
+const secondsPerDay = 24 * 60 * 60
+
+// Fleet is the size of a fleet and its load.
+type Fleet struct {
+	// Name heads the columns of the tables.
+	Name string
+	// Daemons, Zones and Upstreams count the fleet's parts.
+	Daemons, Zones, Upstreams float64
+	// Services and Customers are what the configuration holds.
+	Services, Customers float64
+	// ActiveCustomers are those with requests at one daemon.
+	ActiveCustomers float64
+	// Files is the number of configuration files.
+	Files float64
+	// Connections is the limit of one upstream over all VMs.
+	Connections float64
+	// QueriesPerSecond is the load of the fleet, and ShardsPerQuery the
+	// upstreams that one query asks.
+	QueriesPerSecond, ShardsPerQuery float64
+	// ChangesPerDay and RestartsPerDay are a day's configuration changes and
+	// restarts or replacements of VMs.
+	ChangesPerDay, RestartsPerDay float64
+	// ListChangesPerRestart is how often one restart changes the VM list.
+	ListChangesPerRestart float64
+}
+
+// Letter is the size that the page plans for. The numbers of customers,
+// services and files and of their connections are assumptions of the page.
+func Letter() Fleet {
+	return Fleet{
+		Name: "planned", Daemons: 2100, Zones: 20, Upstreams: 91000,
+		Services: 234, Customers: 2340, ActiveCustomers: 234, Files: 2575, Connections: 30,
+		QueriesPerSecond: 2.2e6, ShardsPerQuery: 130,
+		ChangesPerDay: 10000, RestartsPerDay: 37000, ListChangesPerRestart: 2,
+	}
+}
+
+// Today is the size of one of today's fleets.
+func Today() Fleet {
+	return Fleet{
+		Name: "today", Daemons: 9, Zones: 4, Upstreams: 113,
+		Services: 4, Customers: 8, ActiveCustomers: 8, Files: 17, Connections: 30,
+		QueriesPerSecond: 500, ShardsPerQuery: 15,
+		ChangesPerDay: 20, RestartsPerDay: 9, ListChangesPerRestart: 2,
+	}
+}
+
+// ZoneDaemons returns the daemons of one zone.
+func (f Fleet) ZoneDaemons() float64 { return f.Daemons / f.Zones }
+
+// ChangesPerSecond returns the rate of configuration changes.
+func (f Fleet) ChangesPerSecond() float64 { return f.ChangesPerDay / secondsPerDay }
+
+// ListsPerSecond returns the rate of changes of the VM list.
+func (f Fleet) ListsPerSecond() float64 {
+	return f.RestartsPerDay * f.ListChangesPerRestart / secondsPerDay
+}
+
+// QueriesPerDaemon returns one daemon's queries per second.
+func (f Fleet) QueriesPerDaemon() float64 { return f.QueriesPerSecond / f.Daemons }
+
+// AttemptsPerDaemon returns one daemon's upstream requests per second, hedges
+// left out.
+func (f Fleet) AttemptsPerDaemon() float64 { return f.QueriesPerDaemon() * f.ShardsPerQuery }
+
+// Budget is what one daemon may spend on control.
+type Budget struct {
+	// CoreShare is processor time per second of one core.
+	CoreShare float64
+	// Bytes is memory.
+	Bytes float64
+	// BytesPerSecond is what it sends to peers.
+	BytesPerSecond float64
+	// ReadsPerSecond is of the platform's service, over the whole fleet.
+	ReadsPerSecond float64
+	// SecondsToAll is the time for a change to be in force everywhere.
+	SecondsToAll float64
+}
+
+// Target returns the budget at the planned size.
+func Target() Budget {
+	return Budget{CoreShare: 0.014, Bytes: 128 << 20, BytesPerSecond: 8 << 10, ReadsPerSecond: 2000, SecondsToAll: 11}
+}
