--- /dev/null
+++ b/internal/control/capacity_bench_test.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/lease"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/routing"
+	"ryecourse.example/ryecourse/internal/core/spread"
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+)
+
+// The benchmarks of this file give the size of each message between daemons,
+// without the framing of HTTP, and the time to build and encode it.
+
+func benchSender() *peerv1.Sender {
+	return &peerv1.Sender{Fleet: "cz-central", Vm: "vm-cz-a-0123", Incarnation: 1 << 63, Zone: "cz-a"}
+}
+
+// encode builds and encodes a message in each iteration.
+func encode(b *testing.B, unit string, build func() proto.Message) {
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		out, err := proto.Marshal(build())
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(out)
+	}
+	b.ReportMetric(float64(size), unit)
+}
+
+func benchDigest() spread.Digest {
+	return spread.Digest{Version: 1 << 30, Digest: fmt.Sprintf("%064x", 7), ListRevision: 1 << 30, ListAge: time.Second}
+}
+
+func BenchmarkWireExchange(b *testing.B) {
+	encode(b, "B/msg", func() proto.Message {
+		return &peerv1.ExchangeRequest{Sender: benchSender(), Digest: digestToWire(benchDigest())}
+	})
+}
+
+func BenchmarkWireProbe(b *testing.B) {
+	claim := lease.Digest{Revision: 1 << 30, Settled: true}
+	encode(b, "B/msg", func() proto.Message {
+		return &peerv1.ProbeRequest{Sender: benchSender(), Claim: claimToWire(claim)}
+	})
+}
+
+func BenchmarkWireList(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2100} {
+		list := &membership.List{Revision: 1 << 30}
+		for i := range n {
+			list.VMs = append(list.VMs, membership.VM{
+				ID:          fmt.Sprintf("vm-cz-a-%04d", i),
+				Zone:        fmt.Sprintf("cz-%02d", i%20),
+				PeerAddress: fmt.Sprintf("10.20.%d.%d:7401", i>>8, i&255),
+			})
+		}
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			encode(b, "B/msg", func() proto.Message { return listToWire(list) })
+		})
+	}
+}
+
+// BenchmarkWireNames gives the size of the names in a request for files, which
+// the answer repeats.
+func BenchmarkWireNames(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2500} {
+		var have []catalog.FileRevision
+		for i := range n {
+			have = append(have, catalog.FileRevision{Name: fmt.Sprintf("30-customer-%04d.json", i), Revision: 1<<30 + uint64(i)})
+		}
+		b.Run(fmt.Sprintf("files=%d", n), func(b *testing.B) {
+			encode(b, "B/msg", func() proto.Message {
+				return &peerv1.FetchFilesRequest{Sender: benchSender(), Have: revisionsToWire(have)}
+			})
+		})
+	}
+}
+
+func BenchmarkWireLend(b *testing.B) {
+	share := lease.Share{Rate: 12_345_678, Capacity: 23_456_789, Tokens: 3_456_789}
+	for _, n := range []int{1, 10, 100, 1000} {
+		req := quota.LendRequest{ID: 1 << 20}
+		resp := quota.LendResponse{ID: 1 << 20, Term: lease.LoanTerm}
+		for i := range n {
+			name := fmt.Sprintf("customer-%04d", i)
+			req.Wants = append(req.Wants, lease.Want{Limit: name, Want: share, Have: share})
+			resp.Grants = append(resp.Grants, quota.Grant{Customer: name, Share: share, Spare: share.Rate})
+		}
+		b.Run(fmt.Sprintf("wants=%d", n), func(b *testing.B) {
+			encode(b, "B/msg", func() proto.Message { return lendToWire(benchSender(), req) })
+			b.ReportMetric(float64(proto.Size(lendResponseToWire(resp))), "B/answer")
+		})
+	}
+}
+
+func BenchmarkWireRamps(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 256} {
+		var questions []routing.RampQuestion
+		var answers []routing.RampAnswer
+		for i := range n {
+			id := fmt.Sprintf("catalogue-%05d", i)
+			questions = append(questions, routing.RampQuestion{Upstream: id, WantPermit: true})
+			answers = append(answers, routing.RampAnswer{
+				Upstream: id, Notice: &routing.RampNotice{Upstream: id, Instance: "i-0123456789", Stage: 3, Age: time.Second},
+			})
+		}
+		b.Run(fmt.Sprintf("questions=%d", n), func(b *testing.B) {
+			encode(b, "B/msg", func() proto.Message {
+				return &peerv1.AskRampsRequest{Sender: benchSender(), Questions: questionsToWire(questions)}
+			})
+			b.ReportMetric(float64(proto.Size(&peerv1.AskRampsResponse{Answers: answersToWire(answers)})), "B/answer")
+		})
+	}
+}
+
+func BenchmarkWireNotice(b *testing.B) {
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			encode(b, "B/msg", func() proto.Message {
+				req := &peerv1.NotifyRequest{Sender: benchSender()}
+				for i := range n {
+					req.Ramps = append(req.Ramps, rampToWire(routing.RampNotice{
+						Upstream: fmt.Sprintf("catalogue-%05d", i), Instance: "i-0123456789", Stage: 3, Age: time.Second,
+					}))
+				}
+				return req
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/quota/capacity_bench_test.go
@@ -0,0 +1,244 @@
+package quota_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/catalog"
+	"ryecourse.example/ryecourse/internal/core/membership"
+	"ryecourse.example/ryecourse/internal/core/quota"
+	"ryecourse.example/ryecourse/internal/core/quota/quotasim"
+)
+
+// timed adds up the time that a VM's control spends in the manager.
+type timed struct {
+	*quota.Manager
+	spent *time.Duration
+}
+
+func (t timed) stop(start time.Time) { *t.spent += time.Since(start) }
+
+func (t timed) Tick(now time.Time) []quota.Action {
+	defer t.stop(time.Now())
+	return t.Manager.Tick(now)
+}
+
+func (t timed) OnDigest(now, askedAt time.Time, d quota.Digest) []quota.Action {
+	defer t.stop(time.Now())
+	return t.Manager.OnDigest(now, askedAt, d)
+}
+
+func (t timed) OnProbe(now time.Time, from quota.Digest) (quota.Digest, []quota.Action) {
+	defer t.stop(time.Now())
+	return t.Manager.OnProbe(now, from)
+}
+
+func (t timed) OnLend(now time.Time, r quota.LendRequest) (quota.LendResponse, []quota.Action) {
+	defer t.stop(time.Now())
+	return t.Manager.OnLend(now, r)
+}
+
+func (t timed) OnGranted(now time.Time, lender string, r quota.LendResponse) []quota.Action {
+	defer t.stop(time.Now())
+	return t.Manager.OnGranted(now, lender, r)
+}
+
+// tally counts a fleet's messages and actions.
+type tally struct {
+	probes, lends, wants, releases, returns, audits float64
+	probed                                          map[string]int
+}
+
+func (c *tally) watch(_ *quotasim.Node, a quota.Action) {
+	switch a := a.(type) {
+	case quota.Probe:
+		c.probes++
+		c.probed[a.To.ID]++
+	case quota.SendLend:
+		c.lends++
+		c.wants += float64(len(a.Request.Wants))
+	case quota.SendRelease:
+		c.releases++
+		c.returns += float64(len(a.Release.Returned))
+	case quota.Audit:
+		c.audits++
+	}
+}
+
+func capacityVMs(zones, size int) ([]membership.VM, []string) {
+	var vms []membership.VM
+	var names []string
+	for i := range zones {
+		names = append(names, fmt.Sprintf("z%02d", i))
+	}
+	for i := range size {
+		vms = append(vms, membership.VM{ID: fmt.Sprintf("vm-%04d", i), Zone: names[i%zones]})
+	}
+	return vms, names
+}
+
+func capacityCustomers(n int) []catalog.Customer {
+	var out []catalog.Customer
+	for i := range n {
+		out = append(out, catalog.Customer{Name: fmt.Sprintf("customer-%04d", i), Rate: 400, Burst: 400})
+	}
+	return out
+}
+
+// runFleet runs a fleet with even demand, at half of each customer's limit, and
+// reports each VM's costs per virtual second.
+func runFleet(b *testing.B, vms []membership.VM, zones []string, customers int, rest, watched time.Duration) {
+	limits := capacityCustomers(customers)
+	var spent time.Duration
+	f := quotasim.NewFleet(1)
+	f.New = func(p quota.Params) quotasim.Daemon { return timed{quota.New(p), &spent} }
+	f.PublishCatalog(limits, zones)
+	f.PublishList(vms)
+	for _, vm := range vms {
+		n := f.Start(vm)
+		demand(f, n, limits, len(vms))
+	}
+	f.Run(rest)
+	count := tally{probed: make(map[string]int)}
+	f.OnAction = count.watch
+	spent = 0
+	f.Run(rest + watched)
+	per := float64(len(vms)) * watched.Seconds()
+	most := 0
+	for _, n := range count.probed {
+		most = max(most, n)
+	}
+	b.ReportMetric(count.probes/per, "probes/s")
+	b.ReportMetric(float64(most)/watched.Seconds(), "probed-most/s")
+	b.ReportMetric(count.lends/per, "lends/s")
+	b.ReportMetric(count.wants/per, "wants/s")
+	b.ReportMetric(count.releases/per, "releases/s")
+	b.ReportMetric(count.returns/per, "returns/s")
+	b.ReportMetric(count.audits/per, "audits/s")
+	b.ReportMetric(float64(spent.Nanoseconds())/per, "ctl-ns/s")
+}
+
+// demand makes a VM ask for each customer at an even part of half its rate.
+func demand(f *quotasim.Fleet, n *quotasim.Node, limits []catalog.Customer, vms int) {
+	const step = 20 * time.Millisecond
+	owed := 0.0
+	var ask func()
+	ask = func() {
+		owed += limits[0].Rate / 2 / float64(vms) * step.Seconds()
+		for ; owed >= 1; owed-- {
+			for i := range limits {
+				n.Daemon.Admit(f.Time(), limits[i].Name)
+			}
+		}
+		f.At(step, n, ask)
+	}
+	f.At(step, n, ask)
+}
+
+const (
+	fleetRest    = 12 * time.Second
+	fleetWatched = 6 * time.Second
+)
+
+// BenchmarkFleetCustomers reports the costs of active customers in a fleet of 9.
+func BenchmarkFleetCustomers(b *testing.B) {
+	for _, customers := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			for b.Loop() {
+				runFleet(b, quotasim.Nine(), quotasim.FourZones(), customers, fleetRest, fleetWatched)
+			}
+		})
+	}
+}
+
+// BenchmarkFleetVMs reports the costs of the slots of one customer by the size
+// of the fleet.
+func BenchmarkFleetVMs(b *testing.B) {
+	for _, size := range []struct{ zones, vms int }{{4, 9}, {4, 40}, {4, 100}, {4, 200}, {4, 420}} {
+		b.Run(fmt.Sprintf("vms=%d", size.vms), func(b *testing.B) {
+			vms, zones := capacityVMs(size.zones, size.vms)
+			for b.Loop() {
+				runFleet(b, vms, zones, 1, 40*time.Second, 3*time.Second)
+			}
+		})
+	}
+}
+
+// BenchmarkOnList measures a new list of VMs.
+func BenchmarkOnList(b *testing.B) {
+	for _, size := range []int{10, 100, 1000, 2100} {
+		b.Run(fmt.Sprintf("vms=%d", size), func(b *testing.B) {
+			vms, _ := capacityVMs(20, size)
+			m := quota.New(quota.Params{Self: vms[0], Incarnation: 1, Started: quotasim.Base})
+			revision := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				revision++
+				m.OnList(quotasim.Base, &membership.List{Revision: revision, VMs: vms}, quotasim.Base)
+			}
+		})
+	}
+}
+
+// BenchmarkTickVMs measures a tick by the number of VMs, without customers.
+func BenchmarkTickVMs(b *testing.B) {
+	for _, size := range []int{10, 100, 1000, 2100} {
+		b.Run(fmt.Sprintf("vms=%d", size), func(b *testing.B) {
+			vms, _ := capacityVMs(20, size)
+			m := quota.New(quota.Params{Self: vms[0], Incarnation: 1, Started: quotasim.Base})
+			m.OnList(quotasim.Base, &membership.List{Revision: 1, VMs: vms}, quotasim.Base)
+			now := quotasim.Base
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
+				m.Tick(now)
+			}
+		})
+	}
+}
+
+// BenchmarkCustomers measures a tick and a new configuration by the number of
+// customers without requests, and the memory of each.
+func BenchmarkCustomers(b *testing.B) {
+	for _, customers := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			_, zones := capacityVMs(20, 0)
+			c := &catalog.Catalog{Version: 1, Customers: map[string]*catalog.Customer{}, Zones: map[string]*catalog.Zone{}}
+			limits := capacityCustomers(customers)
+			for i := range limits {
+				c.Customers[limits[i].Name] = &limits[i]
+			}
+			for _, z := range zones {
+				c.Zones[z] = &catalog.Zone{Name: z}
+			}
+			before := inUse()
+			m := quota.New(quota.Params{Self: membership.VM{ID: "vm", Zone: zones[0]}, Incarnation: 1, Started: quotasim.Base})
+			m.OnCatalog(quotasim.Base, c)
+			held := inUse() - before
+			now := quotasim.Base
+			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
+				m.Tick(now)
+			}
+			b.ReportMetric(float64(held), "B-held")
+			start := time.Now()
+			const changes = 5
+			for range changes {
+				c.Version++
+				m.OnCatalog(now, c)
+			}
+			b.ReportMetric(float64(time.Since(start).Nanoseconds())/changes, "ns/change")
+		})
+	}
+}
+
+func inUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+var _ quotasim.Daemon = timed{}
--- /dev/null
+++ b/internal/peer/capacity_bench_test.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
+	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
+)
+
+// stub answers probes, and exchanges with its list.
+type stub struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	list  *peerv1.VMList
+	names []*peerv1.FileRevision
+}
+
+func (s *stub) Probe(context.Context, *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	return &peerv1.ProbeResponse{Sender: benchSender(), Claim: &peerv1.Claim{ListRevision: 1 << 30, Settled: true}}, nil
+}
+
+func (s *stub) Exchange(context.Context, *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	return &peerv1.ExchangeResponse{Sender: benchSender(), List: s.list}, nil
+}
+
+func benchSender() *peerv1.Sender {
+	return &peerv1.Sender{Fleet: "cz-central", Vm: "vm-cz-a-0123", Incarnation: 1 << 63, Zone: "cz-a"}
+}
+
+func (s *stub) FetchFiles(context.Context, *peerv1.FetchFilesRequest) (*peerv1.FetchFilesResponse, error) {
+	content := []byte(`{"customers":{"customer-0001":{"rate":10,"burst":20}}}`)
+	return &peerv1.FetchFilesResponse{All: s.names, Files: []*peerv1.File{{Name: "f", Revision: 1, Content: content}}}, nil
+}
+
+// benchList has names that don't follow from each other, so that they compress
+// no better than a platform's would.
+func benchList(n int) *peerv1.VMList {
+	rng := rand.New(rand.NewPCG(1, 2))
+	list := &peerv1.VMList{Revision: 1 << 30}
+	for i := range n {
+		list.Vms = append(list.Vms, &peerv1.VM{
+			Id:          fmt.Sprintf("vm-%010x", rng.Uint64()>>24),
+			Zone:        fmt.Sprintf("cz-%02d", i%20),
+			PeerAddress: fmt.Sprintf("10.%d.%d.%d:7401", rng.IntN(256), rng.IntN(256), rng.IntN(256)),
+		})
+	}
+	return list
+}
+
+func benchNames(n int) []*peerv1.FileRevision {
+	rng := rand.New(rand.NewPCG(3, 4))
+	var out []*peerv1.FileRevision
+	for i := range n {
+		out = append(out, &peerv1.FileRevision{
+			Name: fmt.Sprintf("30-customer-%04d.json", i), Revision: 1<<30 + rng.Uint64N(10000*365),
+		})
+	}
+	return out
+}
+
+// countingListener counts the bytes that its connections carry.
+type countingListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	l *countingListener
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConn{Conn: c, l: l}, err
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.l.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.l.out.Add(int64(n))
+	return n, err
+}
+
+func listen(b *testing.B, h *stub) *countingListener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	counting := &countingListener{Listener: ln}
+	server := NewServer(Identity{Fleet: "f", Secret: "s"}, h, func(string, string) {})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(counting) }()
+	b.Cleanup(func() {
+		_ = server.Shutdown(context.Background())
+		<-served
+	})
+	return counting
+}
+
+// processorTime returns the time that this process has spent on processors.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// measure runs calls and reports the processor time of both ends together, and
+// the bytes that each end sends.
+func measure(b *testing.B, ln *countingListener, call func() error) {
+	if err := call(); err != nil { // opens the connection
+		b.Fatal(err)
+	}
+	in, out, cpu := ln.in.Load(), ln.out.Load(), processorTime(b)
+	for b.Loop() {
+		if err := call(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	n := float64(b.N)
+	b.ReportMetric(float64(processorTime(b)-cpu)/n, "cpu-ns/call")
+	b.ReportMetric(float64(ln.in.Load()-in)/n, "B-sent/call")
+	b.ReportMetric(float64(ln.out.Load()-out)/n, "B-answered/call")
+}
+
+// BenchmarkCall measures a probe over loopback, HTTP included.
+func BenchmarkCall(b *testing.B) {
+	ln := listen(b, &stub{})
+	client := NewClient(Identity{Fleet: "f", Secret: "s"})
+	req := &peerv1.ProbeRequest{Sender: benchSender(), Claim: &peerv1.Claim{ListRevision: 1 << 30, Settled: true}}
+	measure(b, ln, func() error {
+		_, err := client.Probe(ln.Addr().String(), req)
+		return err
+	})
+}
+
+// BenchmarkCallWithList measures an exchange that carries a VM list.
+func BenchmarkCallWithList(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2100} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			list := benchList(n)
+			ln := listen(b, &stub{list: list})
+			client := NewClient(Identity{Fleet: "f", Secret: "s"})
+			req := &peerv1.ExchangeRequest{Sender: benchSender(), Digest: &peerv1.Digest{ConfigVersion: 1 << 30}}
+			measure(b, ln, func() error {
+				_, err := client.Exchange(ln.Addr().String(), req)
+				return err
+			})
+		})
+	}
+}
+
+// BenchmarkCallForFiles measures the fetching of one changed file.
+func BenchmarkCallForFiles(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2500} {
+		b.Run(fmt.Sprintf("files=%d", n), func(b *testing.B) {
+			names := benchNames(n)
+			ln := listen(b, &stub{names: names})
+			client := NewClient(Identity{Fleet: "f", Secret: "s"})
+			req := &peerv1.FetchFilesRequest{Sender: benchSender(), Have: names}
+			measure(b, ln, func() error {
+				_, err := client.FetchFiles(ln.Addr().String(), req)
+				return err
+			})
+		})
+	}
+}
+
+// BenchmarkInbound measures the memory of the listener for each open
+// connection. The clients are bare sockets that sent one request.
+func BenchmarkInbound(b *testing.B) {
+	for _, n := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("connections=%d", n), func(b *testing.B) {
+			ln := listen(b, &stub{})
+			var held float64
+			for b.Loop() {
+				before := inUse()
+				conns := make([]net.Conn, 0, n)
+				for range n {
+					conns = append(conns, dialOnce(b, ln.Addr().String()))
+				}
+				held = float64(inUse()-before) / float64(n)
+				for _, c := range conns {
+					_ = c.Close()
+				}
+			}
+			b.ReportMetric(held, "B/conn")
+		})
+	}
+}
+
+// dialOnce opens a connection and reads the answer to one request.
+func dialOnce(b *testing.B, addr string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		b.Fatal(err)
+	}
+	buf := make([]byte, 1)
+	if _, err := c.Read(buf); err != nil {
+		b.Fatal(err)
+	}
+	return c
+}
+
+// inUse returns the bytes of the heap and of goroutines' stacks in use.
+func inUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
