Measure lending where most VMs own no slot

Cause: in a fleet of nine nearly every VM owns a slot of each limit, so that lending at the planned size, where one VM in thirteen of a zone owns one, wasn't measured. The change: a benchmark of 100 VMs.

--- a/internal/core/quota/capacity_bench_test.go
+++ b/internal/core/quota/capacity_bench_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// BenchmarkFleetLending reports the costs of active customers in a fleet where
+// most VMs own no slot and borrow.
+func BenchmarkFleetLending(b *testing.B) {
+	const zoneCount, size = 4, 100
+	for _, customers := range []int{1, 10, 30} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			vms, zones := capacityVMs(zoneCount, size)
+			for b.Loop() {
+				runFleet(b, vms, zones, customers, 40*time.Second, 3*time.Second)
+			}
+		})
+	}
+}
+
 // BenchmarkOnList measures a new list of VMs.
 func BenchmarkOnList(b *testing.B) {
 	for _, size := range []int{10, 100, 1000, 2100} {
