--- a/internal/core/lease/owner.go
+++ b/internal/core/lease/owner.go
@@ -30,12 +30,19 @@
 	incarnation uint64
 	startedAt   membership.Reading
 
-	list          *membership.List
+	list *membership.List
+	// next is a newer list that waits for the word of strangers until adoptBy.
+	next          *membership.List
+	adoptBy       time.Duration
+	strangers     []membership.VM
 	listed        bool
 	zone          []membership.VM
 	witnesses     []membership.VM
 	zoneWitnesses []membership.VM
 
+	// relied are the VMs to ask as long as the list stays.
+	relied []membership.VM
+
 	peers    map[string]*evidence
 	probedAt map[string]time.Duration
 
@@ -77,6 +84,7 @@
 // pendingHandover is a handover that can't be used yet.
 type pendingHandover struct {
 	withheld map[string]Share
+	tokens   map[string]int64
 	giver    string
 	// incarnation is the giver's.
 	incarnation uint64
@@ -94,11 +102,51 @@
 	}
 }
 
-// SetList takes a newer list. Slots that are held under both lists stay.
+// SetList takes a newer list. Slots that are held under both lists stay. If the
+// list puts VMs before this one that it hasn't heard of, the process first asks
+// them, for up to AdoptWait, and acts on the former list meanwhile; a list may
+// come late at any time.
 func (o *Owner) SetList(now membership.Reading, list *membership.List) []SlotChange {
-	changes := o.Update(now)
-	o.adopt(list)
-	return append(changes, o.Update(now)...)
+	if o.next == nil {
+		o.adoptBy = now.Mono + AdoptWait
+	}
+	o.next = list
+	return o.Update(now)
+}
+
+// adoptNext acts on the pending list if it is due.
+func (o *Owner) adoptNext(now membership.Reading) bool {
+	if o.next == nil {
+		return false
+	}
+	o.strangers = o.newlyBetter(o.next)
+	if len(o.strangers) > 0 && now.Mono < o.adoptBy {
+		return false
+	}
+	o.adopt(o.next)
+	o.next, o.strangers = nil, nil
+	return true
+}
+
+// newlyBetter returns the VMs that the list ranks before this one for a slot
+// that it holds, and that it has no word of.
+func (o *Owner) newlyBetter(list *membership.List) []membership.VM {
+	var out []membership.VM
+	zone := membership.InZone(list.VMs, o.self.Zone)
+	for i := range o.slots {
+		if !o.slots[i].held {
+			continue
+		}
+		for _, vm := range SlotCandidates(o.self.Zone, i, zone) {
+			if vm.ID == o.self.ID {
+				break
+			}
+			if e := o.peers[vm.ID]; e == nil || !e.answered {
+				out = append(out, vm)
+			}
+		}
+	}
+	return out
 }
 
 func (o *Owner) adopt(list *membership.List) {
@@ -116,6 +164,7 @@
 	for i := range o.slots {
 		o.rank(i)
 	}
+	o.relied = o.reliedOn()
 	o.forget()
 }
 
@@ -147,9 +196,17 @@
 
 // forget drops what VMs have said that are no longer listed.
 func (o *Owner) forget() {
+	listed := make(map[string]bool, len(o.list.VMs))
+	for _, vm := range o.list.VMs {
+		listed[vm.ID] = true
+	}
 	for id := range o.peers {
-		if !slices.ContainsFunc(o.list.VMs, func(vm membership.VM) bool { return vm.ID == id }) {
+		if !listed[id] {
 			delete(o.peers, id)
+		}
+	}
+	for id := range o.probedAt {
+		if !listed[id] {
 			delete(o.probedAt, id)
 		}
 	}
--- a/internal/core/scatter/query.go
+++ b/internal/core/scatter/query.go
@@ -61,9 +61,8 @@
 	firstID  int // ID of attempts[0]; IDs aren't reused after Reset
 
 	snapshots []snapshotState
-	current   int  // index of the wanted snapshot, or none
-	settled   bool // the wanted snapshot changes only by a restart now
-	restarts  int
+	current   int       // index of the wanted snapshot, or none
+	settled   bool      // the wanted snapshot changes only by a restart now
 	settleAt  time.Time // a choice is made by then
 	// lastRestartAt is the latest time at which a restart is likely to end
 	// before the deadline. Until then the query waits for slow replicas.
@@ -76,8 +75,9 @@
 	pending    int // attempts without a Result
 	verdict    verdict.Verdict
 	retryAfter time.Duration
-	stats      Answer
-	unearned   int // first requests that the budgets don't know of yet
+	stats      Stats
+	answered   Answer // what Finish points to
+	unearned   int    // first requests that the budgets don't know of yet
 
 	actions []Action
 	sends   []Send
@@ -93,6 +93,7 @@
 type shardState struct {
 	last     int // index of the latest attempt, or none
 	running  int // attempts without a Result that aren't canceled
+	canceled int // canceled attempts without a Result
 	sent     int
 	hedges   int
 	reported bool // an attempt has ended, or the shard is lost
@@ -148,7 +149,6 @@
 	q.snapshots = q.snapshots[:0]
 	q.current = none
 	q.settled = false
-	q.restarts = 0
 	q.settleAt = time.Time{}
 	q.lastRestartAt = time.Time{}
 	q.unearned = 0
@@ -159,7 +159,8 @@
 	q.pending = 0
 	q.verdict = verdict.NotRun
 	q.retryAfter = 0
-	q.stats = Answer{}
+	q.stats = Stats{}
+	q.answered = Answer{}
 	q.finish = Finish{}
 	q.resetShards(len(spec.Layout))
 	if !spec.Snapshots {
@@ -268,11 +269,26 @@
 	return q.actions
 }
 
+// Stats counts what a query has done, for metrics.
+type Stats struct {
+	// Attempts counts upstream requests. Hedges, Retries and Reasks count those
+	// among them that came after the first request to a shard.
+	Attempts, Hedges, Retries, Reasks int
+	// Restarts counts changes of the snapshot after the query had settled.
+	Restarts int
+	// Mismatches counts answers that were discarded: they belonged to another
+	// attempt or snapshot, or were short.
+	Mismatches int
+}
+
+// Stats returns the counts of the query. They stay valid until Reset.
+func (q *Query) Stats() Stats { return q.stats }
+
 // Pending returns the number of attempts whose Result has not come.
 func (q *Query) Pending() int { return q.pending }
 
-// Close ends all reservations whose Result has not come, as canceled. Results
-// that come later are ignored, also after Reset.
+// Close ends all reservations whose Result has not come, as canceled, and drops
+// the bodies. Results that come later are ignored, also after Reset.
 func (q *Query) Close(now time.Time) {
 	for i := range q.attempts {
 		a := &q.attempts[i]
@@ -281,6 +297,10 @@
 		}
 	}
 	q.finished = true
+	clear(q.parts)
+	for i := range q.snapshots {
+		clear(q.snapshots[i].bodies)
+	}
 }
 
 func (q *Query) begin() {
