--- a/internal/core/quota/capacity_bench_test.go
+++ b/internal/core/quota/capacity_bench_test.go
@@ -25,6 +25,11 @@
 	return t.Manager.Tick(now)
 }
 
+func (t timed) Fetch(now time.Time) []quota.Action {
+	defer t.stop(time.Now())
+	return t.Manager.Fetch(now)
+}
+
 func (t timed) OnDigest(now, askedAt time.Time, d quota.Digest) []quota.Action {
 	defer t.stop(time.Now())
 	return t.Manager.OnDigest(now, askedAt, d)
@@ -122,14 +127,21 @@
 
 // demand makes a VM ask for each customer at an even part of half its rate.
 func demand(f *quotasim.Fleet, n *quotasim.Node, limits []catalog.Customer, vms int) {
-	const step = 20 * time.Millisecond
+	const (
+		step  = 20 * time.Millisecond
+		nudge = 100 * time.Microsecond
+	)
 	owed := 0.0
 	var ask func()
 	ask = func() {
 		owed += limits[0].Rate / 2 / float64(vms) * step.Seconds()
 		for ; owed >= 1; owed-- {
+			fetch := false
 			for i := range limits {
-				n.Daemon.Admit(f.Time(), limits[i].Name)
+				fetch = n.Daemon.Admit(f.Time(), limits[i].Name).Fetch || fetch
+			}
+			if fetch {
+				f.At(nudge, n, func() { f.Fetch(n) })
 			}
 		}
 		f.At(step, n, ask)
