--- a/internal/core/quota/capacity_bench_test.go
+++ b/internal/core/quota/capacity_bench_test.go
@@ -178,17 +178,18 @@
 	}
 }
 
-// BenchmarkFleetLending reports the costs of active customers in a fleet where
-// most VMs own no slot and borrow.
+// BenchmarkFleetLending reports the costs of active customers in fleets of four
+// zones where most VMs own no slot and borrow.
 func BenchmarkFleetLending(b *testing.B) {
-	const zoneCount, size = 4, 100
-	for _, customers := range []int{1, 10, 30} {
-		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
-			vms, zones := capacityVMs(zoneCount, size)
-			for b.Loop() {
-				runFleet(b, vms, zones, customers, 40*time.Second, 3*time.Second)
-			}
-		})
+	for _, size := range []int{100, 420} {
+		for _, customers := range []int{1, 10, 30} {
+			b.Run(fmt.Sprintf("vms=%d/customers=%d", size, customers), func(b *testing.B) {
+				vms, zones := capacityVMs(4, size)
+				for b.Loop() {
+					runFleet(b, vms, zones, customers, 40*time.Second, 3*time.Second)
+				}
+			})
+		}
 	}
 }
 
