--- /dev/null
+++ b/internal/capacity/bottleneck.go
@@ -0,0 +1,59 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Bottleneck compares one quantity with its target.
+type Bottleneck struct {
+	Name          string
+	Value, Target float64
+	Unit          Unit
+	Mechanism     string
+}
+
+// Unit tells how a quantity is printed.
+type Unit int
+
+// The units of quantities.
+const (
+	UnitCore Unit = iota
+	UnitBytes
+	UnitBytesPerSecond
+	UnitPerSecond
+	UnitSeconds
+)
+
+// Ratio is how many times its target the quantity is.
+func (b Bottleneck) Ratio() float64 { return b.Value / b.Target }
+
+// Bottlenecks returns what is compared with the targets, the farthest from its
+// target first.
+func (m *Model) Bottlenecks() []Bottleneck {
+	t, s, f := Target(), m.slopes, m.fleet
+	out := []Bottleneck{
+		{"reads of the platform, all daemons", s.at("reads", f.Daemons), t.ReadsPerSecond, UnitPerSecond, "spread: readers"},
+		{"reads of the platform, all start at once", s.at("reads-start", f.Daemons), t.ReadsPerSecond, UnitPerSecond, "spread: bootstrap"},
+		{"a change in force everywhere", s.at("change-ms", f.Daemons) / 1000, t.SecondsToAll, UnitSeconds, "spread"},
+		{"the same with faults", s.at("change-ms-faulty", f.Daemons) / 1000, t.SecondsToAll, UnitSeconds, "spread"},
+	}
+	rows := append(m.Duties(), m.Control(), m.Witness(), m.Reader())
+	for _, d := range rows {
+		if !d.Traffic {
+			out = append(out, compared(d, t)...)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Bottleneck) int { return cmp.Compare(b.Ratio(), a.Ratio()) })
+	return out
+}
+
+// compared leaves out what costs nothing.
+func compared(d Duty, t Budget) []Bottleneck {
+	all := []Bottleneck{
+		{d.Name, d.CoreShare, t.CoreShare, UnitCore, d.Mechanism},
+		{d.Name, d.Bytes, t.BytesPerSecond, UnitBytesPerSecond, d.Mechanism},
+		{d.Name, d.Memory, t.Bytes, UnitBytes, d.Mechanism},
+	}
+	return slices.DeleteFunc(all, func(b Bottleneck) bool { return b.Value == 0 })
+}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -48,7 +48,7 @@
 
 // TestPlannedLoad checks the load of one daemon by hand.
 func TestPlannedLoad(t *testing.T) {
-	f := Letter()
+	f := Planned()
 	if got := f.QueriesPerDaemon(); math.Abs(got-1047.62) > 0.01 {
 		t.Errorf("%v queries/s a daemon", got)
 	}
--- /dev/null
+++ b/internal/capacity/duty.go
@@ -0,0 +1,249 @@
+package capacity
+
+// Duty is what one duty costs a daemon at one size of the fleet.
+type Duty struct {
+	Name string
+	// Traffic marks costs that grow with queries; they don't count as control.
+	Traffic bool
+	// Messages and Bytes are sent to peers per second, answers included.
+	Messages, Bytes float64
+	// CoreShare is processor time per second.
+	CoreShare float64
+	// Memory is bytes.
+	Memory float64
+	// Mechanism names what carries the duty.
+	Mechanism string
+}
+
+const (
+	// ticksPerSecond is how often the control goroutine ticks.
+	ticksPerSecond = 20
+	// limitsPerSecond is how often the pool's shares are updated.
+	limitsPerSecond = 4
+	// readersPerZone is the number of daemons of a zone that read the platform.
+	readersPerZone = 2
+	nanoseconds    = 1e9
+)
+
+// call is the cost of peer calls to both ends together. In the mean a daemon
+// answers as many calls as it makes, so that this is what one daemon spends.
+type call struct{ messages, bytes, nanos float64 }
+
+func (c call) times(n float64) call {
+	return call{messages: c.messages * n, bytes: c.bytes * n, nanos: c.nanos * n}
+}
+
+func (c call) plus(o call) call {
+	return call{messages: c.messages + o.messages, bytes: c.bytes + o.bytes, nanos: c.nanos + o.nanos}
+}
+
+// Model works out duties from slopes.
+type Model struct {
+	slopes *Slopes
+	fleet  Fleet
+}
+
+// NewModel returns the model of a fleet.
+func NewModel(s *Slopes, f Fleet) *Model { return &Model{slopes: s, fleet: f} }
+
+// probe is one probe with its answer.
+func (m *Model) probe() call {
+	s := m.slopes
+	return call{messages: 2, bytes: s.constant("call-sent") + s.constant("call-answered"), nanos: s.constant("call-cpu")}
+}
+
+// exchange is one exchange of digests without a list.
+func (m *Model) exchange() call {
+	c := m.probe()
+	c.bytes += 2 * (m.slopes.constant("exchange-size") - m.slopes.constant("probe-size"))
+	return c
+}
+
+// fetch is one fetch of a changed file.
+func (m *Model) fetch() call {
+	s, files := m.slopes, m.fleet.Files
+	return call{messages: 2, bytes: s.at("files-sent", files) + s.at("files-answered", files), nanos: s.at("files-cpu", files)}
+}
+
+// exchangeWithList is one exchange whose answer carries the list.
+func (m *Model) exchangeWithList() call {
+	s, vms := m.slopes, m.fleet.Daemons
+	return call{messages: 2, bytes: s.constant("call-sent") + s.at("list-answered", vms), nanos: s.at("list-cpu", vms)}
+}
+
+// configChange is what one configuration change costs a daemon in messages: one
+// fetch, and exchanges.
+func (m *Model) configChange() call {
+	exchanges := max(m.slopes.at("spread-change", m.fleet.Daemons)/2-1, 0)
+	return m.fetch().plus(m.exchange().times(exchanges))
+}
+
+// listChange is what one change of the VM list costs a daemon in messages.
+func (m *Model) listChange() call {
+	copies := m.slopes.at("list-copies", m.fleet.Daemons)
+	exchanges := max(m.slopes.at("list-msgs", m.fleet.Daemons)/2-copies, 0)
+	return m.exchangeWithList().times(copies).plus(m.exchange().times(exchanges))
+}
+
+// acceptNanos is the processor time for one accepted change on the control
+// goroutine.
+func (m *Model) acceptNanos() float64 {
+	s, f := m.slopes, m.fleet
+	return s.at("accept-cpu", f.Upstreams) + s.at("quota-change", f.Customers) + s.at("routing-catalog", f.Upstreams)
+}
+
+// adoptNanos is the processor time for one new list on the control goroutine.
+func (m *Model) adoptNanos() float64 {
+	s, f := m.slopes, m.fleet
+	return s.at("adopt-cpu", f.Daemons) + s.at("owner-list", f.Daemons) + s.at("routing-list", f.Upstreams)
+}
+
+func duty(name, mechanism string, c call, nanos, memory float64) Duty {
+	return Duty{
+		Name: name, Mechanism: mechanism, Messages: c.messages, Bytes: c.bytes,
+		CoreShare: (c.nanos + nanos) / nanoseconds, Memory: memory,
+	}
+}
+
+// Duties returns the duties of a daemon that is no reader and no witness, but
+// for the rows that say so.
+func (m *Model) Duties() []Duty {
+	s, f := m.slopes, m.fleet
+	changes, lists := f.ChangesPerSecond(), f.ListsPerSecond()
+	idle := m.exchange().times(s.at("spread-idle", f.Daemons) / 2)
+	probes := m.probe().times(m.probesPerSecond())
+	return []Duty{
+		duty("configuration: exchanges at rest", "spread.Spread", idle,
+			ticksPerSecond*s.at("spread-tick", f.Daemons), 0),
+		duty("configuration: spreading changes", "spread.Spread, peer.v1 FetchFiles", m.configChange().times(changes), 0, 0),
+		duty("catalog: acceptance and publishing", "catalog.Acceptor, routing.Router.Update, quota.Manager.OnCatalog", call{},
+			changes*m.acceptNanos(), s.at("accept-memory", f.Upstreams)*(1<<20)+s.at("folder-memory", f.Upstreams)),
+		duty("configuration: the folder for new daemons", "peer.v1 FetchFiles", m.folders(), 0, 0),
+		duty("VM list: spreading", "spread.Spread, peer.v1 Exchange", m.listChange().times(lists), 0, 0),
+		duty("VM list: adoption", "spread topology, lease.Owner.SetList, routing.Router.Update", call{},
+			lists*m.adoptNanos(), s.at("adopt-memory", f.Daemons)),
+		duty("quota: ownership and probes", "lease.Owner, peer.v1 Probe", probes,
+			ticksPerSecond*s.at("owner-tick", f.Daemons), 0),
+		duty("quota: lending", "quota.Manager, peer.v1 Lend", m.lending(),
+			ticksPerSecond*(s.at("quota-active", f.ActiveCustomers)+s.at("quota-idle", f.Customers-f.ActiveCustomers)),
+			s.at("quota-memory", f.Customers)),
+		duty("routing: shares and ramps", "routing.Router.Tick", call{},
+			ticksPerSecond*s.at("routing-tick", m.zoneSize()), s.at("routing-memory", m.zoneSize())),
+		duty("routing: questions of new daemons", "routing.Router, peer.v1 AskRamps", m.questions(), 0, 0),
+		duty("audit", "audit.Trail", call{}, s.at(m.lendingBy()+"-audits", f.ActiveCustomers)*s.constant("audit-cpu"), s.constant("audit-memory")),
+		m.traffic("admission", "admission.Scheduler, keys", f.QueriesPerDaemon()*(s.constant("admit-cpu")+s.constant("key-cpu")), 0),
+		m.traffic("a query's scatter", "scatter.Query", f.AttemptsPerDaemon()*s.constant("query-cpu")/benchShards, 0),
+		m.traffic("choice of replicas", "routing.Router.Pick", f.AttemptsPerDaemon()*s.constant("pick-cpu"), 0),
+		m.traffic("connection pool", "upstream.Pool", limitsPerSecond*s.at("limits-cpu", s.at("upstreams-held", m.zoneSize())),
+			s.at("connections", m.zoneSize())*s.constant("conn-memory")),
+	}
+}
+
+// benchShards is the number of shards of the query that the benchmark runs.
+const benchShards = 130
+
+func (m *Model) traffic(name, mechanism string, nanos, memory float64) Duty {
+	return Duty{Name: name, Mechanism: mechanism, Traffic: true, CoreShare: nanos / nanoseconds, Memory: memory}
+}
+
+// smallFleet is the number of daemons up to which the measured fleet of nine
+// stands for the fleet.
+const smallFleet = 9
+
+// lendingBy names the slopes of lending.
+func (m *Model) lendingBy() string {
+	if m.fleet.Daemons <= smallFleet {
+		return "nine"
+	}
+	return "lend"
+}
+
+// zoneSize returns the upstreams of the measured fleet of 20 zones whose zones
+// are as large as this fleet's. A small fleet shares all upstreams, whatever
+// their zone.
+func (m *Model) zoneSize() float64 {
+	const zones = 20
+	if m.fleet.Daemons <= smallFleet {
+		return m.fleet.Upstreams
+	}
+	return zones * m.fleet.Upstreams / m.fleet.Zones
+}
+
+// probesPerSecond depends on the size of a zone; the measured fleets have four.
+func (m *Model) probesPerSecond() float64 {
+	const zones = 4
+	return m.slopes.at("probes", zones*m.fleet.ZoneDaemons())
+}
+
+// folders is the sending of the whole folder to restarted daemons.
+func (m *Model) folders() call {
+	s, f := m.slopes, m.fleet
+	one := call{messages: 2, bytes: s.at("folder-sent", f.Upstreams), nanos: s.at("folder-cpu", f.Upstreams)}
+	return one.times(f.RestartsPerDay / secondsPerDay / f.Daemons)
+}
+
+// lending is the lending of one daemon: its calls, and its wishes.
+func (m *Model) lending() call {
+	s, active := m.slopes, m.fleet.ActiveCustomers
+	wants := s.at(m.lendingBy()+"-wants", active)
+	perWant := s.byID["want-sent"].Line.PerUnit + s.byID["want-answered"].Line.PerUnit
+	c := m.probe().times(s.at(m.lendingBy()+"-msgs", active))
+	c.bytes += wants * perWant
+	return c
+}
+
+// questions are what restarted daemons ask of their zone: about each upstream
+// that they hold, two daemons.
+func (m *Model) questions() call {
+	const asked = 2
+	s, f := m.slopes, m.fleet
+	perQuestion := s.byID["question-sent"].Line.PerUnit + s.byID["question-answered"].Line.PerUnit
+	restarts := f.RestartsPerDay / secondsPerDay / f.Daemons
+	return call{bytes: restarts * asked * s.at("upstreams-held", m.zoneSize()) * perQuestion}
+}
+
+// Control returns the sum over the duties that count as control.
+func (m *Model) Control() Duty {
+	sum := Duty{Name: "control, all"}
+	for _, d := range m.Duties() {
+		if d.Traffic {
+			continue
+		}
+		sum.Messages += d.Messages
+		sum.Bytes += d.Bytes
+		sum.CoreShare += d.CoreShare
+		sum.Memory += d.Memory
+	}
+	return sum
+}
+
+// Witness returns what the answers to all probes cost one of the nine daemons
+// whose word every daemon asks for.
+func (m *Model) Witness() Duty {
+	s, f := m.slopes, m.fleet
+	probed := s.at("probed-most", f.Daemons)
+	const ends = 2
+	return Duty{
+		Name: "quota: a witness of the fleet", Mechanism: "lease.Owner: maxWitnesses, ProbeInterval",
+		Messages:  probed,
+		Bytes:     probed * s.constant("call-answered"),
+		CoreShare: probed * s.constant("call-cpu") / ends / nanoseconds,
+		Memory:    f.Daemons * s.constant("inbound-memory"),
+	}
+}
+
+// Reader returns what the reading of the platform costs one reader besides.
+func (m *Model) Reader() Duty {
+	s, f := m.slopes, m.fleet
+	nanos := f.ChangesPerSecond()*s.at("index-cpu", f.Files) + f.ListsPerSecond()*s.at("vms-cpu", f.Daemons)
+	return Duty{
+		Name: "configuration: a reader of the platform", Mechanism: "spread.Spread, platform.Client",
+		Messages: s.at("reads", f.Daemons) / (f.Zones * readersPerZone), CoreShare: nanos / nanoseconds,
+	}
+}
+
+// ReaderBytes returns what one reader receives from the platform per second.
+func (m *Model) ReaderBytes() float64 {
+	s, f := m.slopes, m.fleet
+	return f.ChangesPerSecond()*s.at("index-size", f.Files) + f.ListsPerSecond()*s.at("vms-size", f.Daemons)
+}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -32,18 +32,42 @@
 	ListChangesPerRestart float64
 }
 
-// Letter is the size that the page plans for. The numbers of customers,
-// services and files and of their connections are assumptions of the page.
-func Letter() Fleet {
+// Planned is the size that the page plans for, with every daemon holding the
+// whole configuration. The numbers of services, customers and files, the
+// connections of an upstream, and the list changes of a restart are assumptions
+// of the page.
+func Planned() Fleet {
 	return Fleet{
 		Name: "planned", Daemons: 2100, Zones: 20, Upstreams: 91000,
-		Services: 234, Customers: 2340, ActiveCustomers: 234, Files: 2575, Connections: 30,
+		Services: 234, Customers: 2340, ActiveCustomers: 1385, Files: 2575, Connections: 30,
 		QueriesPerSecond: 2.2e6, ShardsPerQuery: 130,
 		ChangesPerDay: 10000, RestartsPerDay: 37000, ListChangesPerRestart: 2,
 	}
 }
 
-// Today is the size of one of today's fleets.
+// regions is the number of regions of the planned size.
+const regions = 8
+
+// Region is one of the regions of the planned size as a fleet of its own, with
+// a list and a folder of its own.
+func Region() Fleet {
+	f := Planned()
+	f.Name = "region"
+	f.Daemons /= regions
+	f.Zones /= regions
+	f.Upstreams /= regions
+	f.Services /= regions
+	f.Customers /= regions
+	f.ActiveCustomers = f.Customers
+	f.Files /= regions
+	f.QueriesPerSecond /= regions
+	f.ChangesPerDay /= regions
+	f.RestartsPerDay /= regions
+	return f
+}
+
+// Today is the size of one of today's fleets. Its load and its changes are
+// assumptions of the page.
 func Today() Fleet {
 	return Fleet{
 		Name: "today", Daemons: 9, Zones: 4, Upstreams: 113,
--- a/internal/capacity/result.go
+++ b/internal/capacity/result.go
@@ -17,8 +17,9 @@
 	Params map[string]float64
 	// Metrics are the reported values by unit.
 	Metrics map[string]float64
-	// Command is the command that printed the line.
-	Command string
+	// Command is the command that printed the line, and Package its last word,
+	// without "./internal/".
+	Command, Package string
 }
 
 // ParseError reports a line that can't be read.
@@ -58,12 +59,21 @@
 				return nil, &ParseError{Line: n, Text: text, Reason: reason}
 			}
 			result.Command = command
+			result.Package = packageOf(command)
 			out = append(out, result)
 		}
 	}
 	return out, lines.Err()
 }
 
+func packageOf(command string) string {
+	words := strings.Fields(command)
+	if len(words) == 0 {
+		return ""
+	}
+	return strings.TrimPrefix(words[len(words)-1], "./internal/")
+}
+
 // parseResult returns a reason if the line can't be read.
 func parseResult(text string) (Result, string) {
 	fields := strings.Fields(text)
--- /dev/null
+++ b/internal/capacity/sources.go
@@ -0,0 +1,121 @@
+package capacity
+
+import (
+	_ "embed"
+	"strings"
+)
+
+// measured is the raw output of the benchmarks.
+//
+//go:embed measured.txt
+var measured string
+
+// sources are all costs that the page rests on.
+var sources = []Source{
+	{ID: "call-sent", Package: "peer", Benchmark: "BenchmarkCall", Unit: "B-sent/call", Mechanism: "peer.Client over connect-go"},
+	{ID: "call-answered", Package: "peer", Benchmark: "BenchmarkCall", Unit: "B-answered/call", Mechanism: "peer.Server over connect-go"},
+	{ID: "call-cpu", Package: "peer", Benchmark: "BenchmarkCall", Unit: "cpu-ns/call", Mechanism: "peer.Client and peer.Server together"},
+	{ID: "probe-size", Package: "control", Benchmark: "BenchmarkWireProbe", Unit: "B/msg", Mechanism: "peer.v1 Probe"},
+	{ID: "exchange-size", Package: "control", Benchmark: "BenchmarkWireExchange", Unit: "B/msg", Mechanism: "peer.v1 Exchange"},
+	{ID: "list-size", Package: "control", Benchmark: "BenchmarkWireList", Unit: "B/msg", Param: "vms", Mechanism: "peer.v1 VMList, uncompressed"},
+	{ID: "list-answered", Package: "peer", Benchmark: "BenchmarkCallWithList", Unit: "B-answered/call", Param: "vms", Mechanism: "peer.v1 Exchange with a VMList, gzip"},
+	{ID: "list-cpu", Package: "peer", Benchmark: "BenchmarkCallWithList", Unit: "cpu-ns/call", Param: "vms", Mechanism: "peer.v1 Exchange with a VMList, both ends"},
+	{ID: "files-sent", Package: "peer", Benchmark: "BenchmarkCallForFiles", Unit: "B-sent/call", Param: "files", Mechanism: "peer.v1 FetchFiles: the names that the caller has"},
+	{ID: "files-answered", Package: "peer", Benchmark: "BenchmarkCallForFiles", Unit: "B-answered/call", Param: "files", Mechanism: "peer.v1 FetchFiles: all names, gzip"},
+	{ID: "files-cpu", Package: "peer", Benchmark: "BenchmarkCallForFiles", Unit: "cpu-ns/call", Param: "files", Mechanism: "peer.v1 FetchFiles, both ends"},
+	{ID: "inbound-memory", Package: "peer", Benchmark: "BenchmarkInbound", Unit: "B/conn", Mechanism: "peer.Server: one connection of another daemon"},
+	{ID: "want-sent", Package: "control", Benchmark: "BenchmarkWireLend", Unit: "B/msg", Param: "wants", Mechanism: "peer.v1 Lend"},
+	{ID: "want-answered", Package: "control", Benchmark: "BenchmarkWireLend", Unit: "B/answer", Param: "wants", Mechanism: "peer.v1 Lend, uncompressed"},
+	{ID: "question-sent", Package: "control", Benchmark: "BenchmarkWireRamps", Unit: "B/msg", Param: "questions", Mechanism: "peer.v1 AskRamps"},
+	{ID: "question-answered", Package: "control", Benchmark: "BenchmarkWireRamps", Unit: "B/answer", Param: "questions", Mechanism: "peer.v1 AskRamps, uncompressed"},
+	{ID: "notice-sent", Package: "control", Benchmark: "BenchmarkWireNotice", Unit: "B/msg", Param: "upstreams", Mechanism: "peer.v1 Notify"},
+
+	{ID: "index-size", Package: "platform", Benchmark: "BenchmarkParseIndex", Unit: "B/answer", Param: "files", Mechanism: "platform.Client.Index"},
+	{ID: "index-cpu", Package: "platform", Benchmark: "BenchmarkParseIndex", Unit: "ns/op", Param: "files", Mechanism: "platform.Client.Index"},
+	{ID: "vms-size", Package: "platform", Benchmark: "BenchmarkParseList", Unit: "B/answer", Param: "vms", Mechanism: "platform.Client.VMs"},
+	{ID: "vms-cpu", Package: "platform", Benchmark: "BenchmarkParseList", Unit: "ns/op", Param: "vms", Mechanism: "platform.Client.VMs"},
+
+	{ID: "spread-idle", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "msgs/daemon/s", Param: "daemons", Mechanism: "spread: regular exchanges"},
+	{ID: "spread-change", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "msgs/daemon/change", Param: "daemons", Mechanism: "spread: news to neighbours, pulls"},
+	{ID: "spread-busiest", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "msgs/busiest/change", Param: "daemons", Mechanism: "spread: ring and zone links"},
+	{ID: "reads", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "reads/s", Param: "daemons", Mechanism: "spread: two readers for each zone"},
+	{ID: "reads-start", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "reads/s-start", Param: "daemons", Mechanism: "spread: bootstrap from seeds"},
+	{ID: "change-ms", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "ms-to-all", Param: "daemons", Mechanism: "spread: readers, ring and zone links"},
+	{ID: "change-ms-faulty", Package: "core/spread", Benchmark: "BenchmarkSpread", Unit: "ms-to-all-faulty", Param: "daemons", Mechanism: "spread: the same, 1 in 20 messages lost and daemons dead"},
+	{ID: "list-ms", Package: "core/spread", Benchmark: "BenchmarkListChange", Unit: "ms-to-all", Param: "daemons", Mechanism: "spread: readers, ring and zone links"},
+	{ID: "list-msgs", Package: "core/spread", Benchmark: "BenchmarkListChange", Unit: "msgs/daemon/change", Param: "daemons", Mechanism: "spread: news to neighbours"},
+	{ID: "list-copies", Package: "core/spread", Benchmark: "BenchmarkListChange", Unit: "lists/daemon/change", Param: "daemons", Mechanism: "spread: whole lists in answers"},
+	{ID: "spread-tick", Package: "core/spread", Benchmark: "BenchmarkTick", Unit: "ns/op", Param: "vms", Mechanism: "Spread.Tick"},
+	{ID: "adopt-cpu", Package: "core/spread", Benchmark: "BenchmarkAdoptList", Unit: "ns/op", Param: "vms", Mechanism: "Spread.OnPeerAnswer: a new topology"},
+	{ID: "adopt-memory", Package: "core/spread", Benchmark: "BenchmarkAdoptList", Unit: "B/op", Param: "vms", Mechanism: "Spread: list and topology, garbage included"},
+
+	{ID: "accept-cpu", Package: "core/catalog", Benchmark: "BenchmarkAccept", Unit: "ns/op", Param: "upstreams", Mechanism: "catalog.Acceptor.Offer"},
+	{ID: "accept-memory", Package: "core/catalog", Benchmark: "BenchmarkAccept", Unit: "MiB-held", Param: "upstreams", Mechanism: "catalog.Acceptor without the files"},
+	{ID: "folder-memory", Package: "core/catalog", Benchmark: "BenchmarkFolder", Unit: "B-folder", Param: "upstreams", Mechanism: "catalog.FileSet: contents of all files"},
+	{ID: "folder-sent", Package: "core/catalog", Benchmark: "BenchmarkFolder", Unit: "B-gzip", Param: "upstreams", Mechanism: "peer.v1 FetchFiles to a new daemon, gzip"},
+	{ID: "folder-cpu", Package: "core/catalog", Benchmark: "BenchmarkFolder", Unit: "ns/op", Param: "upstreams", Mechanism: "gzip of the whole folder"},
+	{ID: "accept-customers-cpu", Package: "core/catalog", Benchmark: "BenchmarkAcceptCustomers", Unit: "ns/op", Param: "customers", Mechanism: "catalog.Acceptor.Offer"},
+	{ID: "accept-customers-memory", Package: "core/catalog", Benchmark: "BenchmarkAcceptCustomers", Unit: "B-held", Param: "customers", Mechanism: "catalog.Acceptor without the files"},
+
+	{ID: "owner-list", Package: "core/quota", Benchmark: "BenchmarkOnList", Unit: "ns/op", Param: "vms", Mechanism: "quota.Manager.OnList: ranks of all slots"},
+	{ID: "owner-tick", Package: "core/quota", Benchmark: "BenchmarkTickVMs", Unit: "ns/op", Param: "vms", Mechanism: "quota.Manager.Tick: lease.Owner.Probes"},
+	{ID: "quota-idle", Package: "core/quota", Benchmark: "BenchmarkCustomers", Unit: "ns/op", Param: "customers", Mechanism: "quota.Manager.Tick: customers without requests"},
+	{ID: "quota-memory", Package: "core/quota", Benchmark: "BenchmarkCustomers", Unit: "B-held", Param: "customers", Mechanism: "quota.Manager: accounts and buckets"},
+	{ID: "quota-change", Package: "core/quota", Benchmark: "BenchmarkCustomers", Unit: "ns/change", Param: "customers", Mechanism: "quota.Manager.OnCatalog"},
+	{ID: "quota-active", Package: "core/quota", Benchmark: "BenchmarkTick", Unit: "ns/op", Param: "customers", Where: map[string]float64{"vms": 2100}, Mechanism: "quota.Manager.Tick: a VM that borrows all"},
+	{ID: "probes", Package: "core/quota", Benchmark: "BenchmarkFleetVMs", Unit: "probes/s", Param: "vms", Mechanism: "lease.Owner.Probes, four zones"},
+	{ID: "probed-most", Package: "core/quota", Benchmark: "BenchmarkFleetVMs", Unit: "probed-most/s", Param: "vms", Mechanism: "lease.Owner: the nine witnesses of the fleet"},
+	{ID: "lend-msgs", Package: "core/quota", Benchmark: "BenchmarkFleetLending", Unit: "lends/s", Param: "customers", Where: map[string]float64{"vms": 420}, Mechanism: "quota.Manager: Lend, 420 VMs in four zones"},
+	{ID: "lend-wants", Package: "core/quota", Benchmark: "BenchmarkFleetLending", Unit: "wants/s", Param: "customers", Where: map[string]float64{"vms": 420}, Mechanism: "quota.Manager: wishes in Lend, 420 VMs in four zones"},
+	{ID: "lend-audits", Package: "core/quota", Benchmark: "BenchmarkFleetLending", Unit: "audits/s", Param: "customers", Where: map[string]float64{"vms": 420}, Mechanism: "quota.Audit, 420 VMs in four zones"},
+	{ID: "nine-msgs", Package: "core/quota", Benchmark: "BenchmarkFleetCustomers", Unit: "lends/s", Param: "customers", Mechanism: "quota.Manager: Lend, nine VMs in four zones"},
+	{ID: "nine-wants", Package: "core/quota", Benchmark: "BenchmarkFleetCustomers", Unit: "wants/s", Param: "customers", Mechanism: "quota.Manager: wishes in Lend, nine VMs in four zones"},
+	{ID: "nine-audits", Package: "core/quota", Benchmark: "BenchmarkFleetCustomers", Unit: "audits/s", Param: "customers", Mechanism: "quota.Audit, nine VMs in four zones"},
+
+	{ID: "routing-list", Package: "core/routing", Benchmark: "BenchmarkUpdate", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Update after a new VM list"},
+	{ID: "routing-catalog", Package: "core/routing", Benchmark: "BenchmarkNewCatalog", Unit: "ns/op", Param: "upstreams", Where: map[string]float64{"replaced": 0}, Mechanism: "routing.Router.Update after a new configuration"},
+	{ID: "routing-tick", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Tick"},
+	{ID: "routing-memory", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "B-held", Param: "upstreams", Mechanism: "routing.Router without the catalog"},
+	{ID: "upstreams-held", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "upstreams-held", Param: "upstreams", Mechanism: "routing: domains and ranks"},
+	{ID: "connections", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "connections", Param: "upstreams", Mechanism: "routing.Router.Connections"},
+	{ID: "pick-cpu", Package: "core/routing", Benchmark: "BenchmarkPickDone", Unit: "ns/op", Mechanism: "routing.Router.Pick and Done"},
+
+	{ID: "query-cpu", Package: "core/scatter", Benchmark: "BenchmarkQuery", Unit: "ns/op", Mechanism: "scatter.Query of 130 shards"},
+	{ID: "admit-cpu", Package: "core/admission", Benchmark: "BenchmarkAdmit", Unit: "ns/op", Mechanism: "admission.Scheduler"},
+	{ID: "key-cpu", Package: "core/keys", Benchmark: "BenchmarkCarries", Unit: "ns/op", Mechanism: "keys.Carries on a body of 1 KB"},
+	{ID: "conn-memory", Package: "upstream", Benchmark: "BenchmarkConnections", Unit: "B/conn", Mechanism: "upstream.Pool: a connection and its reader"},
+	{ID: "limits-cpu", Package: "upstream", Benchmark: "BenchmarkConnections", Unit: "ns/op", Param: "upstreams", Mechanism: "upstream.Pool.SetLimits"},
+	{ID: "audit-cpu", Package: "audit", Benchmark: "BenchmarkAdd", Unit: "ns/op", Mechanism: "audit.Trail.Add"},
+	{ID: "audit-memory", Package: "audit", Benchmark: "BenchmarkAdd", Unit: "B-held", Mechanism: "audit.Trail: a full ring"},
+}
+
+// Slopes are the measured costs by ID.
+type Slopes struct {
+	byID map[string]*Slope
+	// All holds them in the order of the page.
+	All []*Slope
+}
+
+// Load returns the slopes of the embedded measurements.
+func Load() (*Slopes, error) {
+	results, err := Parse(strings.NewReader(measured))
+	if err != nil {
+		return nil, err
+	}
+	out := &Slopes{byID: make(map[string]*Slope)}
+	for _, source := range sources {
+		s, err := NewSlope(source, results)
+		if err != nil {
+			return nil, err
+		}
+		out.byID[source.ID] = &s
+		out.All = append(out.All, &s)
+	}
+	return out, nil
+}
+
+// at returns the cost of a slope at a size. The ID is one of sources.
+func (s *Slopes) at(id string, x float64) float64 { return s.byID[id].At(x) }
+
+// constant returns a cost that depends on no size.
+func (s *Slopes) constant(id string) float64 { return s.byID[id].Line.Base }
--- a/internal/core/catalog/capacity_bench_test.go
+++ b/internal/core/catalog/capacity_bench_test.go
@@ -1,7 +1,10 @@
 package catalog
 
 import (
+	"compress/gzip"
 	"fmt"
+	"io"
+	"strings"
 	"testing"
 )
 
@@ -38,3 +41,37 @@
 		})
 	}
 }
+
+// countingWriter counts what is written.
+type countingWriter int
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	*w += countingWriter(len(p))
+	return len(p), nil
+}
+
+// BenchmarkFolder gives the size of the whole folder, which a new daemon gets
+// from a peer, as it is and compressed, and the time to compress it.
+func BenchmarkFolder(b *testing.B) {
+	for _, services := range []int{1, 23, 234} {
+		b.Run(fmt.Sprintf("upstreams=%d", services*390), func(b *testing.B) {
+			files := largeFolder(services).newest().offer().Files
+			size, compressed := 0, countingWriter(0)
+			for b.Loop() {
+				size, compressed = 0, 0
+				w := gzip.NewWriter(&compressed)
+				for _, f := range files {
+					size += len(f.Content)
+					if _, err := io.Copy(w, strings.NewReader(string(f.Content))); err != nil {
+						b.Fatal(err)
+					}
+				}
+				if err := w.Close(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "B-folder")
+			b.ReportMetric(float64(compressed), "B-gzip")
+		})
+	}
+}
--- a/internal/core/routing/capacity_bench_test.go
+++ b/internal/core/routing/capacity_bench_test.go
@@ -9,7 +9,7 @@
 )
 
 // capacitySizes are fleets of 20 zones with 130 shards.
-var capacitySizes = []struct{ vms, replicas int }{{9, 7}, {105, 70}, {525, 175}, {1050, 350}, {2100, 700}}
+var capacitySizes = []struct{ vms, replicas int }{{9, 1}, {9, 7}, {105, 70}, {525, 175}, {1050, 350}, {2100, 700}}
 
 // BenchmarkHeld reports how many upstreams one VM has a share of, its
 // connections, and the memory that it keeps for them, without the catalog. The
