Spread the measured callers' requests over time

The change: each caller starts at a random point of its period, waits for tokens as daemons do, and refusals are counted.

--- a/internal/capacity/duty.go
+++ b/internal/capacity/duty.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "math"
+
 // Duty is what one duty costs a daemon at one size of the fleet.
 type Duty struct {
 	Name string
@@ -152,10 +154,13 @@
 
 // lendingBy names the slopes of lending.
 func (m *Model) lendingBy() string {
-	if m.fleet.Daemons <= smallFleet {
+	switch {
+	case m.fleet.Daemons <= smallFleet:
 		return "nine"
+	case m.fleet.Zones < Planned().Zones:
+		return "region"
 	}
-	return "lend"
+	return "planned"
 }
 
 // zoneSize returns the upstreams of the measured fleet of 20 zones whose zones
@@ -182,10 +187,23 @@
 	return one.times(f.RestartsPerDay / secondsPerDay / f.Daemons)
 }
 
+// fetchesPerSecond bounds the wishes for single tokens of one daemon, which
+// customers with few requests at a daemon live on.
+const fetchesPerSecond = 60
+
+// mostWants bounds the wishes of one daemon. In today's fleets, whose customers
+// have loans, nothing does.
+func (m *Model) mostWants() float64 {
+	if m.lendingBy() == "nine" {
+		return math.Inf(1)
+	}
+	return fetchesPerSecond
+}
+
 // lending is the lending of one daemon: its calls, and its wishes.
 func (m *Model) lending() call {
 	s, active := m.slopes, m.fleet.ActiveCustomers
-	wants := s.at(m.lendingBy()+"-wants", active)
+	wants := min(s.at(m.lendingBy()+"-wants", active), m.mostWants())
 	perWant := s.byID["want-sent"].Line.PerUnit + s.byID["want-answered"].Line.PerUnit
 	c := m.probe().times(s.at(m.lendingBy()+"-msgs", active))
 	c.bytes += wants * perWant
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -68,7 +68,8 @@
 }
 
 // At returns the cost at a size: between the two nearest points within the
-// measured range, and along the fitted line from the nearest point beyond it.
+// measured range, and along the fitted slope beyond it. A slope that falls, which
+// noise can give, is taken as flat there.
 func (s *Slope) At(x float64) float64 {
 	first, last := s.Points[0], s.Points[len(s.Points)-1]
 	switch {
@@ -77,7 +78,7 @@
 	case x <= first.X:
 		return max(first.Y-s.Line.PerUnit*(first.X-x), 0)
 	case x >= last.X:
-		return last.Y + s.Line.PerUnit*(x-last.X)
+		return last.Y + max(s.Line.PerUnit, 0)*(x-last.X)
 	}
 	i := slices.IndexFunc(s.Points, func(p Point) bool { return p.X >= x })
 	a, b := s.Points[i-1], s.Points[i]
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -94,6 +94,14 @@
 	add("connections of a daemon", func(m *Model) string { return number(m.slopes.at("connections", m.zoneSize())) })
 	add("the whole folder", func(m *Model) string { return UnitBytes.text(m.slopes.at("folder-memory", m.fleet.Upstreams)) })
 	add("probes/s that a witness answers", at("probed-most"))
+	add("wishes for tokens/s of a daemon, unbounded", func(m *Model) string {
+		return number(m.slopes.at(m.lendingBy()+"-wants", m.fleet.ActiveCustomers))
+	})
+	add("% refused within the limit, most customers measured", func(m *Model) string {
+		points := m.slopes.byID[m.lendingBy()+"-refused"].Points
+		last := points[len(points)-1]
+		return fmt.Sprintf("%s (%s)", number(last.Y), number(last.X))
+	})
 	add("a VM list in an answer, gzip", func(m *Model) string { return UnitBytes.text(m.slopes.at("list-answered", m.fleet.Daemons)) })
 	add("names in a request for files", func(m *Model) string { return UnitBytes.text(m.slopes.at("files-sent", m.fleet.Files)) })
 	add("received by a reader from the platform", func(m *Model) string { return UnitBytesPerSecond.text(m.ReaderBytes()) })
--- a/internal/control/capacity_bench_test.go
+++ b/internal/control/capacity_bench_test.go
@@ -94,7 +94,7 @@
 		for i := range n {
 			name := fmt.Sprintf("customer-%04d", i)
 			req.Wants = append(req.Wants, lease.Want{Limit: name, Want: share, Have: share})
-			resp.Grants = append(resp.Grants, quota.Grant{Customer: name, Share: share, Spare: share.Rate})
+			resp.Grants = append(resp.Grants, quota.Grant{Customer: name, Share: share, Spare: share.Rate, SpareTokens: share.Tokens, Holder: "vm-cz-a-0123"})
 		}
 		b.Run(fmt.Sprintf("wants=%d", n), func(b *testing.B) {
 			encode(b, "B/msg", func() proto.Message { return lendToWire(benchSender(), req) })
--- a/internal/core/quota/capacity_bench_test.go
+++ b/internal/core/quota/capacity_bench_test.go
@@ -53,6 +53,7 @@
 // tally counts a fleet's messages and actions.
 type tally struct {
 	probes, lends, wants, releases, returns, audits float64
+	admitted, refused                               float64
 	probed                                          map[string]int
 }
 
@@ -84,29 +85,30 @@
 	return vms, names
 }
 
-func capacityCustomers(n int) []catalog.Customer {
+func capacityCustomers(n int, rate float64) []catalog.Customer {
 	var out []catalog.Customer
 	for i := range n {
-		out = append(out, catalog.Customer{Name: fmt.Sprintf("customer-%04d", i), Rate: 400, Burst: 400})
+		out = append(out, catalog.Customer{Name: fmt.Sprintf("customer-%04d", i), Rate: rate, Burst: rate})
 	}
 	return out
 }
 
 // runFleet runs a fleet with even demand, at half of each customer's limit, and
 // reports each VM's costs per virtual second.
-func runFleet(b *testing.B, vms []membership.VM, zones []string, customers int, rest, watched time.Duration) {
-	limits := capacityCustomers(customers)
+func runFleet(b *testing.B, vms []membership.VM, zones []string, customers int, rate float64, rest, watched time.Duration) {
+	limits := capacityCustomers(customers, rate)
 	var spent time.Duration
+	var count tally
 	f := quotasim.NewFleet(1)
 	f.New = func(p quota.Params) quotasim.Daemon { return timed{quota.New(p), &spent} }
 	f.PublishCatalog(limits, zones)
 	f.PublishList(vms)
 	for _, vm := range vms {
-		n := f.Start(vm)
-		demand(f, n, limits, len(vms))
+		c := newCaller(f, f.Start(vm), limits, len(vms), &count)
+		f.At(time.Duration(f.Rand.Int64N(int64(callerStep))), c.node, c.step)
 	}
 	f.Run(rest)
-	count := tally{probed: make(map[string]int)}
+	count = tally{probed: make(map[string]int)}
 	f.OnAction = count.watch
 	spent = 0
 	f.Run(rest + watched)
@@ -115,6 +117,8 @@
 	for _, n := range count.probed {
 		most = max(most, n)
 	}
+	const percent = 100
+	b.ReportMetric(percent*count.refused/(count.admitted+count.refused), "%-refused")
 	b.ReportMetric(count.probes/per, "probes/s")
 	b.ReportMetric(float64(most)/watched.Seconds(), "probed-most/s")
 	b.ReportMetric(count.lends/per, "lends/s")
@@ -125,31 +129,73 @@
 	b.ReportMetric(float64(spent.Nanoseconds())/per, "ctl-ns/s")
 }
 
-// demand makes a VM ask for each customer at an even part of half its rate.
-func demand(f *quotasim.Fleet, n *quotasim.Node, limits []catalog.Customer, vms int) {
-	const (
-		step  = 20 * time.Millisecond
-		nudge = 100 * time.Microsecond
-	)
-	owed := 0.0
-	var ask func()
-	ask = func() {
-		owed += limits[0].Rate / 2 / float64(vms) * step.Seconds()
-		for ; owed >= 1; owed-- {
-			fetch := false
-			for i := range limits {
-				fetch = n.Daemon.Admit(f.Time(), limits[i].Name).Fetch || fetch
-			}
-			if fetch {
-				f.At(nudge, n, func() { f.Fetch(n) })
-			}
+// caller asks a VM for each customer at an even part of half its rate, so that
+// no request is beyond a limit. It waits for a token as daemons do.
+type caller struct {
+	fleet  *quotasim.Fleet
+	node   *quotasim.Node
+	limits []catalog.Customer
+	vms    int
+	count  *tally
+	// owed holds each customer's part of its next request. It starts at random,
+	// so that VMs and customers don't ask at the same moments.
+	owed    []float64
+	waiting bool
+}
+
+const (
+	callerStep = 20 * time.Millisecond
+	// nudge is the time until the control goroutine fetches tokens.
+	nudge = 100 * time.Microsecond
+)
+
+func newCaller(f *quotasim.Fleet, n *quotasim.Node, limits []catalog.Customer, vms int, count *tally) *caller {
+	c := &caller{fleet: f, node: n, limits: limits, vms: vms, count: count, owed: make([]float64, len(limits))}
+	for i := range c.owed {
+		c.owed[i] = f.Rand.Float64()
+	}
+	return c
+}
+
+func (c *caller) step() {
+	c.fleet.At(callerStep, c.node, c.step)
+	for i := range c.limits {
+		c.owed[i] += c.limits[i].Rate / 2 / float64(c.vms) * callerStep.Seconds()
+		for ; c.owed[i] >= 1; c.owed[i]-- {
+			c.settle(c.limits[i].Name, c.node.Daemon.Admit(c.fleet.Time(), c.limits[i].Name), quota.FetchPatience)
 		}
-		f.At(step, n, ask)
 	}
-	f.At(step, n, ask)
+}
+
+// settle counts the request, or tries again while its patience lasts.
+func (c *caller) settle(name string, d quota.Decision, patience time.Duration) {
+	switch {
+	case d.OK:
+		c.count.admitted++
+	case !d.Fetch || patience <= 0:
+		c.count.refused++
+	default:
+		c.fetchSoon()
+		c.fleet.At(quota.FetchPause, c.node, func() {
+			c.settle(name, c.node.Daemon.AdmitAgain(c.fleet.Time(), name), patience-quota.FetchPause)
+		})
+	}
+}
+
+func (c *caller) fetchSoon() {
+	if c.waiting {
+		return
+	}
+	c.waiting = true
+	c.fleet.At(nudge, c.node, func() {
+		c.waiting = false
+		c.fleet.Fetch(c.node)
+	})
 }
 
 const (
+	// evenRate is a customer's limit in requests per second.
+	evenRate     = 400.0
 	fleetRest    = 12 * time.Second
 	fleetWatched = 6 * time.Second
 )
@@ -159,7 +205,7 @@
 	for _, customers := range []int{1, 10, 100, 1000} {
 		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
 			for b.Loop() {
-				runFleet(b, quotasim.Nine(), quotasim.FourZones(), customers, fleetRest, fleetWatched)
+				runFleet(b, quotasim.Nine(), quotasim.FourZones(), customers, evenRate, fleetRest, fleetWatched)
 			}
 		})
 	}
@@ -172,21 +218,26 @@
 		b.Run(fmt.Sprintf("vms=%d", size.vms), func(b *testing.B) {
 			vms, zones := capacityVMs(size.zones, size.vms)
 			for b.Loop() {
-				runFleet(b, vms, zones, 1, 40*time.Second, 3*time.Second)
+				runFleet(b, vms, zones, 1, evenRate, 40*time.Second, 3*time.Second)
 			}
 		})
 	}
 }
 
-// BenchmarkFleetLending reports the costs of active customers in fleets of four
-// zones where most VMs own no slot and borrow.
+// BenchmarkFleetLending reports the costs of active customers in fleets whose
+// zones have 105 VMs, so that most VMs own no slot and borrow: with half a
+// request a second for each customer at each VM, and with 3.6.
 func BenchmarkFleetLending(b *testing.B) {
-	for _, size := range []int{100, 420} {
+	for _, shape := range []struct {
+		zones int
+		rate  float64
+	}{{4, evenRate}, {2, 1504}} {
 		for _, customers := range []int{1, 10, 30} {
-			b.Run(fmt.Sprintf("vms=%d/customers=%d", size, customers), func(b *testing.B) {
-				vms, zones := capacityVMs(4, size)
+			const zoneVMs = 105
+			b.Run(fmt.Sprintf("zones=%d/customers=%d", shape.zones, customers), func(b *testing.B) {
+				vms, zones := capacityVMs(shape.zones, shape.zones*zoneVMs)
 				for b.Loop() {
-					runFleet(b, vms, zones, customers, 40*time.Second, 3*time.Second)
+					runFleet(b, vms, zones, customers, shape.rate, 40*time.Second, 3*time.Second)
 				}
 			})
 		}
@@ -233,7 +284,7 @@
 		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
 			_, zones := capacityVMs(20, 0)
 			c := &catalog.Catalog{Version: 1, Customers: map[string]*catalog.Customer{}, Zones: map[string]*catalog.Zone{}}
-			limits := capacityCustomers(customers)
+			limits := capacityCustomers(customers, evenRate)
 			for i := range limits {
 				c.Customers[limits[i].Name] = &limits[i]
 			}
