--- a/internal/core/lease/timing.go
+++ b/internal/core/lease/timing.go
@@ -18,8 +18,9 @@
 	// returned. It exceeds LoanTerm by the clock margin.
 	LoanWait = 2200 * time.Millisecond
 	// SettleWait is the shortest time from the start of a process until it may
-	// own slots or support the view of others.
-	SettleWait = 2500 * time.Millisecond
+	// own slots or support the view of others. It leaves time for its zone mates
+	// to hear of it and wait out HoldDown, so that they can hand slots over.
+	SettleWait = 5 * time.Second
 	// LostWait replaces the support of settled peers where there are none: after
 	// the loss of a whole zone or the start of a whole fleet.
 	LostWait = 6 * time.Second
@@ -33,6 +34,9 @@
 	AdoptWait = 500 * time.Millisecond
 	// ProbeInterval is the time between two probes of the same peer.
 	ProbeInterval = 600 * time.Millisecond
+	// announceInterval replaces ProbeInterval for zone mates that don't know yet
+	// that the process is settled.
+	announceInterval = 200 * time.Millisecond
 	// SlotGuard is the remaining time of a peer's word below which a slot is
 	// given up.
 	SlotGuard = 150 * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 )
 
@@ -59,8 +60,11 @@
 		"drained zones are not left out": {hooks{picker: func(v *vm) scatter.Picker { return anyReplica{v} }}, "zone_out_local"},
 		"a view of any age":              {hooks{stale: true, offline: deaf}, "key_withdrawn"},
 		"no news for one VM":             {hooks{offline: deaf}, "convergence"},
-		"requests are repeated":          {hooks{repeat: true}, "at_most_once"},
-		"every refusal says not run":     {hooks{reassure: true}, "not_run"},
+		"keys count for one customer": {hooks{owner: func(cat *catalog.Catalog, _ *catalog.Customer) *catalog.Customer {
+			return cat.Customers["tenant-0"]
+		}}, "key_owner"},
+		"requests are repeated":      {hooks{repeat: true}, "at_most_once"},
+		"every refusal says not run": {hooks{reassure: true}, "not_run"},
 		"answers of another snapshot": {hooks{result: func(r *scatter.Result) {
 			if r.Report.Outcome == scatter.OutcomeAnswered {
 				r.Body = []byte("catalogue/0/other")
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 	"ryecourse.example/ryecourse/internal/simclock"
@@ -40,6 +41,8 @@
 	result func(*scatter.Result)
 	// reassure tells every caller that its request has not run.
 	reassure bool
+	// owner changes whose customer a key is taken for.
+	owner func(cat *catalog.Catalog, c *catalog.Customer) *catalog.Customer
 	// offline keeps a VM from hearing of new configuration.
 	offline func(v *vm) bool
 }
