--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -25,13 +25,13 @@
 
 func TestParse(t *testing.T) {
 	const text = "$ go test -bench X ./pkg\ngoos: linux\n" +
-		"BenchmarkX/vms=9/upstreams=30-10   100  1200 ns/op  3.5 MiB-held\nPASS\n"
+		"BenchmarkX/vms=9/upstreams=30/other_zone-10   100  1200 ns/op  3.5 MiB-held\nPASS\n"
 	results, err := Parse(strings.NewReader(text))
 	if err != nil || len(results) != 1 {
 		t.Fatal(results, err)
 	}
 	r := results[0]
-	if r.Name != "BenchmarkX" || r.Params["vms"] != 9 || r.Params["upstreams"] != 30 ||
+	if r.Name != "BenchmarkX" || r.Variant != "other_zone" || r.Params["vms"] != 9 || r.Params["upstreams"] != 30 ||
 		r.Metrics["ns/op"] != 1200 || r.Metrics["MiB-held"] != 3.5 || r.Command != "go test -bench X ./pkg" {
 		t.Fatalf("got %+v", r)
 	}
@@ -55,6 +55,9 @@
 	if got := f.AttemptsPerDaemon(); math.Abs(got-136190.5) > 0.1 {
 		t.Errorf("%v upstream requests/s a daemon", got)
 	}
+	if got := f.ActiveCustomers(); math.Abs(got-1384.4) > 1 {
+		t.Errorf("%v active customers", got)
+	}
 	if got := f.ListsPerSecond(); math.Abs(got-0.8565) > 0.001 {
 		t.Errorf("%v VM lists/s", got)
 	}
--- a/internal/capacity/duty.go
+++ b/internal/capacity/duty.go
@@ -95,7 +95,9 @@
 // adoptNanos is the processor time for one new list on the control goroutine.
 func (m *Model) adoptNanos() float64 {
 	s, f := m.slopes, m.fleet
-	return s.at("adopt-cpu", f.Daemons) + s.at("owner-list", f.Daemons) + s.at("routing-list", f.Upstreams)
+	own := 1 / f.Zones
+	routing := own*s.at("routing-list-own", f.Upstreams) + (1-own)*s.at("routing-list-other", f.Upstreams)
+	return s.at("adopt-cpu", f.Daemons) + s.at("owner-list", f.Daemons) + routing
 }
 
 func duty(name, mechanism string, c call, nanos, memory float64) Duty {
@@ -125,12 +127,12 @@
 		duty("quota: ownership and probes", "lease.Owner, peer.v1 Probe", probes,
 			ticksPerSecond*s.at("owner-tick", f.Daemons), 0),
 		duty("quota: lending", "quota.Manager, peer.v1 Lend", m.lending(),
-			ticksPerSecond*(s.at("quota-active", f.ActiveCustomers)+s.at("quota-idle", f.Customers-f.ActiveCustomers)),
+			ticksPerSecond*(s.at("quota-active", f.ActiveCustomers())+s.at("quota-idle", f.Customers-f.ActiveCustomers())),
 			s.at("quota-memory", f.Customers)),
 		duty("routing: shares and ramps", "routing.Router.Tick", call{},
 			ticksPerSecond*s.at("routing-tick", m.zoneSize()), s.at("routing-memory", m.zoneSize())),
 		duty("routing: questions of new daemons", "routing.Router, peer.v1 AskRamps", m.questions(), 0, 0),
-		duty("audit", "audit.Trail", call{}, s.at(m.lendingBy()+"-audits", f.ActiveCustomers)*s.constant("audit-cpu"), s.constant("audit-memory")),
+		duty("audit", "audit.Trail", call{}, s.at(m.lendingBy()+"-audits", f.ActiveCustomers())*s.constant("audit-cpu"), s.constant("audit-memory")),
 		m.traffic("admission", "admission.Scheduler, keys", f.QueriesPerDaemon()*(s.constant("admit-cpu")+s.constant("key-cpu")), 0),
 		m.traffic("a query's scatter", "scatter.Query", f.AttemptsPerDaemon()*s.constant("query-cpu")/benchShards, 0),
 		m.traffic("choice of replicas", "routing.Router.Pick", f.AttemptsPerDaemon()*s.constant("pick-cpu"), 0),
@@ -190,7 +192,7 @@
 // of the quota package) bounds them, which the largest measured fleet has reached.
 func (m *Model) wants() float64 {
 	s := m.slopes.byID[m.lendingBy()+"-wants"]
-	wants := s.At(m.fleet.ActiveCustomers)
+	wants := s.At(m.fleet.ActiveCustomers())
 	if m.lendingBy() == "planned" {
 		wants = min(wants, s.Points[len(s.Points)-1].Y)
 	}
@@ -199,7 +201,7 @@
 
 // lending is the lending of one daemon: its calls, and its wishes.
 func (m *Model) lending() call {
-	s, active := m.slopes, m.fleet.ActiveCustomers
+	s, active := m.slopes, m.fleet.ActiveCustomers()
 	perWant := s.byID["want-sent"].Line.PerUnit + s.byID["want-answered"].Line.PerUnit
 	c := m.probe().times(min(s.at(m.lendingBy()+"-msgs", active), m.wants()))
 	c.bytes += m.wants() * perWant
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -5,6 +5,8 @@
 // measured.txt. The package has no I/O besides reading that embedded file.
 package capacity
 
+import "math"
+
 // secondsPerDay converts daily counts to rates.
 const secondsPerDay = 24 * 60 * 60
 
@@ -16,8 +18,6 @@
 	Daemons, Zones, Upstreams float64
 	// Services and Customers are what the configuration holds.
 	Services, Customers float64
-	// ActiveCustomers are those with requests at one daemon.
-	ActiveCustomers float64
 	// Files is the number of configuration files.
 	Files float64
 	// Connections is the limit of one upstream over all VMs.
@@ -39,7 +39,7 @@
 func Planned() Fleet {
 	return Fleet{
 		Name: "planned", Daemons: 2100, Zones: 20, Upstreams: 91000,
-		Services: 234, Customers: 2340, ActiveCustomers: 1385, Files: 2575, Connections: 30,
+		Services: 234, Customers: 2340, Files: 2575, Connections: 30,
 		QueriesPerSecond: 2.2e6, ShardsPerQuery: 130,
 		ChangesPerDay: 10000, RestartsPerDay: 37000, ListChangesPerRestart: 2,
 	}
@@ -58,7 +58,6 @@
 	f.Upstreams /= regions
 	f.Services /= regions
 	f.Customers /= regions
-	f.ActiveCustomers = f.Customers
 	f.Files /= regions
 	f.QueriesPerSecond /= regions
 	f.ChangesPerDay /= regions
@@ -71,7 +70,7 @@
 func Today() Fleet {
 	return Fleet{
 		Name: "today", Daemons: 9, Zones: 4, Upstreams: 113,
-		Services: 4, Customers: 8, ActiveCustomers: 8, Files: 17, Connections: 30,
+		Services: 4, Customers: 8, Files: 17, Connections: 30,
 		QueriesPerSecond: 500, ShardsPerQuery: 15,
 		ChangesPerDay: 20, RestartsPerDay: 9, ListChangesPerRestart: 2,
 	}
@@ -95,6 +94,17 @@
 // left out.
 func (f Fleet) AttemptsPerDaemon() float64 { return f.QueriesPerDaemon() * f.ShardsPerQuery }
 
+// demandWindow is the time in which a customer's requests at a daemon make it
+// active there, in seconds.
+const demandWindow = 2
+
+// ActiveCustomers returns the customers with requests at one daemon within a
+// demand window, if all send equally much, independently (Poisson).
+func (f Fleet) ActiveCustomers() float64 {
+	each := f.QueriesPerDaemon() * demandWindow / f.Customers
+	return f.Customers * (1 - math.Exp(-each))
+}
+
 // Budget is what one daemon may spend on control.
 type Budget struct {
 	// CoreShare is processor time per second of one core.
--- a/internal/capacity/result.go
+++ b/internal/capacity/result.go
@@ -15,6 +15,8 @@
 	Name string
 	// Params are the parts KEY=NUMBER of the sub-benchmark's name.
 	Params map[string]float64
+	// Variant is the part of the sub-benchmark's name without a number, if any.
+	Variant string
 	// Metrics are the reported values by unit.
 	Metrics map[string]float64
 	// Command is the command that printed the line, and Package its last word,
@@ -85,7 +87,11 @@
 	parts := strings.Split(procsSuffix.ReplaceAllString(fields[0], ""), "/")
 	out.Name = parts[0]
 	for _, part := range parts[1:] {
-		key, value, _ := strings.Cut(part, "=")
+		key, value, numbered := strings.Cut(part, "=")
+		if !numbered {
+			out.Variant = part
+			continue
+		}
 		number, err := strconv.ParseFloat(value, 64)
 		if err != nil {
 			return Result{}, "a parameter without a number"
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -12,8 +12,9 @@
 	// Package, Benchmark and Unit find the values; Param is the size that they
 	// depend on, or empty.
 	Package, Benchmark, Unit, Param string
-	// Where selects lines by further parameters.
-	Where map[string]float64
+	// Where and Variant select lines further.
+	Where   map[string]float64
+	Variant string
 	// Mechanism names what carries the cost, in the code.
 	Mechanism string
 }
@@ -39,7 +40,7 @@
 func NewSlope(s Source, results []Result) (Slope, error) {
 	out := Slope{Source: s}
 	for _, r := range results {
-		if r.Package != s.Package || r.Name != s.Benchmark || !matches(r, s.Where) {
+		if r.Package != s.Package || r.Name != s.Benchmark || r.Variant != s.Variant || !matches(r, s.Where) {
 			continue
 		}
 		y, ok := r.Metrics[s.Unit]
--- a/internal/capacity/sources.go
+++ b/internal/capacity/sources.go
@@ -78,8 +78,9 @@
 	{ID: "region-audits", Package: "core/quota", Benchmark: "BenchmarkFleetLending", Unit: "audits/s", Param: "customers", Where: map[string]float64{"zones": 2}, Mechanism: "quota.Audit, 210 VMs in two zones, 3.6 requests/s of a customer at a VM"},
 	{ID: "region-refused", Package: "core/quota", Benchmark: "BenchmarkFleetLending", Unit: "%-refused", Param: "customers", Where: map[string]float64{"zones": 2}, Mechanism: "refused although within the limit, 210 VMs in two zones, 3.6 requests/s of a customer at a VM"},
 
-	{ID: "routing-list", Package: "core/routing", Benchmark: "BenchmarkUpdate", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Update after a new VM list"},
-	{ID: "routing-catalog", Package: "core/routing", Benchmark: "BenchmarkNewCatalog", Unit: "ns/op", Param: "upstreams", Where: map[string]float64{"replaced": 0}, Mechanism: "routing.Router.Update after a new configuration"},
+	{ID: "routing-list-own", Package: "core/routing", Benchmark: "BenchmarkUpdate", Variant: "own_zone", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Update: a VM of the own zone more or less"},
+	{ID: "routing-list-other", Package: "core/routing", Benchmark: "BenchmarkUpdate", Variant: "other_zone", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Update: a VM of another zone more or less"},
+	{ID: "routing-catalog", Package: "core/routing", Benchmark: "BenchmarkUpdate", Variant: "catalog", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Update: a new configuration"},
 	{ID: "routing-tick", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "ns/op", Param: "upstreams", Mechanism: "routing.Router.Tick"},
 	{ID: "routing-memory", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "B-held", Param: "upstreams", Mechanism: "routing.Router without the catalog"},
 	{ID: "upstreams-held", Package: "core/routing", Benchmark: "BenchmarkHeld", Unit: "upstreams-held", Param: "upstreams", Mechanism: "routing: domains and ranks"},
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -50,7 +50,7 @@
 	add("availability zones", func(f Fleet) float64 { return f.Zones })
 	add("upstreams", func(f Fleet) float64 { return f.Upstreams })
 	add("customers (assumed)", func(f Fleet) float64 { return f.Customers })
-	add("customers active at one daemon (assumed)", func(f Fleet) float64 { return f.ActiveCustomers })
+	add("customers active at one daemon (if all are equal)", Fleet.ActiveCustomers)
 	add("configuration files (assumed)", func(f Fleet) float64 { return f.Files })
 	add("queries/s, one daemon", Fleet.QueriesPerDaemon)
 	add("upstream requests/s, one daemon", Fleet.AttemptsPerDaemon)
--- a/internal/core/routing/capacity_bench_test.go
+++ b/internal/core/routing/capacity_bench_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"runtime"
 	"testing"
-
-	"ryecourse.example/ryecourse/internal/core/catalog"
 )
 
 // capacitySizes are fleets of 20 zones with 130 shards.
@@ -45,33 +43,6 @@
 	}
 }
 
-// BenchmarkNewCatalog measures a new version of the configuration for a fleet of
-// 20 zones: with every service as it was, and with one service replaced that
-// holds all upstreams, which is the dearest case.
-func BenchmarkNewCatalog(b *testing.B) {
-	zones := make([]string, 20)
-	for i := range zones {
-		zones[i] = fmt.Sprintf("z-%02d", i)
-	}
-	for _, replaced := range []int{0, 1} {
-		for _, size := range capacitySizes {
-			b.Run(fmt.Sprintf("replaced=%d/vms=%d/upstreams=%d", replaced, size.vms, size.replicas*130), func(b *testing.B) {
-				list := testList(1, zones, size.vms)
-				catalogs := []*catalog.Catalog{testCatalog(zones, 130, size.replicas), testCatalog(zones, 130, size.replicas)}
-				r, now := newMature(list, 0, catalogs[0], Config{})
-				version := catalogs[0].Version
-				b.ReportAllocs()
-				for b.Loop() {
-					version++
-					next := *catalogs[version%2*uint64(replaced)]
-					next.Version = version
-					r.Update(now, &next, list)
-				}
-			})
-		}
-	}
-}
-
 func inUse() int64 {
 	var m runtime.MemStats
 	runtime.GC()
--- a/internal/peer/capacity_bench_test.go
+++ b/internal/peer/capacity_bench_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
 )
@@ -94,13 +96,19 @@
 	return n, err
 }
 
+// benchIdentity is of the daemon that answers, and of the one that asks: the
+// client sends only what proves the fleet.
+func benchIdentity() Identity {
+	return Identity{Fleet: "cz-central", Secret: "s", VM: "vm-other"}
+}
+
 func listen(b *testing.B, h *stub) *countingListener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	counting := &countingListener{Listener: ln}
-	server := NewServer(Identity{Fleet: "f", Secret: "s"}, h, func(string, string) {})
+	server := NewServer(benchIdentity(), h, func(Refusal) {})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(counting) }()
 	b.Cleanup(func() {
@@ -140,7 +148,7 @@
 // BenchmarkCall measures a probe over loopback, HTTP included.
 func BenchmarkCall(b *testing.B) {
 	ln := listen(b, &stub{})
-	client := NewClient(Identity{Fleet: "f", Secret: "s"})
+	client := NewClient(benchIdentity())
 	req := &peerv1.ProbeRequest{Sender: benchSender(), Claim: &peerv1.Claim{ListRevision: 1 << 30, Settled: true}}
 	measure(b, ln, func() error {
 		_, err := client.Probe(ln.Addr().String(), req)
@@ -154,7 +162,7 @@
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
 			list := benchList(n)
 			ln := listen(b, &stub{list: list})
-			client := NewClient(Identity{Fleet: "f", Secret: "s"})
+			client := NewClient(benchIdentity())
 			req := &peerv1.ExchangeRequest{Sender: benchSender(), Digest: &peerv1.Digest{ConfigVersion: 1 << 30}}
 			measure(b, ln, func() error {
 				_, err := client.Exchange(ln.Addr().String(), req)
@@ -170,7 +178,7 @@
 		b.Run(fmt.Sprintf("files=%d", n), func(b *testing.B) {
 			names := benchNames(n)
 			ln := listen(b, &stub{names: names})
-			client := NewClient(Identity{Fleet: "f", Secret: "s"})
+			client := NewClient(benchIdentity())
 			req := &peerv1.FetchFilesRequest{Sender: benchSender(), Have: names}
 			measure(b, ln, func() error {
 				_, err := client.FetchFiles(ln.Addr().String(), req)
@@ -203,19 +211,26 @@
 	}
 }
 
-// dialOnce opens a connection and reads the answer to one request.
+// dialOnce opens a connection and reads the answer to one probe.
 func dialOnce(b *testing.B, addr string) net.Conn {
-	c, err := net.Dial("tcp", addr)
+	body, err := proto.Marshal(&peerv1.ProbeRequest{Sender: benchSender(), Claim: &peerv1.Claim{Settled: true}})
 	if err != nil {
 		b.Fatal(err)
 	}
-	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
 		b.Fatal(err)
 	}
-	buf := make([]byte, 1)
-	if _, err := c.Read(buf); err != nil {
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Type: application/proto\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		peerv1connect.PeerServiceProbeProcedure, proofHeader, benchIdentity().proof(), len(body), body)
+	if err != nil {
 		b.Fatal(err)
 	}
+	const ok = "HTTP/1.1 200 OK"
+	answer := make([]byte, len(ok))
+	if _, err := io.ReadFull(c, answer); err != nil || string(answer) != ok {
+		b.Fatalf("got %q, %v", answer, err)
+	}
 	return c
 }
 
