Let attempts at upstreams on a ramp run on when another one wins

Cause: a ramp goes on only by answers. Ruled out: no hedges beside cold upstreams; the query would wait for them. Change: the router marks such a target as a trial; the query doesn't cancel a trial and awaits its result; the executor ends it at its deadline.

--- a/internal/core/routing/pick.go
+++ b/internal/core/routing/pick.go
@@ -40,7 +40,7 @@
 		}
 		u.endLoanIfDue(now, c.at)
 		if u.reserve(c.beyondAssured) {
-			return scatter.Target{Upstream: u.id, Address: u.address}, true
+			return scatter.Target{Upstream: u.id, Address: u.address, Trial: u.cold.Load()}, true
 		}
 	}
 	s.state.refusedAt.Store(c.at)
--- a/internal/core/scatter/api.go
+++ b/internal/core/scatter/api.go
@@ -17,6 +17,9 @@
 	Upstream string
 	// Address is host:port.
 	Address string
+	// Trial tells that the Picker learns from the answer. The attempt isn't
+	// canceled when another one wins; its owner ends it at its deadline.
+	Trial bool
 }
 
 // Picker reserves replicas. routing.Router is the product's Picker.
--- a/internal/core/scatter/attempts.go
+++ b/internal/core/scatter/attempts.go
@@ -210,7 +210,8 @@
 	}
 }
 
-// cancel gives up a running attempt.
+// cancel gives up a running attempt. A trial runs on, and its result is awaited
+// like that of a canceled one.
 func (q *Query) cancel(a *attempt) {
 	if a.ended || a.canceled {
 		return
@@ -218,6 +219,9 @@
 	a.canceled = true
 	q.shards[a.shard].running--
 	q.shards[a.shard].canceled++
+	if a.target.Trial {
+		return
+	}
 	q.cancels = append(q.cancels, Cancel{Attempt: a.id})
 	q.actions = append(q.actions, &q.cancels[len(q.cancels)-1])
 }
--- a/internal/soak/query.go
+++ b/internal/soak/query.go
@@ -199,6 +199,9 @@
 	c := &call{query: q, attempt: a, leaf: w.leaves[a.Target.Upstream], sentAt: q.now()}
 	q.calls[a.ID] = c
 	w.check.dispatched(q.vm, c)
+	if a.Target.Trial {
+		w.clock.After(a.Deadline.Sub(q.now()), func() { q.cancel(a.ID) })
+	}
 	if q.vm.conns[c.leaf.id] == 0 {
 		w.clock.After(connectCost+w.latency(), func() { q.vm.run(c.connect) })
 		return
