Wait for named files after a pause, and longer for a permit

Cause: make smoke accepted a withdrawn key 12 times after a daemon was paused across the change: it had an index that named the new file, counted the service as heard, and served before it had the file. In the demo a second query, to another daemon than the first, was refused as overloaded: the upstreams were cold, their permits lay with other daemons, and a shard waited 50 ms for one while asking for a loan takes a tick and a round trip. Ruled out: readiness only after all files whatever the time; the wait stays bounded. Change: a daemon that knows of newer files waits for them within its bound; a shard waits up to 200 ms for a replica that may take a request. The warm-up of the smoke run is 3 s, since daemons say ready when they can serve.

--- a/internal/core/scatter/policy.go
+++ b/internal/core/scatter/policy.go
@@ -30,7 +30,7 @@
 		MaxHedgesPerShard:   2,
 		MaxRestarts:         2,
 		DiscoverEvery:       16,
-		CapacityWait:        50 * time.Millisecond,
+		CapacityWait:        200 * time.Millisecond,
 		CapacityPoll:        2 * time.Millisecond,
 		RetryAfter:          time.Second,
 	}
--- a/internal/core/spread/phase.go
+++ b/internal/core/spread/phase.go
@@ -88,10 +88,11 @@
 	out.add(Ready{Confirmed: confirmed})
 }
 
-// pulling tells whether a peer is known to hold something newer that can
-// still be had within the phase.
+// pulling tells whether a peer or the service is known to hold something newer
+// that can still be had within the phase.
 func (s *Spread) pulling() bool {
-	return len(s.gossip.ahead) > 0 && s.lastEvent.Before(s.phase.until)
+	newer := len(s.gossip.ahead) > 0 || s.service.gather != nil
+	return newer && s.lastEvent.Before(s.phase.until)
 }
 
 func (s *Spread) confirmed() bool {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -165,7 +165,7 @@
 	start_child "$1" "$BIN/ryecourse" serve --settings "$RUN_DIR/$1.json"
 }
 
-wait_daemon() { wait_http "http://$(address $((300 + $1)))/readyz" 15; }
+wait_daemon() { wait_http "http://$(address $((300 + $1)))/readyz" 30; }
 
 # prepare makes an empty folder for the run and checks the programs.
 prepare() {
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -66,7 +66,7 @@
 # The upstreams and the daemons start cold. Refusals are no fault while they warm
 # up; everything else is.
 RESULT=0
-"$BIN/standin" check --file "$RUN_DIR/check.json" --for 8s --name warm-up --timeline --min-answered 0 || RESULT=1
+"$BIN/standin" check --file "$RUN_DIR/check.json" --for 3s --name warm-up --timeline --min-answered 0 || RESULT=1
 
 BEGAN=$(now_ms)
 "$BIN/standin" check --file "$RUN_DIR/check.json" --for 24s --name smoke --timeline >"$RUN_DIR/check.out" 2>&1 &
