--- a/internal/capacity/bottleneck.go
+++ b/internal/capacity/bottleneck.go
@@ -29,7 +29,7 @@
 func (b Bottleneck) Ratio() float64 { return b.Value / b.Target }
 
 // maxInbound is the number of connections that the peers' listener accepts
-// (maxConnections of the peer package). Each daemon opens one to each witness.
+// (maxConnections of the peer package). A daemon that probes keeps one.
 const maxInbound = 512
 
 // Bottlenecks returns what is compared with the targets, the farthest from its
@@ -40,7 +40,7 @@
 		{"reads of the platform, all daemons", s.at("reads", f.Daemons), t.ReadsPerSecond, UnitCount, "spread: readers"},
 		{"reads of the platform, all start at once", s.at("reads-start", f.Daemons), t.ReadsPerSecond, UnitCount, "spread: bootstrap"},
 		{"a change in force everywhere", s.at("change-ms", f.Daemons) / 1000, t.SecondsToAll, UnitSeconds, "spread"},
-		{"a witness: connections of other daemons", f.Daemons - 1, maxInbound, UnitCount, "peer.Server: maxConnections"},
+		{"the most probed daemon: connections of others", min(m.probed()*probeSeconds, f.Daemons), maxInbound, UnitCount, "peer.Server: maxConnections"},
 		{"a change in force everywhere, with faults", s.at("change-ms-faulty", f.Daemons) / 1000, t.SecondsToAll, UnitSeconds, "spread"},
 	}
 	rows := append(m.Duties(), m.Control(), m.Witness(), m.Reader())
--- a/internal/capacity/duty.go
+++ b/internal/capacity/duty.go
@@ -132,7 +132,7 @@
 		duty("routing: shares and ramps", "routing.Router.Tick", call{},
 			ticksPerSecond*s.at("routing-tick", m.zoneSize()), s.at("routing-memory", m.zoneSize())),
 		duty("routing: questions of new daemons", "routing.Router, peer.v1 AskRamps", m.questions(), 0, 0),
-		duty("audit", "audit.Trail", call{}, s.at(m.lendingBy()+"-audits", f.ActiveCustomers())*s.constant("audit-cpu"), s.constant("audit-memory")),
+		duty("audit", "audit.Trail", call{}, m.loanEntries()*s.constant("audit-cpu"), s.constant("audit-memory")),
 		m.traffic("admission", "admission.Scheduler, keys", f.QueriesPerDaemon()*(s.constant("admit-cpu")+s.constant("key-cpu")), 0),
 		m.traffic("a query's scatter", "scatter.Query", f.AttemptsPerDaemon()*s.constant("query-cpu")/benchShards, 0),
 		m.traffic("choice of replicas", "routing.Router.Pick", f.AttemptsPerDaemon()*s.constant("pick-cpu"), 0),
@@ -199,6 +199,13 @@
 	return wants
 }
 
+// loanEntries returns the entries of loans in the audit trail per second: at most
+// one at each end of a wish.
+func (m *Model) loanEntries() float64 {
+	const ends = 2
+	return min(m.slopes.at(m.lendingBy()+"-audits", m.fleet.ActiveCustomers()), ends*m.wants())
+}
+
 // lending is the lending of one daemon: its calls, and its wishes.
 func (m *Model) lending() call {
 	s, active := m.slopes, m.fleet.ActiveCustomers()
@@ -233,18 +240,30 @@
 	return sum
 }
 
-// Witness returns what the answers to all probes cost one of the nine daemons
-// whose word every daemon asks for.
+// probeSeconds is the time between two probes of one daemon by another, so that
+// the probes of that time are those of as many daemons.
+const probeSeconds = 0.6
+
+// probed returns the probes that the most probed daemon answers per second: those
+// of a fleet of four zones of this size, and what further zones add.
+func (m *Model) probed() float64 {
+	const zones = 4
+	s, f := m.slopes, m.fleet
+	further := s.at("probed-zones", f.Zones) - s.at("probed-zones", zones)
+	return s.at("probed-most", zones*f.ZoneDaemons()) + max(further, 0)
+}
+
+// Witness returns what the answers to probes cost the most probed daemon.
 func (m *Model) Witness() Duty {
 	s, f := m.slopes, m.fleet
-	probed := s.at("probed-most", f.Daemons)
+	probed := m.probed()
 	const ends = 2
 	return Duty{
-		Name: "quota: a witness of the fleet", Mechanism: "lease.Owner: maxWitnesses, ProbeInterval",
+		Name: "quota: the most probed daemon", Mechanism: "lease.Owner.Probes",
 		Messages:  probed,
 		Bytes:     probed * s.constant("call-answered"),
 		CoreShare: probed * s.constant("call-cpu") / ends / nanoseconds,
-		Memory:    f.Daemons * s.constant("inbound-memory"),
+		Memory:    min(m.probed()*probeSeconds, f.Daemons) * s.constant("inbound-memory"),
 	}
 }
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -93,7 +93,8 @@
 	add("upstreams that a daemon holds", func(m *Model) string { return number(m.slopes.at("upstreams-held", m.zoneSize())) })
 	add("connections of a daemon", func(m *Model) string { return number(m.slopes.at("connections", m.zoneSize())) })
 	add("the whole folder", func(m *Model) string { return UnitBytes.text(m.slopes.at("folder-memory", m.fleet.Upstreams)) })
-	add("probes/s that a witness answers", at("probed-most"))
+	add("probes/s that the most probed daemon answers", func(m *Model) string { return number(m.probed()) })
+	add("entries/s of loans in the audit trail", func(m *Model) string { return number(m.loanEntries()) })
 	add("wishes for shares/s of a daemon", func(m *Model) string { return number(m.wants()) })
 	add("% refused within the limit (of how many customers)", func(m *Model) string {
 		points := m.slopes.byID[m.lendingBy()+"-refused"].Points
--- a/internal/core/quota/capacity_bench_test.go
+++ b/internal/core/quota/capacity_bench_test.go
@@ -224,6 +224,20 @@
 	}
 }
 
+// BenchmarkFleetZones reports the costs of the slots of one customer by the number
+// of zones of ten VMs.
+func BenchmarkFleetZones(b *testing.B) {
+	const zoneVMs = 10
+	for _, count := range []int{4, 10, 20} {
+		b.Run(fmt.Sprintf("zones=%d", count), func(b *testing.B) {
+			vms, zones := capacityVMs(count, count*zoneVMs)
+			for b.Loop() {
+				runFleet(b, vms, zones, 1, evenRate, 40*time.Second, 3*time.Second)
+			}
+		})
+	}
+}
+
 // BenchmarkFleetLending reports the costs of active customers in fleets whose
 // zones have 105 VMs, so that most VMs own no slot and borrow: with half a
 // request a second for each customer at each VM, and with 3.6.
