--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -128,7 +128,7 @@
 func (c *Control) exchange(a spread.Exchange) {
 	base := c.deps.Spread.List()
 	req := &peerv1.ExchangeRequest{Sender: c.sender(), Digest: digestToWire(a.Digest)}
-	c.calls.Go(func() {
+	c.call(func() {
 		resp, err := c.deps.Peers.Exchange(a.Peer.PeerAddress, req)
 		c.loop.Post(func(now time.Time) {
 			s := c.deps.Spread
@@ -146,7 +146,7 @@
 // files stands for their names; only a peer that doesn't know it gets them.
 func (c *Control) pullFiles(a spread.PullFiles) {
 	base := c.deps.Spread.Files()
-	c.calls.Go(func() {
+	c.call(func() {
 		req := &peerv1.FetchFilesRequest{Sender: c.sender(), Digest: base.Digest}
 		resp, err := c.deps.Peers.FetchFiles(a.Peer.PeerAddress, req)
 		if err == nil && resp.GetUnknownDigest() {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -9,9 +9,10 @@
 )
 
 // maxViewAge is how long traffic may act on a view that the control goroutine
-// has not confirmed. The goroutine confirms it on every tick. A process that
-// was paused finds the view too old until the control goroutine has looked for
-// news.
+// has not confirmed. The goroutine confirms it on every tick. Traffic that wakes
+// first after a pause finds the view too old. After a pause of 2 s or more (see
+// package spread) it stays so until the control goroutine has looked for news;
+// after a shorter one, until the next tick.
 const maxViewAge = time.Second
 
 // View is what traffic goroutines read of the control state. It is immutable.
@@ -25,6 +26,7 @@
 type State struct {
 	view      atomic.Pointer[View]
 	confirmed atomic.Pointer[time.Time]
+	warm      atomic.Bool
 }
 
 // View returns the newest view, or nil before the first one.
@@ -47,6 +49,10 @@
 	return at != nil && membership.Elapsed(*at, now) <= maxViewAge
 }
 
+// Warm tells whether the daemon has had its shares of upstreams and of limits
+// since it started.
+func (s *State) Warm() bool { return s.warm.Load() }
+
 // distrust makes the view too old to act on until the next confirm.
 func (s *State) distrust() { s.confirmed.Store(nil) }
 
