Tick quota and spreading at their own interval; keep leases apart in the audit

Cause: found by the capacity benchmarks: the control loop ticked the quota manager every 50 ms, which counts demand over 100 ms and so saw half of it; and loans filled the audit trail, 18 entries a second with 8 customers, which would push out a change of configuration within 4 minutes. By calculation, the heap could grow past 200 MiB at the planned size. Ruled out: a slower loop for all; ramps need the shorter one. Change: two intervals; frequent entries have a ring of their own; a soft memory limit in the settings, 256 MiB unless set. The effect on refusals was not measured alone.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,6 +71,8 @@
 	// noticing holds the addresses to which a notice is on its way.
 	noticing  map[string]bool
 	fetchedAt time.Time
+	// slowTickAt is the time of the last slowTick.
+	slowTickAt time.Time
 
 	// fetching tells that a fetch of tokens is posted to the loop.
 	fetching atomic.Bool
@@ -111,10 +113,20 @@
 	return true
 }
 
-// Tick implements Ticker.
-func (c *Control) Tick(now time.Time) {
+// slowTick ticks what counts on longer intervals than the loop's own: the quota
+// manager reads rates off the requests between two of its ticks.
+func (c *Control) slowTick(now time.Time) {
+	if now.Sub(c.slowTickAt) < quota.TickInterval-tickInterval/2 {
+		return
+	}
+	c.slowTickAt = now
 	c.spreadActions(c.deps.Spread.Tick(now))
 	c.quotaActions(c.deps.Quota.Tick(now))
+}
+
+// Tick implements Ticker.
+func (c *Control) Tick(now time.Time) {
+	c.slowTick(now)
 	if c.serving {
 		c.deps.Router.Confirm(now)
 		c.State.confirm(now)
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -102,7 +102,12 @@
 	if subject == "" {
 		subject = c.deps.Self.VM.ID
 	}
-	c.deps.Trail.Add(audit.Entry{Time: a.At, Kind: string(a.Event), Subject: subject, Cause: quotaCause(a)})
+	entry := audit.Entry{Time: a.At, Kind: string(a.Event), Subject: subject, Cause: quotaCause(a)}
+	if a.Customer != "" && a.Peer != "" { // a loan
+		c.deps.Trail.AddFrequent(entry)
+		return
+	}
+	c.deps.Trail.Add(entry)
 }
 
 // quotaCause describes a change of shares for the audit trail.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,6 +64,7 @@
 // Logs go to out as JSON lines.
 func Run(ctx context.Context, s *settings.Settings, out io.Writer) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(s.Limits.MemoryMB << 20)
 	d, err := New(s, out)
 	if err != nil {
 		return err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,9 @@
 	ReadTimeoutMs int `json:"read_timeout_ms" validate:"min=10,max=600000"`
 	// IdleTimeoutMs is how long a kept connection may be idle, in milliseconds.
 	IdleTimeoutMs int `json:"idle_timeout_ms" validate:"min=10,max=3600000"`
+	// MemoryMB is the soft limit of the process's memory, in MiB. Near it the
+	// collector runs more often.
+	MemoryMB int64 `json:"memory_mb" validate:"min=32,max=1048576"`
 	// DrainMs is how long a graceful shutdown waits for running requests, in
 	// milliseconds.
 	DrainMs int `json:"drain_ms" validate:"min=0,max=600000"`
@@ -100,6 +103,7 @@
 			MaxConnections: 10_000,
 			ReadTimeoutMs:  5_000,
 			IdleTimeoutMs:  60_000,
+			MemoryMB:       256,
 			DrainMs:        10_000,
 		},
 	}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -43,7 +43,9 @@
 	// lostAt is when the last connection to a leaf was lost.
 	lostAt    map[string]time.Time
 	startedAt time.Time
-	fetchedAt time.Time
+	// slowTickAt is when quota and spread ticked last.
+	slowTickAt time.Time
+	fetchedAt  time.Time
 }
 
 func newVM(w *world, self membership.VM) *vm {
@@ -81,8 +83,11 @@
 	v.run(func() {
 		now := v.world.clock.Now()
 		v.noticePause(now)
-		v.spreadActions(v.spread.Tick(now))
-		v.quotaActions(v.quota.Tick(now))
+		if now.Sub(v.slowTickAt) >= quota.TickInterval {
+			v.slowTickAt = now
+			v.spreadActions(v.spread.Tick(now))
+			v.quotaActions(v.quota.Tick(now))
+		}
 		if v.serving {
 			v.router.Confirm(now)
 			v.confirmedAt = now
