--- a/internal/core/scatter/results.go
+++ b/internal/core/scatter/results.go
@@ -147,7 +147,7 @@
 	switch o {
 	case OutcomeShed:
 		return verdict.CodeOverloaded
-	case OutcomeConnectFailed, OutcomeDraining:
+	case OutcomeConnectFailed, OutcomeDraining, OutcomeCanceled:
 		return verdict.CodeUnavailable
 	case OutcomeConnectionLost:
 		return verdict.CodeConnectionLost
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,11 +103,7 @@
 	d.spread = spread.New(spread.Settings{Self: self.VM, Seeds: seeds(s.Seeds)}, newRand())
 	d.router = routing.New(self.VM, newRand(), routing.Config{})
 	addresses := newAddressBook()
-	d.pool = upstream.NewPool(func(addr string) {
-		if id, ok := addresses.upstream(addr); ok {
-			d.router.OnConnectionsLost(time.Now(), id)
-		}
-	})
+	d.pool = upstream.NewPool(d.onLost(addresses))
 	d.planner = newPlanner(s.Policy, d.pool, d.router, addresses)
 	d.control = control.New(control.Deps{
 		Self:     self,
@@ -134,6 +130,19 @@
 	d.gauges()
 }
 
+// onLost returns what tells the router that the connections to an upstream were
+// lost. The baseline, which knows no cold upstreams, isn't told.
+func (d *Daemon) onLost(addresses *addressBook) func(addr string) {
+	if d.settings.Policy.RandomReplica {
+		return nil
+	}
+	return func(addr string) {
+		if id, ok := addresses.upstream(addr); ok {
+			d.router.OnConnectionsLost(time.Now(), id)
+		}
+	}
+}
+
 // refused records a message that the peers' listener did not handle. The
 // metric counts all of them, the audit trail is spared a flood.
 func (d *Daemon) refused(r peer.Refusal) {
