--- a/internal/capacity/duty.go
+++ b/internal/capacity/duty.go
@@ -18,6 +18,8 @@
 const (
 	// ticksPerSecond is how often the control goroutine ticks.
 	ticksPerSecond = 20
+	// slowTicksPerSecond is how often it ticks spreading and quota.
+	slowTicksPerSecond = 10
 	// limitsPerSecond is how often the pool's shares are updated.
 	limitsPerSecond = 4
 	// readersPerZone is the number of daemons of a zone that read the platform.
@@ -124,7 +126,7 @@
 	probes := m.probe().times(m.probesPerSecond())
 	return []Duty{
 		duty("configuration: exchanges at rest", "spread.Spread", idle,
-			ticksPerSecond*s.at("spread-tick", f.Daemons), 0),
+			slowTicksPerSecond*s.at("spread-tick", f.Daemons), 0),
 		duty("configuration: spreading changes", "spread.Spread, peer.v1 FetchFiles", m.configChange().times(changes), 0, 0),
 		duty("catalog: acceptance and publishing", "catalog.Acceptor, routing.Router.Update, quota.Manager.OnCatalog", call{},
 			changes*m.acceptNanos(), s.at("accept-memory", f.Upstreams)*(1<<20)+s.at("folder-memory", f.Upstreams)),
@@ -133,9 +135,9 @@
 		duty("VM list: adoption", "spread topology, lease.Owner.SetList, routing.Router.Update", call{},
 			lists*m.adoptNanos(), s.at("adopt-memory", f.Daemons)),
 		duty("quota: ownership and probes", "lease.Owner, peer.v1 Probe", probes,
-			ticksPerSecond*s.at("owner-tick", f.Daemons), 0),
+			slowTicksPerSecond*s.at("owner-tick", f.Daemons), 0),
 		duty("quota: lending", "quota.Manager, peer.v1 Lend", m.lending(),
-			ticksPerSecond*(s.at("quota-active", f.ActiveCustomers())+s.at("quota-idle", f.Customers-f.ActiveCustomers())),
+			slowTicksPerSecond*(s.at("quota-active", f.ActiveCustomers())+s.at("quota-idle", f.Customers-f.ActiveCustomers())),
 			s.at("quota-memory", f.Customers)),
 		duty("routing: shares and ramps", "routing.Router.Tick", call{},
 			ticksPerSecond*s.at("routing-tick", m.zoneSize()), s.at("routing-memory", m.zoneSize())),
