End the timer of a trial with the trial

Cause: each attempt at an upstream on a ramp set a timer to its deadline, which held the call and its query until then. Ruled out: one timer for each query; a query may end before its trials. Change: the call owns the timer and stops it when it ends. TestTrialEndsAtItsDeadline.

--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -193,9 +193,6 @@
 		r.calls = append(r.calls, nil)
 	}
 	r.calls[a.ID] = c
-	if a.Target.Trial {
-		time.AfterFunc(time.Until(a.Deadline), c.Cancel) // nobody else ends it
-	}
 	r.pool.Start(c)
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -44,6 +44,7 @@
 	phase    phase
 	conn     *conn // set in phaseAttached
 	canceled bool
+	expiry   *time.Timer  // ends a trial, which its query doesn't cancel
 	written  atomic.Int64 // bytes handed to the socket
 }
 
@@ -76,6 +77,16 @@
 	}
 }
 
+// expire makes a trial end at its deadline.
+func (c *Call) expire() {
+	if !c.Attempt.Target.Trial {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expiry = time.AfterFunc(time.Until(c.Attempt.Deadline), c.Cancel)
+}
+
 // attach binds the call to a connection. It returns false for a call that was
 // canceled or has ended.
 func (c *Call) attach(cn *conn) bool {
@@ -127,6 +138,9 @@
 		return
 	}
 	c.phase = phaseEnded
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
 	c.mu.Unlock()
 	r.Report.Latency = time.Since(c.started)
 	c.Sink.Deliver(r)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -137,6 +137,7 @@
 	c.host = p.host(c.Attempt.Target.Address)
 	c.started = time.Now()
 	p.Stats.Requests.Inc()
+	c.expire()
 	c.host.start(c)
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -383,3 +383,15 @@
 	reply(t, c, receive(t, c), nil)
 	want(t, <-s, scatter.OutcomeAnswered, verdict.Ran)
 }
+
+// TestTrialEndsAtItsDeadline sends a trial to an upstream that never answers.
+// Nobody cancels it.
+func TestTrialEndsAtItsDeadline(t *testing.T) {
+	f, s := newFake(t), make(sink, 1)
+	p := newPool(t, f.addr(), 1)
+	call := newTrial(f.addr(), 1, s)
+	call.Attempt.Deadline = time.Now().Add(20 * time.Millisecond)
+	p.Start(call)
+	receive(t, <-f.conns)
+	want(t, <-s, scatter.OutcomeCanceled, verdict.MayHaveRun)
+}
