Don't take this side's delays for a cold upstream

Each fall back to the first stage lowers the load that the upstream gets. Ruled out: a larger factor, since for slow upstreams eight is much already. Change: 2 ms are added to the limit of a slow answer, 1 ms to that of a good one on a ramp. Conclusion: an upstream that answers in less than a third of a millisecond when warm may now be up to 2 ms slower without a ramp.

--- a/internal/core/routing/ramp.go
+++ b/internal/core/routing/ramp.go
@@ -39,6 +39,10 @@
 	// coldFactor times the usual latency is an answer that hints at a cold
 	// upstream.
 	coldFactor = 8
+	// slowNoise and goodNoise are added to the limits above: delays of the network
+	// and of this process, which say nothing about the upstream.
+	slowNoise = 2 * time.Millisecond
+	goodNoise = time.Millisecond
 	// slowLimit is the number of such answers in a row that count as cold.
 	slowLimit = 3
 	// firstAsk and lastAsk bound the interval between two questions to the
@@ -107,7 +111,7 @@
 	if usual == 0 {
 		usual = r.best
 	}
-	if latency > goodFactor*usual {
+	if latency > goodFactor*usual+goodNoise {
 		r.good = 0
 		return false
 	}
@@ -119,7 +123,7 @@
 // answeredWarm takes in an answer while warm and reports whether the upstream
 // must count as cold.
 func (r *ramp) answeredWarm(now time.Time, latency, usual time.Duration) bool {
-	if usual == 0 || latency <= coldFactor*usual {
+	if usual == 0 || latency <= coldFactor*usual+slowNoise {
 		r.slow = 0
 		r.evidence = now.Add(-latency)
 		return false
