Hedge no earlier than 2 ms

Cause: with upstreams that answer in 0.1 ms a hedge was due after some 0.3 ms. 0.85 in 100 requests were hedged, and each loser cost a connection: 11,918 dials for 645,510 requests, 4.5 in 100 of the processor time. Ruled out: keeping the loser's connection; its answer would have to be awaited. Change: Policy.MinHedgeDelay, 2 ms. TestHedgesWaitForTheLeastDelay.

--- a/internal/core/scatter/policy.go
+++ b/internal/core/scatter/policy.go
@@ -8,6 +8,9 @@
 	MaxAttemptsPerShard int
 	// MaxHedgesPerShard bounds the hedges among them.
 	MaxHedgesPerShard int
+	// MinHedgeDelay is the earliest time of a hedge. Below it, waiting is cheaper
+	// than another request and the connection that a cancel closes.
+	MinHedgeDelay time.Duration
 	// MaxRestarts bounds the changes from one snapshot to another after the
 	// query has settled.
 	MaxRestarts int
@@ -28,6 +31,7 @@
 	return Policy{
 		MaxAttemptsPerShard: 6,
 		MaxHedgesPerShard:   2,
+		MinHedgeDelay:       2 * time.Millisecond,
 		MaxRestarts:         2,
 		DiscoverEvery:       16,
 		CapacityWait:        200 * time.Millisecond,
--- a/internal/core/scatter/timers.go
+++ b/internal/core/scatter/timers.go
@@ -6,7 +6,7 @@
 func (q *Query) hedgeDelay(now time.Time, k int) time.Duration {
 	left := q.spec.Deadline.Sub(now)
 	if d, ok := q.shared.Latency.Delay(k); ok {
-		return min(d, left)
+		return min(max(d, q.shared.Policy.MinHedgeDelay), left)
 	}
 	return left / 2
 }
--- a/internal/core/scatter/trial_test.go
+++ b/internal/core/scatter/trial_test.go
@@ -59,3 +59,22 @@
 		}
 	}
 }
+
+// TestHedgesWaitForTheLeastDelay records answers of a tenth of a millisecond: the
+// hedge is due after MinHedgeDelay and not before.
+func TestHedgesWaitForTheLeastDelay(t *testing.T) {
+	latency := NewLatency(1)
+	for range 10 * minSamples {
+		latency.Record(0, 100*time.Microsecond)
+	}
+	now := time.Unix(0, 0)
+	policy := DefaultPolicy()
+	q := New(Spec{
+		Service: "svc", Layout: []catalog.Shard{{Replicas: make([]catalog.Upstream, 2)}},
+		Deadline: now.Add(time.Second), Idempotent: true, MinCoverage: 1,
+	}, Shared{Picker: &trialPicker{}, Budgets: NewBudgets(), Latency: latency, Policy: policy})
+	q.Start(now)
+	if at, _ := q.NextTimer(); at.Sub(now) != policy.MinHedgeDelay {
+		t.Fatalf("due after %s, not %s", at.Sub(now), policy.MinHedgeDelay)
+	}
+}
