Lend permits of cold upstreams when, and only when, a query waits

Cause: a new user's second to sixth query in the demo was refused as overloaded. Upstreams are cold then, and each permit belongs to one VM; the audit and status of all four showed: questions to peers put off for up to 10 s; loans asked for during a second after the query had given up, of all replicas of a shard at once; no loan beyond the first stage; and a lender that waited 3 s after the term whatever the service's deadline. Ruled out: more permits; a synthetic request to warm upstreams, since health endpoints mislead. Change: a refused pick makes the question due at once; only a query that waits right now asks, for one replica of its shard at a time; first-stage permits are lent at any stage; the lender waits for the service's deadline, a tenth and 250 ms. The fleet model's deadline is now that of its catalog, so that the wait is tested without room.

--- a/internal/core/routing/asking.go
+++ b/internal/core/routing/asking.go
@@ -8,8 +8,10 @@
 const (
 	// maxAsked bounds the upstreams that one Tick asks for.
 	maxAsked = 256
-	// wantedFor is the time for which a refused pick counts as demand.
-	wantedFor = time.Second
+	// wantedFor is the time for which a refused pick counts as demand. A query
+	// that waits picks again every few milliseconds; a permit that is borrowed
+	// after it has given up is lost to everybody for the term.
+	wantedFor = 20 * time.Millisecond
 )
 
 // RampQuery asks one VM what it knows of upstreams that are not warm here.
@@ -48,15 +50,17 @@
 	t := r.table.Load()
 	at := int64(now.Sub(t.epoch))
 	byVM := make(map[string][]RampQuestion)
+	wanting := make(map[*shardState]bool)
 	asked := 0
 	for _, u := range t.ordered {
 		if asked >= maxAsked {
 			break
 		}
-		q, to, ok := u.takeQuestion(now, at, r.self.ID, mix(r.ticket.Add(1)))
+		q, to, ok := u.takeQuestion(now, at, r.self.ID, mix(r.ticket.Add(1)), !wanting[u.shard])
 		if !ok {
 			continue
 		}
+		wanting[u.shard] = wanting[u.shard] || q.WantPermit
 		asked++
 		for _, vm := range to {
 			byVM[vm] = append(byVM[vm], q)
@@ -81,15 +85,20 @@
 }
 
 // takeQuestion returns the question for the upstream and whom to ask, if it is
-// due: the warmer, who has a permit to lend, and one other VM at random.
-func (u *upstream) takeQuestion(now time.Time, at int64, self string, random uint64) (RampQuestion, []string, bool) {
+// due: the warmer, who has a permit to lend, and one other VM at random. With
+// mayWant unset it asks for no permit: one replica of a shard is enough, and a
+// loan that isn't used keeps the permit from everybody.
+func (u *upstream) takeQuestion(now time.Time, at int64, self string, random uint64, mayWant bool) (RampQuestion, []string, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.active || u.ramp.warm || now.Before(u.ramp.askAt) || len(u.domain.home) == 0 {
+	if !u.active || u.ramp.warm || len(u.domain.home) == 0 {
 		return RampQuestion{}, nil, false
 	}
 	refusedAt := u.shard.refusedAt.Load()
-	wanted := refusedAt > 0 && at-refusedAt < int64(wantedFor) && u.allowed() == 0
+	wanted := mayWant && refusedAt > 0 && at-refusedAt < int64(wantedFor) && u.allowed() == 0
+	if !u.ramp.isAskDue(now, wanted) {
+		return RampQuestion{}, nil, false
+	}
 	u.ramp.scheduleAsk(now, wanted)
 	var to []string
 	if u.warmer != self {
@@ -148,7 +157,7 @@
 		n := u.notice(now)
 		a.Notice = &n
 	}
-	if q.WantPermit && (a.Notice == nil || a.Notice.Stage == 0) {
+	if q.WantPermit {
 		a.Lent = u.lend(now)
 	}
 	return a
--- a/internal/core/routing/build.go
+++ b/internal/core/routing/build.go
@@ -42,6 +42,7 @@
 	} else {
 		st.stats = &serviceStats{}
 	}
+	st.stats.deadline.Store(int64(svc.Deadline))
 	unchanged := b.sameVM && b.sameZones && b.isUnchanged(name, svc)
 	for i := range svc.Shards {
 		sb := shardBuilder{
--- a/internal/core/routing/loans.go
+++ b/internal/core/routing/loans.go
@@ -7,8 +7,9 @@
 // valid when the upstream turns cold again.
 //
 // The lender gives up a permit before it answers, and takes it back only after
-// the term and loanMargin. The borrower counts the term from when it asked. The
-// sum over all VMs therefore never grows, whatever the network does.
+// the term and the time within which the borrower's running requests end. The
+// borrower counts the term from when it asked. The sum over all VMs therefore
+// never grows, whatever the network does.
 type loans struct {
 	lent      int
 	lentUntil time.Time
@@ -22,9 +23,9 @@
 const (
 	// loanTerm is the time for which a permit is lent.
 	loanTerm = 500 * time.Millisecond
-	// loanMargin is the time after the term within which the borrower's running
-	// requests end. A service's deadline must not exceed it.
-	loanMargin = 3 * time.Second
+	// loanSlack is the time for clocks that run at different rates and for a
+	// cancel to reach the upstream.
+	loanSlack = 250 * time.Millisecond
 	// idleBeforeLoan is the time without use after which a permit may be lent.
 	idleBeforeLoan = 200 * time.Millisecond
 )
@@ -47,10 +48,17 @@
 		u.loans.lent = 0
 		return 0
 	}
-	u.loans.lentUntil = now.Add(loanTerm + loanMargin)
+	u.loans.lentUntil = now.Add(loanTerm + u.loanMargin())
 	return count
 }
 
+// loanMargin is the time after the term within which the borrower's running
+// requests end: the deadline of the service, with room.
+func (u *upstream) loanMargin() time.Duration {
+	deadline := time.Duration(u.service.deadline.Load())
+	return deadline + deadline/10 + loanSlack
+}
+
 // borrow takes over lent permits. The caller holds mu.
 func (u *upstream) borrow(now, askedAt, epoch time.Time, count int) {
 	if count <= 0 || u.loans.borrowed > 0 || elapsed(askedAt, now) >= loanTerm {
--- a/internal/core/routing/ramp.go
+++ b/internal/core/routing/ramp.go
@@ -81,6 +81,13 @@
 	r.askAt = now.Add(r.askAfter)
 }
 
+// isAskDue tells whether the peers are to be asked now. A refused request doesn't
+// wait for a question that was put off while nobody wanted a permit.
+func (r *ramp) isAskDue(now time.Time, wanted bool) bool {
+	askedAt := r.askAt.Add(-r.askAfter)
+	return !now.Before(r.askAt) || wanted && now.Sub(askedAt) >= wantedAsk
+}
+
 // learnInstance remembers the upstream's incarnation.
 func (r *ramp) learnInstance(instance string) {
 	if instance == "" {
--- a/internal/core/routing/ramp_test.go
+++ b/internal/core/routing/ramp_test.go
@@ -25,3 +25,22 @@
 		t.Fatal("slow answers don't count as cold")
 	}
 }
+
+// TestRefusedRequestIsNotPutOff lets the interval of questions grow while nothing
+// is refused. A refusal makes the next question due at once.
+func TestRefusedRequestIsNotPutOff(t *testing.T) {
+	now := time.Unix(100, 0)
+	var r ramp
+	r.turnCold(now)
+	for r.askAfter < lastAsk {
+		now = r.askAt
+		r.scheduleAsk(now, false)
+	}
+	now = now.Add(wantedAsk)
+	if r.isAskDue(now, false) {
+		t.Fatal("due without a refusal")
+	}
+	if !r.isAskDue(now, true) {
+		t.Fatal("a refused request has to wait")
+	}
+}
--- a/internal/core/routing/router_test.go
+++ b/internal/core/routing/router_test.go
@@ -63,7 +63,7 @@
 	}
 	svc := &catalog.Service{
 		Name: "svc", Slots: 3, Connections: 30, ColdPermits: 1, Idempotent: true,
-		Deadline: time.Second,
+		Deadline: modelDeadline,
 	}
 	for s := range shards {
 		var shard catalog.Shard
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -74,4 +74,6 @@
 type serviceStats struct {
 	// latency is a moving average over all warm replicas in nanoseconds.
 	latency atomic.Int64
+	// deadline is the longest time of a request in nanoseconds.
+	deadline atomic.Int64
 }
