--- a/internal/core/routing/loans.go
+++ b/internal/core/routing/loans.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/membership"
+)
 
 // loans are the permits of a cold upstream that this VM lent to others or
 // borrowed. Only permits of the first stage are lent, so that a loan stays
@@ -61,7 +65,7 @@
 
 // borrow takes over lent permits. The caller holds mu.
 func (u *upstream) borrow(now, askedAt, epoch time.Time, count int) {
-	if count <= 0 || u.loans.borrowed > 0 || elapsed(askedAt, now) >= loanTerm {
+	if count <= 0 || u.loans.borrowed > 0 || membership.Elapsed(askedAt, now) >= loanTerm {
 		return
 	}
 	u.loans.borrowed = count
@@ -89,7 +93,7 @@
 		l.lent = 0
 		ended = true
 	}
-	if l.borrowed > 0 && elapsed(l.askedAt, now) >= loanTerm {
+	if l.borrowed > 0 && membership.Elapsed(l.askedAt, now) >= loanTerm {
 		l.borrowed = 0
 		ended = true
 	}
--- a/internal/core/routing/router.go
+++ b/internal/core/routing/router.go
@@ -219,7 +219,7 @@
 
 func (r *Router) viewCurrent(now time.Time) bool {
 	confirmed := r.confirmed.Load()
-	return confirmed != nil && elapsed(*confirmed, now) <= r.cfg.MaxViewAge
+	return confirmed != nil && membership.Elapsed(*confirmed, now) <= r.cfg.MaxViewAge
 }
 
 func (r *Router) lookup(id string) *upstream {
