--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 			"2 the command line is wrong.",
 		Commands: []*cli.Command{
 			serveCommand(),
+			gatewayCommand(),
 			configcmd.New(),
 			keycmd.New(),
 			statusCommand(),
--- /dev/null
+++ b/internal/core/customerrate/bucket.go
@@ -0,0 +1,41 @@
+// Package customerrate keeps customers within their rates over all VMs. Each VM
+// admits a part of a customer's rate that follows the part of the demand that
+// the VM sees.
+//
+// The package has no I/O; callers pass the time.
+package customerrate
+
+import "time"
+
+// bucket is a token bucket whose rate and depth change with the VM's part.
+type bucket struct {
+	tokens   float64
+	filledAt time.Time
+	rate     float64 // a second
+	depth    float64
+}
+
+func (b *bucket) set(now time.Time, rate, depth float64) {
+	b.fill(now)
+	b.rate, b.depth = rate, depth
+	b.tokens = min(b.tokens, depth)
+}
+
+func (b *bucket) fill(now time.Time) {
+	if dt := now.Sub(b.filledAt).Seconds(); dt > 0 {
+		b.tokens = min(b.tokens+dt*b.rate, b.depth)
+		b.filledAt = now
+	}
+}
+
+func (b *bucket) take(now time.Time) (bool, time.Duration) {
+	b.fill(now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0
+	}
+	if b.rate <= 0 {
+		return false, time.Second
+	}
+	return false, time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/core/fanout/latency.go
@@ -0,0 +1,71 @@
+package fanout
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// sampleCount is the number of latest latencies that quantiles are taken of.
+	sampleCount = 256
+	// refreshEvery is the number of new latencies between two calculations.
+	refreshEvery = 32
+	// hedgeQuantile is the share of attempts that end before a hedge is due. What
+	// lies above it must fit the budget of repeats.
+	hedgeQuantile = 0.88
+	// hedgeFactor keeps hedges clear of attempts that are about to end.
+	hedgeFactor = 1.2
+	// minHedgeDelay keeps delays of this VM from being taken for an upstream's.
+	minHedgeDelay = 2 * time.Millisecond
+)
+
+// Latency estimates what is usual for the attempts of one route. It is safe for
+// concurrent use.
+type Latency struct {
+	mu      sync.Mutex
+	ring    [sampleCount]time.Duration
+	n       int
+	pending int
+	median  time.Duration
+	hedge   time.Duration
+}
+
+// Observe takes in the latency of an answered first attempt.
+func (l *Latency) Observe(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.n%sampleCount] = d
+	l.n++
+	l.pending++
+	if l.pending >= refreshEvery || l.n <= refreshEvery {
+		l.refresh()
+	}
+}
+
+func (l *Latency) refresh() {
+	l.pending = 0
+	sorted := slices.Clone(l.ring[:min(l.n, sampleCount)])
+	slices.Sort(sorted)
+	l.median = sorted[len(sorted)/2]
+	q := sorted[int(float64(len(sorted)-1)*hedgeQuantile)]
+	l.hedge = max(time.Duration(float64(q)*hedgeFactor), minHedgeDelay)
+}
+
+// Usual returns the median latency; 0 before the first answer.
+func (l *Latency) Usual() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.median
+}
+
+// HedgeDelay returns the wait before a hedge, at most limit, which also applies
+// before the first answer.
+func (l *Latency) HedgeDelay(limit time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hedge == 0 {
+		return limit
+	}
+	return min(l.hedge, limit)
+}
--- /dev/null
+++ b/internal/core/feed/feed.go
@@ -0,0 +1,292 @@
+// Package feed keeps what the VM knows from the metadata store: the
+// configuration, the announced upstreams and the evacuated zones, each with the
+// store's revision.
+//
+// The package has no I/O. Nothing in it goes back to an older revision.
+package feed
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+// Subject is the kind of thing that a change is about.
+type Subject uint8
+
+// The subjects of changes.
+const (
+	SubjectConfig Subject = iota + 1
+	SubjectUpstream
+	SubjectEvacuation
+)
+
+// String returns the name that logs carry.
+func (s Subject) String() string {
+	switch s {
+	case SubjectConfig:
+		return "config"
+	case SubjectUpstream:
+		return "upstream"
+	case SubjectEvacuation:
+		return "evacuation"
+	}
+	return "unknown"
+}
+
+// Change is one item of the store as it was written or deleted.
+type Change struct {
+	Subject Subject
+	// Name is the upstream's ID or the zone; empty for the configuration.
+	Name     string
+	Revision int64
+	Deleted  bool
+	// Config and Upstream hold the value of their subject.
+	Config   *routetable.Config
+	Upstream routetable.Upstream
+	// Err tells why the value can't be used.
+	Err error
+}
+
+// Batch is the answer to one read of the store.
+type Batch struct {
+	Changes []Change
+	// Revision is the store's revision that the batch leads up to.
+	Revision int64
+	// Full tells that the batch holds every item.
+	Full bool
+}
+
+// View is what the VM knows. It is immutable.
+type View struct {
+	Table *routetable.Table
+	// ConfigRevision is the revision of the item with the configuration.
+	ConfigRevision int64
+	// Upstreams holds the usable instances by service.
+	Upstreams map[string][]routetable.Upstream
+	Evacuated map[string]bool
+}
+
+// ErrOlderConfig tells that a configuration of a lower version was written
+// later; it is ignored.
+var ErrOlderConfig = errors.New("version is lower than the one in force")
+
+type entry struct {
+	revision int64
+	upstream routetable.Upstream
+	usable   bool
+	// lapsed is the time of removal of an entry that is kept for a while,
+	// because it may have run out while the store was away.
+	lapsed    bool
+	changedAt time.Duration
+}
+
+// State is the state machine. It isn't safe for concurrent use. Times are
+// readings of a clock that goes on during suspension.
+type State struct {
+	// Outage is the time without an answer after which removed entries may have
+	// lapsed only because the store was away.
+	Outage time.Duration
+	// LapseHold is how long such entries are kept after the store's return.
+	LapseHold time.Duration
+
+	revision   int64
+	config     *routetable.Table
+	configRev  int64
+	entries    map[string]*entry
+	evacuated  map[string]int64
+	zoneRev    map[string]int64
+	lastAnswer time.Duration
+	returned   time.Duration
+	answered   bool
+}
+
+// NewState returns an empty state.
+func NewState(outage, lapseHold time.Duration) *State {
+	return &State{
+		Outage: outage, LapseHold: lapseHold,
+		entries: map[string]*entry{}, evacuated: map[string]int64{}, zoneRev: map[string]int64{},
+	}
+}
+
+// Revision is where the next read of changes continues; 0 asks for a full read.
+func (s *State) Revision() int64 { return s.revision }
+
+// Event is something that a batch changed in what the VM believes.
+type Event struct {
+	Subject Subject
+	Name    string
+	What    string
+	Err     error
+}
+
+// Apply takes in a batch whose read began at asked and was answered at now.
+func (s *State) Apply(asked, now time.Duration, b Batch) []Event {
+	if s.answered && now-s.lastAnswer > s.Outage {
+		s.returned = now
+	}
+	s.answered, s.lastAnswer = true, now
+	var events []Event
+	for _, c := range b.Changes {
+		events = s.applyChange(now, c, events)
+	}
+	if b.Full {
+		events = s.removeMissing(now, b, events)
+	}
+	events = s.expire(now, events)
+	s.revision = max(s.revision, b.Revision)
+	return events
+}
+
+func (s *State) applyChange(now time.Duration, c Change, events []Event) []Event {
+	switch c.Subject {
+	case SubjectConfig:
+		return s.applyConfig(c, events)
+	case SubjectUpstream:
+		return s.applyUpstream(now, c, events)
+	case SubjectEvacuation:
+		return s.applyEvacuation(c, events)
+	}
+	return events
+}
+
+func (s *State) applyConfig(c Change, events []Event) []Event {
+	if c.Revision <= s.configRev || c.Deleted {
+		return events
+	}
+	if c.Err != nil {
+		return append(events, Event{Subject: c.Subject, What: "rejected", Err: c.Err})
+	}
+	if s.config != nil && c.Config.Version < s.config.Config.Version {
+		return append(events, Event{Subject: c.Subject, What: "rejected", Err: ErrOlderConfig})
+	}
+	s.config, s.configRev = routetable.NewTable(*c.Config), c.Revision
+	return append(events, Event{Subject: c.Subject, What: "accepted"})
+}
+
+func (s *State) applyUpstream(now time.Duration, c Change, events []Event) []Event {
+	e := s.entries[c.Name]
+	if e != nil && c.Revision <= e.revision {
+		return events
+	}
+	if c.Deleted {
+		if e == nil {
+			return events
+		}
+		return s.remove(now, c.Name, e, c.Revision, events)
+	}
+	if e == nil {
+		e = &entry{}
+		s.entries[c.Name] = e
+	}
+	before := *e
+	*e = entry{revision: c.Revision, upstream: c.Upstream, usable: c.Err == nil, changedAt: now}
+	switch {
+	case c.Err != nil && (before.usable || before.revision == 0):
+		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "unusable", Err: c.Err})
+	case e.usable && !before.usable:
+		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "added"})
+	case e.usable && !before.upstream.SameInstance(e.upstream):
+		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "restarted"})
+	case e.usable && before.upstream.Draining != e.upstream.Draining:
+		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "draining_changed"})
+	}
+	return events
+}
+
+// remove takes an entry away, or keeps it for a while after an outage.
+func (s *State) remove(now time.Duration, name string, e *entry, revision int64, events []Event) []Event {
+	if s.holding(now) && e.usable && !e.upstream.Draining {
+		e.lapsed, e.revision = true, max(e.revision, revision)
+		return append(events, Event{Subject: SubjectUpstream, Name: name, What: "lapsed"})
+	}
+	delete(s.entries, name)
+	return append(events, Event{Subject: SubjectUpstream, Name: name, What: "removed"})
+}
+
+func (s *State) holding(now time.Duration) bool {
+	return s.returned > 0 && now-s.returned < s.LapseHold
+}
+
+// expire ends the hold of lapsed entries.
+func (s *State) expire(now time.Duration, events []Event) []Event {
+	if s.holding(now) {
+		return events
+	}
+	for name, e := range s.entries {
+		if e.lapsed {
+			delete(s.entries, name)
+			events = append(events, Event{Subject: SubjectUpstream, Name: name, What: "removed"})
+		}
+	}
+	return events
+}
+
+func (s *State) applyEvacuation(c Change, events []Event) []Event {
+	if c.Revision <= s.zoneRev[c.Name] {
+		return events
+	}
+	s.zoneRev[c.Name] = c.Revision
+	if c.Deleted {
+		return s.endEvacuation(c.Name, events)
+	}
+	if _, known := s.evacuated[c.Name]; !known {
+		events = append(events, Event{Subject: SubjectEvacuation, Name: c.Name, What: "evacuated"})
+	}
+	s.evacuated[c.Name] = c.Revision
+	return events
+}
+
+func (s *State) endEvacuation(zone string, events []Event) []Event {
+	if _, known := s.evacuated[zone]; !known {
+		return events
+	}
+	delete(s.evacuated, zone)
+	return append(events, Event{Subject: SubjectEvacuation, Name: zone, What: "returned"})
+}
+
+// removeMissing takes away what a full read no longer holds. An item that is
+// newer than the read isn't missing.
+func (s *State) removeMissing(now time.Duration, b Batch, events []Event) []Event {
+	present := map[string]bool{}
+	for _, c := range b.Changes {
+		if !c.Deleted {
+			present[c.Subject.String()+"/"+c.Name] = true
+		}
+	}
+	for name, e := range s.entries {
+		if !present[SubjectUpstream.String()+"/"+name] && e.revision <= b.Revision && !e.lapsed {
+			events = s.remove(now, name, e, e.revision, events)
+		}
+	}
+	for zone, rev := range s.evacuated {
+		if !present[SubjectEvacuation.String()+"/"+zone] && rev <= b.Revision {
+			events = s.endEvacuation(zone, events)
+		}
+	}
+	return events
+}
+
+// View returns an immutable copy, or nil as long as no configuration is known.
+func (s *State) View() *View {
+	if s.config == nil {
+		return nil
+	}
+	v := &View{
+		Table: s.config, ConfigRevision: s.configRev,
+		Upstreams: map[string][]routetable.Upstream{},
+		Evacuated: map[string]bool{},
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
+		if e := s.entries[name]; e.usable {
+			v.Upstreams[e.upstream.Service] = append(v.Upstreams[e.upstream.Service], e.upstream)
+		}
+	}
+	for zone := range s.evacuated {
+		v.Evacuated[zone] = true
+	}
+	return v
+}
--- /dev/null
+++ b/internal/core/placement/node.go
@@ -0,0 +1,157 @@
+// Package placement chooses the upstream of an attempt from what this VM has
+// seen of each instance: how fast it answers, what fails there, what it still
+// owes, and what load it tells.
+//
+// The package has no I/O; callers pass the time.
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+const (
+	// slownessMemory is the time after which half of what is known about an
+	// instance's speed and failures is forgotten, so that it is tried again.
+	slownessMemory = 2500 * time.Millisecond
+	// slownessWeight is the weight of a new sample in the moving average.
+	slownessWeight = 0.3
+	// maxSlowness bounds one sample, so that a single pause of an upstream
+	// doesn't outweigh its other answers.
+	maxSlowness = 8
+	// failurePenalty is added to the score for a failed attempt; in multiples of
+	// the usual latency.
+	failurePenalty = 6
+	// maxPenalty bounds the sum of penalties.
+	maxPenalty = 40
+	// remotePenalty is the preference for upstreams in this VM's zone.
+	remotePenalty = 0.6
+	// overduePenalty applies while an attempt is out for longer than usual: the
+	// instance may pause.
+	overduePenalty = 8
+	// loadMemory is how long a told load counts.
+	loadMemory = 300 * time.Millisecond
+	// shedPause is how long an instance that was full is avoided.
+	shedPause = 100 * time.Millisecond
+	// jitter spreads instances with the same score.
+	jitter = 0.15
+)
+
+// Node is one instance of an upstream. Its fields are guarded by the Picker.
+type Node struct {
+	Upstream routetable.Upstream
+
+	slowness  float64 // moving average of latency over the usual; 1 is usual
+	penalty   float64
+	updatedAt time.Time
+
+	inFlight   []*Flight
+	load       float64 // told running and waiting requests, per slot
+	loadAt     time.Time
+	avoidUntil time.Time
+	gone       bool
+	coldUntil  time.Time
+	cold       coldGate
+}
+
+// Flight is one attempt that is out at a node.
+type Flight struct {
+	Node *Node
+	// Upstream is the instance as it was announced when it was picked.
+	Upstream routetable.Upstream
+	sent     time.Time
+	// usual is the latency that is usual for such requests.
+	usual time.Duration
+}
+
+// Outcome is what became of a flight.
+type Outcome uint8
+
+// The outcomes of flights.
+const (
+	// Answered means that a usable answer came.
+	Answered Outcome = iota
+	// Failed means a broken connection, a timeout or an error of the upstream.
+	Failed
+	// Shed means that the upstream was full.
+	Shed
+	// Gone means that another instance answers at the address.
+	Gone
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Abandoned means that this VM gave up; only the time spent says something.
+	Abandoned
+)
+
+func newNode(u routetable.Upstream, now time.Time) *Node {
+	return &Node{Upstream: u, slowness: 1, updatedAt: now}
+}
+
+// decay forgets a part of what is known.
+func (n *Node) decay(now time.Time) {
+	dt := now.Sub(n.updatedAt)
+	if dt <= 0 {
+		return
+	}
+	f := math.Exp2(-dt.Seconds() / slownessMemory.Seconds())
+	n.slowness = 1 + (n.slowness-1)*f
+	n.penalty *= f
+	n.updatedAt = now
+}
+
+func (n *Node) observe(now time.Time, slowness float64) {
+	n.decay(now)
+	n.slowness += slownessWeight * (min(slowness, maxSlowness) - n.slowness)
+}
+
+func (n *Node) fail(now time.Time, penalty float64) {
+	n.decay(now)
+	n.penalty = min(n.penalty+penalty, maxPenalty)
+}
+
+// overdue reports whether an attempt has been out for far longer than usual.
+func (n *Node) overdue(now time.Time) bool {
+	for _, f := range n.inFlight {
+		if now.Sub(f.sent) > overdueFactor*f.usual+overdueFloor {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// overdueFactor and overdueFloor say when an attempt is out for unusually
+	// long: the tail of usual work stays below.
+	overdueFactor = 3
+	overdueFloor  = 4 * time.Millisecond
+)
+
+// score is the expected latency in multiples of the usual, with penalties.
+func (n *Node) score(now time.Time, zone string, spread float64) float64 {
+	n.decay(now)
+	slots := float64(max(n.Upstream.Slots, 1))
+	busy := float64(len(n.inFlight)) / slots
+	if now.Sub(n.loadAt) < loadMemory {
+		busy = max(busy, n.load)
+	}
+	s := n.slowness*(1+busy) + n.penalty + spread*jitter
+	if n.Upstream.Zone != zone {
+		s += remotePenalty
+	}
+	if n.overdue(now) {
+		s += overduePenalty
+	}
+	if now.Before(n.avoidUntil) {
+		s += overduePenalty
+	}
+	return s
+}
+
+func (n *Node) remove(f *Flight) {
+	if i := slices.Index(n.inFlight, f); i >= 0 {
+		n.inFlight = slices.Delete(n.inFlight, i, i+1)
+	}
+}
--- /dev/null
+++ b/internal/core/placement/picker.go
@@ -0,0 +1,170 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+// Picker chooses among the instances of all services. It is safe for concurrent
+// use.
+type Picker struct {
+	zone string
+	rand *rand.Rand
+
+	mu        sync.Mutex
+	services  map[string][]*Node
+	nodes     map[string]*Node // by ID
+	evacuated map[string]bool
+	cold      map[string]float64 // a VM's rate to cold upstreams, by service
+}
+
+// NewPicker returns a picker for a VM of the zone.
+func NewPicker(zone string, r *rand.Rand) *Picker {
+	return &Picker{zone: zone, rand: r, services: map[string][]*Node{}, nodes: map[string]*Node{}}
+}
+
+// Update replaces the instances. What is known of those that stay is kept.
+// coldRates limits this VM's requests to each cold upstream of a service.
+func (p *Picker) Update(now time.Time, upstreams map[string][]routetable.Upstream, evacuated map[string]bool, coldRates map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	services, nodes := map[string][]*Node{}, map[string]*Node{}
+	for service, list := range upstreams {
+		for _, u := range list {
+			n := p.nodes[u.ID]
+			if n == nil || !n.Upstream.SameInstance(u) {
+				n = newNode(u, now)
+			}
+			if u.Cold > 0 && u.Cold != n.Upstream.Cold || u.Cold > 0 && n.coldUntil.IsZero() {
+				n.coldUntil = now.Add(u.Cold)
+			}
+			n.Upstream = u
+			nodes[u.ID] = n
+			services[service] = append(services[service], n)
+		}
+	}
+	p.services, p.nodes, p.evacuated, p.cold = services, nodes, evacuated, coldRates
+}
+
+// Known reports whether the service has an instance that may be used.
+func (p *Picker) Known(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.services[service] {
+		if p.allowed(n) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Picker) allowed(n *Node) bool {
+	return !n.gone && !n.Upstream.Draining && !p.evacuated[n.Upstream.Zone]
+}
+
+// Pick returns a flight to the instance with the best score, without the
+// excluded ones, or nil if there is none. usual is the latency that is usual for
+// the request; 0 if it isn't known yet.
+func (p *Picker) Pick(now time.Time, service string, usual time.Duration, exclude []*Node) *Flight {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *Node
+	var bestScore float64
+	for _, n := range p.services[service] {
+		if !p.allowed(n) || contains(exclude, n) {
+			continue
+		}
+		s := n.score(now, p.zone, p.rand.Float64())
+		if best != nil && s >= bestScore {
+			continue
+		}
+		if !p.coldAllows(now, n, service) {
+			continue
+		}
+		best, bestScore = n, s
+	}
+	if best == nil {
+		return nil
+	}
+	p.takeCold(now, best, service)
+	f := &Flight{Node: best, Upstream: best.Upstream, sent: now, usual: usual}
+	best.inFlight = append(best.inFlight, f)
+	return f
+}
+
+func (p *Picker) coldAllows(now time.Time, n *Node, service string) bool {
+	return p.cold[service] <= 0 || !now.Before(n.coldUntil) || !now.Before(n.cold.next)
+}
+
+func (p *Picker) takeCold(now time.Time, n *Node, service string) {
+	if rate := p.cold[service]; rate > 0 && now.Before(n.coldUntil) {
+		n.cold.take(now, rate)
+	}
+}
+
+func contains(list []*Node, n *Node) bool {
+	for _, x := range list {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
+
+// Sent tells that the flight's request is about to be written.
+func (p *Picker) Sent(f *Flight, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f.sent = now
+}
+
+// Late tells that the flight has taken longer than usual so far, which later
+// choices should know before it ends.
+func (p *Picker) Late(f *Flight, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.usual > 0 {
+		f.Node.observe(now, float64(now.Sub(f.sent))/float64(f.usual))
+	}
+}
+
+// Load is what an upstream told with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Done ends a flight. load is nil if the upstream didn't tell any.
+func (p *Picker) Done(f *Flight, now time.Time, o Outcome, load *Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := f.Node
+	n.remove(f)
+	took := now.Sub(f.sent)
+	switch o {
+	case Answered:
+		if f.usual > 0 {
+			n.observe(now, float64(took)/float64(f.usual))
+		}
+	case Abandoned:
+		if f.usual > 0 && took > f.usual {
+			n.observe(now, float64(took)/float64(f.usual))
+		}
+	case Failed:
+		n.fail(now, failurePenalty)
+	case Unreachable:
+		n.fail(now, failurePenalty)
+		n.avoidUntil = now.Add(shedPause)
+	case Shed:
+		n.fail(now, 1)
+		n.avoidUntil = now.Add(shedPause)
+	case Gone:
+		n.gone = true
+	}
+	if load != nil && load.Slots > 0 {
+		n.load = float64(load.Running+load.Waiting) / float64(load.Slots)
+		n.loadAt = now
+	}
+}
--- /dev/null
+++ b/internal/exchange/codec.go
@@ -0,0 +1,68 @@
+// Package exchange carries requests to upstreams over kept HTTP/1.1
+// connections, one request at a time on each, and says of each whether it may
+// have run.
+package exchange
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// Request is one attempt at one upstream.
+type Request struct {
+	// ID identifies the request; answers that carry another one are dropped.
+	ID string
+	// Head holds the request line and all headers, up to but without the empty
+	// line and the length of the body.
+	Head []byte
+	Body []byte
+	// SendLength is set for methods whose requests tell the length of their body
+	// even if there is none.
+	SendLength bool
+	// NoBody is set for methods whose answers have no body.
+	NoBody bool
+	// Deadline ends the attempt.
+	Deadline time.Time
+}
+
+// Answer is the outcome of an attempt.
+type Answer struct {
+	// Response is nil if there is no complete answer. The receiver releases it.
+	Response *fasthttp.Response
+	Info     Info
+	Verdict  verdict.Verdict
+	Err      error
+	// Reached tells that bytes of the request left this VM.
+	Reached bool
+	// SentAt is when the request was handed to a connection; zero before that.
+	SentAt time.Time
+}
+
+// Info is what the headers of an answer say.
+type Info struct {
+	// RequestID is the echoed ID; empty if there is none.
+	RequestID string
+	// NotRun tells that the upstream didn't run the request.
+	NotRun bool
+	// OtherInstance tells that another instance has the address.
+	OtherInstance bool
+	// Receipt proves that an upstream answered; it is passed on unchanged.
+	Receipt string
+	// Load is valid if HasLoad is set.
+	Load    Load
+	HasLoad bool
+	// IdleTimeout is how long the upstream keeps an idle connection; 0 if it
+	// doesn't say.
+	IdleTimeout time.Duration
+}
+
+// Load is what an upstream says of itself.
+type Load struct{ Running, Waiting, Slots int }
+
+// Inspector reads the headers of answers.
+type Inspector interface {
+	Inspect(h *fasthttp.ResponseHeader) Info
+}
--- /dev/null
+++ b/internal/exchange/conn.go
@@ -0,0 +1,212 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+const (
+	// readBufferBytes fits the head and body of most answers.
+	readBufferBytes = 4096
+	// inlineWriteBytes is the largest body that is written before the answer is
+	// read; it fits the socket buffers.
+	inlineWriteBytes = 4096
+	// maxAnswerBytes bounds the memory that one answer may take.
+	maxAnswerBytes = 16 << 20
+	// maxStrayAnswers is the number of answers to other requests that are read
+	// past before a connection is given up.
+	maxStrayAnswers = 2
+	// defaultIdleTimeout applies to upstreams that don't tell theirs.
+	defaultIdleTimeout = 30 * time.Second
+	// idleMargin is kept from the upstream's idle timeout, so that a request
+	// doesn't cross the upstream's close.
+	idleMargin = 500 * time.Millisecond
+)
+
+// conn is one connection. One goroutine owns it at a time.
+type conn struct {
+	nc      net.Conn
+	br      *bufio.Reader
+	used    int
+	expires time.Time
+	broken  bool
+}
+
+func newConn(nc net.Conn) *conn {
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), expires: time.Now().Add(defaultIdleTimeout)}
+}
+
+func (c *conn) expired(now time.Time) bool { return now.After(c.expires) }
+
+func (c *conn) mayBeKept() bool { return !c.broken && c.br.Buffered() == 0 }
+
+// usable reports whether the connection is idle and open. Bytes that arrived
+// while it was idle belong to no request.
+func (c *conn) usable(now time.Time) bool {
+	if c.expired(now) || !c.mayBeKept() {
+		return false
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(e, unix.EAGAIN)
+	})
+	return err == nil && silent
+}
+
+// Do carries a request over one of the pool's connections. The connection is
+// closed if ctx ends before the answer is complete. onSent is called when the
+// request is about to be written.
+func (p *Pool) Do(ctx context.Context, r *Request, onSent func()) Answer {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	c, err := p.get(ctx)
+	if err != nil {
+		return Answer{Verdict: verdict.NotRun, Err: err}
+	}
+	if err := ctx.Err(); err != nil {
+		p.put(c)
+		return Answer{Verdict: verdict.NotRun, Err: err}
+	}
+	onSent()
+	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
+	a := c.do(p.inspector, r)
+	if !stop() {
+		c.broken = true
+	}
+	if a.Err != nil || a.Response.ConnectionClose() {
+		c.broken = true
+	}
+	p.put(c)
+	return a
+}
+
+func (c *conn) do(inspector Inspector, r *Request) Answer {
+	a := Answer{SentAt: time.Now()}
+	written := make(chan writeResult, 1)
+	head := appendLength(r)
+	if len(r.Body) <= inlineWriteBytes {
+		written <- c.write(append(head, r.Body...))
+	} else {
+		go func() { written <- c.writeLong(head, r.Body) }()
+	}
+	c.used++
+	if len(r.Body) <= inlineWriteBytes {
+		w := <-written
+		if w.n == 0 && w.err != nil {
+			a.Verdict, a.Err = verdict.NotRun, w.err
+			return a
+		}
+		written <- w
+	}
+	a.Reached, a.Verdict = true, verdict.MayHaveRun
+	resp, info, err := c.read(inspector, r)
+	if err != nil {
+		a.Err = err
+		c.nc.Close()
+		if w := <-written; w.n == 0 && w.err != nil {
+			a.Reached, a.Verdict = false, verdict.NotRun
+		}
+		return a
+	}
+	a.Response, a.Info, a.Verdict = resp, info, verdict.Ran
+	if info.NotRun || info.OtherInstance {
+		a.Verdict = verdict.NotRun
+	}
+	select {
+	case w := <-written:
+		c.broken = c.broken || w.err != nil
+	default: // answered before the body was sent: the connection can't be kept
+		c.broken = true
+		c.nc.Close()
+	}
+	return a
+}
+
+type writeResult struct {
+	n   int
+	err error
+}
+
+func (c *conn) write(b []byte) writeResult {
+	n, err := c.nc.Write(b)
+	return writeResult{n, err}
+}
+
+func (c *conn) writeLong(head, body []byte) writeResult {
+	w := c.write(head)
+	if w.err != nil {
+		return w
+	}
+	b := c.write(body)
+	return writeResult{w.n + b.n, b.err}
+}
+
+func appendLength(r *Request) []byte {
+	head := make([]byte, 0, len(r.Head)+64+min(len(r.Body), inlineWriteBytes))
+	head = append(head, r.Head...)
+	if len(r.Body) > 0 || r.SendLength {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(r.Body)), 10)
+		head = append(head, "\r\n"...)
+	}
+	return append(head, "\r\n"...)
+}
+
+// MismatchError tells that a connection carried answers to other requests only.
+type MismatchError struct{ Got string }
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("exchange: answer to request %q instead", e.Got)
+}
+
+// read reads answers until the one to the request. A late answer to an earlier
+// request may come first.
+func (c *conn) read(inspector Inspector, r *Request) (*fasthttp.Response, Info, error) {
+	var err error
+	for range maxStrayAnswers + 1 {
+		resp := fasthttp.AcquireResponse()
+		resp.SkipBody = r.NoBody
+		if err = resp.ReadLimitBody(c.br, maxAnswerBytes); err != nil {
+			fasthttp.ReleaseResponse(resp)
+			return nil, Info{}, err
+		}
+		info := inspector.Inspect(&resp.Header)
+		if info.RequestID == r.ID || info.RequestID == "" {
+			c.keepFor(info.IdleTimeout)
+			return resp, info, nil
+		}
+		fasthttp.ReleaseResponse(resp)
+		c.broken = true
+		err = &MismatchError{Got: info.RequestID}
+	}
+	return nil, Info{}, err
+}
+
+func (c *conn) keepFor(idle time.Duration) {
+	if idle <= 0 {
+		idle = defaultIdleTimeout
+	}
+	c.expires = time.Now().Add(max(idle-idleMargin, idle/2))
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/fanout"
+	"ryecourse.example/ryecourse/internal/core/placement"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/core/topk"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+	"ryecourse.example/ryecourse/internal/exchange"
+)
+
+// hedgeShare is the latest hedge as a part of a route's latency objective.
+const hedgeShare = 0.35
+
+// run serves one admitted request. Only the goroutine of its handler touches it,
+// but for the attempts, which send their results to done.
+type run struct {
+	g        *Gateway
+	in       *incoming
+	services []string // by shard
+	head     []byte
+	method   string
+	latency  *fanout.Latency
+	usual    time.Duration
+	deadline time.Time
+	query    *fanout.Query
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan attemptResult
+	pending  int
+
+	nodes    [][]*placement.Node // instances that were tried, by shard
+	flights  [][]*placement.Flight
+	answers  []exchange.Answer // the kept answer of each shard
+	attempts int
+	hedges   int
+	lastErr  error
+	rejected bool
+}
+
+type attemptResult struct {
+	shard  int
+	kind   fanout.Kind
+	flight *placement.Flight
+	answer exchange.Answer
+}
+
+// forward serves the request from upstreams.
+func (g *Gateway) forward(in *incoming, w http.ResponseWriter, r *http.Request) {
+	q := g.newRun(in, r)
+	defer q.abandon()
+	now := time.Now()
+	q.query.Start(now)
+	left := q.wait(r.Context())
+	if left {
+		g.record(in, q.result(result{callerLeft: true}))
+		return
+	}
+	g.record(in, q.answer(w))
+}
+
+func (g *Gateway) newRun(in *incoming, r *http.Request) *run {
+	q := &run{
+		g: g, in: in, method: r.Method,
+		latency: g.latencyOf(in.route.Name),
+	}
+	if in.route.Sharded != nil {
+		q.services = in.route.Sharded.Shards
+	} else {
+		q.services = []string{g.weights.next(in.route)}
+	}
+	for _, s := range q.services {
+		g.budget.Earn(s)
+	}
+	customer := ""
+	if in.customer != nil {
+		customer = in.customer.Name
+	}
+	q.head = g.headers.AppendRequest(make([]byte, 0, 512), r, customer)
+	q.usual = q.latency.Usual()
+	n := len(q.services)
+	q.nodes = make([][]*placement.Node, n)
+	q.flights = make([][]*placement.Flight, n)
+	q.answers = make([]exchange.Answer, n)
+	q.done = make(chan attemptResult, n)
+	// Attempts outlive the handler by Linger, so they don't use its context.
+	q.ctx, q.cancel = context.WithCancel(context.Background())
+	q.query = fanout.New(q.policy(), q)
+	return q
+}
+
+// policy works out the time limits of the request.
+func (q *run) policy() fanout.Policy {
+	p, route, start := &q.g.policy, q.in.route, q.in.started
+	budget := p.DefaultBudget
+	if q.in.meta.HasBudget {
+		budget = q.in.meta.Budget
+	}
+	if route.Timeout > 0 {
+		budget = min(budget, route.Timeout)
+	}
+	q.deadline = start.Add(budget)
+	enough := max(route.Objective-p.CallerTransit, route.Objective/2)
+	minShare := 1.0
+	if route.Sharded != nil {
+		minShare = route.Sharded.MinShare
+	}
+	return fanout.Policy{
+		Shards: len(q.services), MinShare: minShare,
+		MaxRuns: route.Attempts, Idempotent: route.Idempotent,
+		HedgeDelay: q.latency.HedgeDelay(time.Duration(float64(route.Objective) * hedgeShare)),
+		Enough:     start.Add(enough),
+		WaitUntil:  start.Add(min(route.Objective, budget) / 4),
+		Deadline:   start.Add(budget - min(p.FinalAnswer, budget/10)),
+	}
+}
+
+// wait runs the request to its end. It returns true if the caller left.
+func (q *run) wait(caller context.Context) bool {
+	timer := time.NewTimer(time.Until(q.query.Next(time.Now())))
+	defer timer.Stop()
+	for q.query.Outcome() == fanout.Running {
+		select {
+		case r := <-q.done:
+			q.take(r)
+		case <-timer.C:
+			q.query.Timer(time.Now())
+		case <-caller.Done():
+			return true
+		}
+		now := time.Now()
+		timer.Reset(max(q.query.Next(now).Sub(now), 0))
+	}
+	return false
+}
+
+// take handles the result of an attempt.
+func (q *run) take(r attemptResult) {
+	q.pending--
+	now := time.Now()
+	answered := isUsable(q.in.route, &r.answer)
+	q.land(r, answered, now)
+	if !answered {
+		q.lastErr = r.answer.Err
+		q.g.logAttempt(q, r)
+	}
+	if answered && r.kind == fanout.First {
+		q.latency.Observe(now.Sub(r.answer.SentAt))
+	}
+	won := q.query.Result(now, r.shard, answered, r.answer.Verdict)
+	if won && (answered || len(q.services) == 1 && r.answer.Response != nil) {
+		q.keep(r.shard, r.answer)
+	} else if r.answer.Response != nil {
+		fasthttp.ReleaseResponse(r.answer.Response)
+	}
+}
+
+// keep stores the answer that the shard is served from.
+func (q *run) keep(shard int, a exchange.Answer) {
+	if old := q.answers[shard].Response; old != nil {
+		fasthttp.ReleaseResponse(old)
+	}
+	q.answers[shard] = a
+}
+
+// isUsable reports whether an answer ends its shard. The failure of an upstream
+// isn't a part of a merged answer; for a single upstream it is the answer only
+// if the request must not be repeated.
+func isUsable(route *routetable.Route, a *exchange.Answer) bool {
+	if a.Response == nil || a.Verdict == verdict.NotRun {
+		return false
+	}
+	status := a.Response.StatusCode()
+	if route.Sharded != nil {
+		return status == http.StatusOK && a.Info.Receipt != ""
+	}
+	return status < http.StatusInternalServerError || !route.Idempotent
+}
+
+// land tells placement how the flight ended.
+func (q *run) land(r attemptResult, answered bool, now time.Time) {
+	o := placement.Failed
+	switch {
+	case answered:
+		o = placement.Answered
+	case r.answer.Info.OtherInstance:
+		o = placement.Gone
+	case r.answer.Info.NotRun:
+		o, q.rejected = placement.Shed, true
+	case !r.answer.Reached:
+		o = placement.Unreachable
+	}
+	q.g.picker.Done(r.flight, now, o, loadOf(&r.answer))
+}
+
+func loadOf(a *exchange.Answer) *placement.Load {
+	if !a.Info.HasLoad {
+		return nil
+	}
+	return &placement.Load{Running: a.Info.Load.Running, Waiting: a.Info.Load.Waiting, Slots: a.Info.Load.Slots}
+}
+
+// answer writes the request's end to the caller.
+func (q *run) answer(w http.ResponseWriter) result {
+	switch q.query.Outcome() {
+	case fanout.Success:
+		if q.in.route.Sharded != nil {
+			return q.writeMerged(w)
+		}
+		return q.writeUpstream(w)
+	case fanout.TimedOut:
+		return q.fail(w, ReasonTimedOut)
+	default:
+		if q.answers[0].Response != nil && len(q.services) == 1 && q.in.route.Sharded == nil &&
+			q.answers[0].Verdict == verdict.Ran {
+			return q.writeUpstream(w)
+		}
+		return q.fail(w, ReasonFailed)
+	}
+}
+
+// fail ends the request without an upstream's answer. A request that hasn't run
+// anywhere is told so, unless an attempt is still out.
+func (q *run) fail(w http.ResponseWriter, reason Reason) result {
+	if q.query.Verdict() == verdict.NotRun && q.pending == 0 {
+		reason = ReasonNoUpstream
+		if q.rejected {
+			reason = ReasonRejected
+		}
+	}
+	q.g.refuse(w, reason, elsewhereRetry)
+	return q.result(result{reason: reason, status: statusOf[reason]})
+}
+
+// promisesNotRun reports whether a status tells the caller that its request
+// hasn't run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (q *run) writeUpstream(w http.ResponseWriter) result {
+	resp := q.answers[0].Response
+	if promisesNotRun(resp.StatusCode()) { // the upstream didn't say so itself
+		return q.fail(w, ReasonFailed)
+	}
+	h := w.Header()
+	q.g.headers.CopyAnswer(h, &resp.Header)
+	body := resp.Body()
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.g.closeIfStopping(h)
+	w.WriteHeader(resp.StatusCode())
+	_, err := w.Write(body)
+	return q.result(result{status: resp.StatusCode(), writeErr: err})
+}
+
+func (q *run) writeMerged(w http.ResponseWriter) result {
+	var parts [][]byte
+	var receipts []string
+	for i := range q.answers {
+		if a := &q.answers[i]; a.Response != nil {
+			parts = append(parts, a.Response.Body())
+			receipts = append(receipts, a.Info.Receipt)
+		}
+	}
+	body := topk.Merge(parts, q.in.route.Sharded.TopK)
+	h := w.Header()
+	missing := len(q.services) - len(receipts)
+	q.g.headers.WriteParts(h, q.in.meta.ID, receipts, missing)
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.g.closeIfStopping(h)
+	w.WriteHeader(http.StatusOK)
+	_, err := w.Write(body)
+	return q.result(result{status: http.StatusOK, missing: missing, writeErr: err})
+}
+
+// result adds what the run knows to a result.
+func (q *run) result(r result) result {
+	r.attempts, r.hedges, r.err = q.attempts, q.hedges, q.lastErr
+	r.shards, r.answered = len(q.services), q.query.Answered()
+	return r
+}
+
+// abandon ends what is still out: attempts may linger, and answers that come
+// are dropped.
+func (q *run) abandon() {
+	for i := range q.answers {
+		if resp := q.answers[i].Response; resp != nil {
+			fasthttp.ReleaseResponse(resp)
+		}
+	}
+	if q.pending == 0 {
+		q.cancel()
+		return
+	}
+	go q.drain()
+}
+
+func (q *run) drain() {
+	timer := time.AfterFunc(q.g.policy.Linger, q.cancel)
+	defer q.cancel()
+	defer timer.Stop()
+	for ; q.pending > 0; q.pending-- {
+		r := <-q.done
+		o := placement.Abandoned
+		if r.answer.Response != nil {
+			fasthttp.ReleaseResponse(r.answer.Response)
+		}
+		q.g.picker.Done(r.flight, time.Now(), o, loadOf(&r.answer))
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,134 @@
+// Package gateway serves callers' own HTTP requests from upstreams: it looks up
+// the route, checks the key and the customer's rate, forwards the request to one
+// upstream or to one of each shard, and answers.
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/core/fanout"
+	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/core/placement"
+	"ryecourse.example/ryecourse/internal/core/retrybudget"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/exchange"
+)
+
+// Meta is what a caller's headers say about a request.
+type Meta struct {
+	ID string
+	// Budget is how long the caller waits, if HasBudget is set.
+	Budget    time.Duration
+	HasBudget bool
+	// Key is empty if there is none.
+	Key string
+}
+
+// Headers translates the headers of callers and upstreams.
+type Headers interface {
+	exchange.Inspector
+	// ReadRequest reads a caller's headers.
+	ReadRequest(h http.Header) Meta
+	// AppendRequest appends the request line and the headers that all attempts of
+	// a request have in common.
+	AppendRequest(dst []byte, r *http.Request, customer string) []byte
+	// AppendAttempt appends the headers of one attempt.
+	AppendAttempt(dst []byte, left time.Duration, instance string) []byte
+	// CopyAnswer copies an upstream's headers to the caller's answer.
+	CopyAnswer(dst http.Header, src *fasthttp.ResponseHeader)
+	// WriteParts writes the headers of an answer that was merged from shards.
+	WriteParts(dst http.Header, requestID string, receipts []string, missing int)
+	// WriteRetryAfter tells a caller when to come back.
+	WriteRetryAfter(dst http.Header, d time.Duration)
+}
+
+// Limiter admits customers' requests within their rates.
+type Limiter interface {
+	// Admit takes a token. If there is none, it returns when to come back.
+	Admit(now time.Time, c *routetable.Customer) (ok bool, retryAfter time.Duration)
+}
+
+// Knowledge is what the VM knows from the metadata store.
+type Knowledge interface {
+	// View returns nil as long as no configuration is known.
+	View() *feed.View
+	// Age is the time since the store was last known to hold nothing newer. It
+	// counts suspensions of the VM.
+	Age() time.Duration
+}
+
+// Policy holds the gateway's own time limits.
+type Policy struct {
+	// RevokeAge is the age of knowledge from which requests with a key are
+	// rejected.
+	RevokeAge time.Duration
+	// DefaultBudget applies to requests that don't tell theirs.
+	DefaultBudget time.Duration
+	// CallerTransit is taken from a route's latency objective for the way to the
+	// caller and back.
+	CallerTransit time.Duration
+	// FinalAnswer is kept from a request's deadline to answer in time.
+	FinalAnswer time.Duration
+	// Linger is how long an attempt that is no longer needed may go on, so that
+	// its connection can be kept.
+	Linger time.Duration
+}
+
+// Gateway is the handler of callers' requests.
+type Gateway struct {
+	policy    Policy
+	headers   Headers
+	knowledge Knowledge
+	limiter   Limiter
+	picker    *placement.Picker
+	budget    *retrybudget.Budget
+	pools     *Pools
+	log       zerolog.Logger
+	metrics   *Metrics
+
+	stopping  atomic.Bool
+	latencies sync.Map // route name to *fanout.Latency
+	weights   weighted
+}
+
+// Parts are what a Gateway is built of.
+type Parts struct {
+	Policy    Policy
+	Headers   Headers
+	Knowledge Knowledge
+	Limiter   Limiter
+	Picker    *placement.Picker
+	Budget    *retrybudget.Budget
+	Pools     *Pools
+	Log       zerolog.Logger
+	Metrics   *Metrics
+	Rand      *rand.Rand
+}
+
+// New returns a gateway.
+func New(p Parts) *Gateway {
+	return &Gateway{
+		policy: p.Policy, headers: p.Headers, knowledge: p.Knowledge, limiter: p.Limiter,
+		picker: p.Picker, budget: p.Budget, pools: p.Pools, log: p.Log, metrics: p.Metrics,
+		weights: weighted{rand: p.Rand, credit: map[string][]float64{}},
+	}
+}
+
+// Stop makes further answers ask callers to close their connections.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// latencyOf returns the estimate of the route's attempts.
+func (g *Gateway) latencyOf(route string) *fanout.Latency {
+	if l, ok := g.latencies.Load(route); ok {
+		return l.(*fanout.Latency)
+	}
+	l, _ := g.latencies.LoadOrStore(route, &fanout.Latency{})
+	return l.(*fanout.Latency)
+}
--- /dev/null
+++ b/internal/gateway/pools.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/exchange"
+)
+
+// Pools holds the connections to all instances. It is safe for concurrent use.
+type Pools struct {
+	dial      exchange.Dial
+	inspector exchange.Inspector
+
+	mu    sync.Mutex
+	pools map[string]*namedPool // by instance ID
+	limit func(service string) int
+}
+
+type namedPool struct {
+	upstream routetable.Upstream
+	pool     *exchange.Pool
+}
+
+// NewPools returns an empty set.
+func NewPools(dial exchange.Dial, inspector exchange.Inspector) *Pools {
+	return &Pools{dial: dial, inspector: inspector, pools: map[string]*namedPool{}, limit: func(string) int { return 1 }}
+}
+
+// Update closes the connections to instances that are gone and sets the limits
+// of the others.
+func (p *Pools) Update(upstreams map[string][]routetable.Upstream, limit func(service string) int) {
+	current := map[string]routetable.Upstream{}
+	for _, list := range upstreams {
+		for _, u := range list {
+			current[u.ID] = u
+		}
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for id, np := range p.pools {
+		if u, ok := current[id]; !ok || !u.SameInstance(np.upstream) {
+			np.pool.Close()
+			delete(p.pools, id)
+			continue
+		}
+		np.pool.SetLimit(limit(np.upstream.Service))
+		np.pool.Sweep(now)
+	}
+}
+
+// Of returns the pool of an instance.
+func (p *Pools) Of(u routetable.Upstream) *exchange.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	np := p.pools[u.ID]
+	if np == nil || !np.upstream.SameInstance(u) {
+		if np != nil {
+			np.pool.Close()
+		}
+		np = &namedPool{upstream: u, pool: exchange.NewPool(u.Address, p.limit(u.Service), p.dial, p.inspector)}
+		p.pools[u.ID] = np
+	}
+	return np.pool
+}
+
+// Stats sums up the connections.
+func (p *Pools) Stats() (open, idle int, dials uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, np := range p.pools {
+		o, i, d := np.pool.Stats()
+		open, idle, dials = open+o, idle+i, dials+d
+	}
+	return open, idle, dials
+}
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+)
+
+// result is how a request ended, for logs and metrics.
+type result struct {
+	status     int
+	reason     Reason
+	callerLeft bool
+	writeErr   error
+	err        error
+	missing    int
+	shards     int
+	answered   int
+	attempts   int
+	hedges     int
+}
+
+// Metrics counts what the gateway does.
+type Metrics struct {
+	set         *metrics.Set
+	budgetEmpty *metrics.Counter
+	attempts    *metrics.Counter
+	hedges      *metrics.Counter
+	missing     *metrics.Counter
+	left        *metrics.Counter
+}
+
+// NewMetrics registers the gateway's counters.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		set:         set,
+		budgetEmpty: set.NewCounter("ryecourse_gateway_repeats_denied_total"),
+		attempts:    set.NewCounter("ryecourse_gateway_attempts_total"),
+		hedges:      set.NewCounter("ryecourse_gateway_hedges_total"),
+		missing:     set.NewCounter("ryecourse_gateway_missing_shards_total"),
+		left:        set.NewCounter("ryecourse_gateway_callers_left_total"),
+	}
+}
+
+// outcome returns the name of a result.
+func (r *result) outcome() string {
+	switch {
+	case r.callerLeft:
+		return "caller_left"
+	case r.reason != "":
+		return string(r.reason)
+	case r.status >= http.StatusInternalServerError:
+		return "upstream_error"
+	case r.missing > 0:
+		return "partial"
+	}
+	return "served"
+}
+
+// record counts the request and logs it if its caller didn't get a complete
+// answer in time.
+func (g *Gateway) record(in *incoming, r result) {
+	took := time.Since(in.started)
+	outcome := r.outcome()
+	g.metrics.set.GetOrCreateCounter(`ryecourse_gateway_requests_total{outcome="` + outcome + `"}`).Inc()
+	g.metrics.attempts.Add(r.attempts)
+	g.metrics.hedges.Add(r.hedges)
+	g.metrics.missing.Add(r.missing)
+	if r.callerLeft {
+		g.metrics.left.Inc()
+	}
+	late := false
+	if in.route != nil {
+		g.metrics.set.GetOrCreatePrometheusHistogram(`ryecourse_gateway_seconds{outcome="` + outcome + `"}`).Update(took.Seconds())
+		late = took > in.route.Objective
+	}
+	if outcome == "served" && !late {
+		return
+	}
+	g.logRequest(in, r, outcome, took, late)
+}
+
+func (g *Gateway) logRequest(in *incoming, r result, outcome string, took time.Duration, late bool) {
+	e := g.log.Info().Str("event", "request").Str("request", in.meta.ID).Str("outcome", outcome).
+		Int("status", r.status).Dur("took_ms", took).Bool("late", late).Dur("knowledge_age_ms", in.viewAge)
+	if in.view != nil {
+		e.Int64("config_version", in.view.Table.Config.Version)
+	}
+	if in.route != nil {
+		e.Str("route", in.route.Name)
+	}
+	if in.customer != nil {
+		e.Str("customer", in.customer.Name)
+	}
+	if r.shards > 0 {
+		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges)
+	}
+	addErr(e, "error", r.err)
+	addErr(e, "write_error", r.writeErr)
+	e.Send()
+}
+
+func addErr(e *zerolog.Event, name string, err error) {
+	if err != nil {
+		e.Str(name, err.Error())
+	}
+}
+
+// logAttempt logs an attempt that failed.
+func (g *Gateway) logAttempt(q *run, r attemptResult) {
+	e := g.log.Info().Str("event", "attempt_failed").Str("request", q.in.meta.ID).
+		Str("service", q.services[r.shard]).Str("upstream", r.flight.Upstream.ID).
+		Str("kind", r.kind.String()).Str("verdict", r.answer.Verdict.String())
+	if resp := r.answer.Response; resp != nil {
+		e.Int("upstream_status", resp.StatusCode()).Bool("not_run", r.answer.Info.NotRun)
+	}
+	addErr(e, "error", r.answer.Err)
+	e.Send()
+}
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reason is why a request ends without an upstream's answer. It is the name that
+// logs, metrics and the answer's body carry.
+type Reason string
+
+// The reasons. Those with status 429 and 503 promise that the request hasn't run
+// and never will.
+const (
+	ReasonNoConfig    Reason = "no_configuration"
+	ReasonOldView     Reason = "knowledge_too_old"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonUnknownKey  Reason = "unknown_key"
+	ReasonRate        Reason = "over_rate"
+	ReasonBodyTooLong Reason = "body_too_long"
+	ReasonBadRequest  Reason = "bad_request"
+	ReasonNoUpstream  Reason = "no_upstream"
+	ReasonRejected    Reason = "rejected_by_upstreams"
+	ReasonFailed      Reason = "upstreams_failed"
+	ReasonTimedOut    Reason = "timed_out"
+)
+
+var statusOf = map[Reason]int{
+	ReasonNoConfig:    http.StatusServiceUnavailable,
+	ReasonOldView:     http.StatusServiceUnavailable,
+	ReasonNoRoute:     http.StatusNotFound,
+	ReasonUnknownKey:  http.StatusUnauthorized,
+	ReasonRate:        http.StatusTooManyRequests,
+	ReasonBodyTooLong: http.StatusRequestEntityTooLarge,
+	ReasonBadRequest:  http.StatusBadRequest,
+	ReasonNoUpstream:  http.StatusServiceUnavailable,
+	ReasonRejected:    http.StatusServiceUnavailable,
+	ReasonFailed:      http.StatusBadGateway,
+	ReasonTimedOut:    http.StatusGatewayTimeout,
+}
+
+// elsewhereRetry is the Retry-After where another VM may do better at once.
+const elsewhereRetry = 20 * time.Millisecond
+
+// refuse answers a request without an upstream.
+func (g *Gateway) refuse(w http.ResponseWriter, reason Reason, retryAfter time.Duration) {
+	status := statusOf[reason]
+	h := w.Header()
+	if retryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		g.headers.WriteRetryAfter(h, retryAfter)
+	}
+	body := string(reason) + "\n"
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	g.closeIfStopping(h)
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(body)) // the caller may have left; nothing more can be told
+}
+
+func (g *Gateway) closeIfStopping(h http.Header) {
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/internal/gatewaydaemon/daemon.go
@@ -0,0 +1,169 @@
+// Package gatewaydaemon runs the gateway on the users' platform: it wires the
+// listeners, the follower of the metadata store and the core together.
+package gatewaydaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/core/placement"
+	"ryecourse.example/ryecourse/internal/core/retrybudget"
+	"ryecourse.example/ryecourse/internal/gateway"
+	"ryecourse.example/ryecourse/internal/knowledge"
+	"ryecourse.example/ryecourse/platform"
+)
+
+// Daemon is one gateway process.
+type Daemon struct {
+	settings platform.Settings
+	log      zerolog.Logger
+	metrics  *metrics.Set
+	follower *knowledge.Follower
+	picker   *placement.Picker
+	pools    *gateway.Pools
+	budget   *retrybudget.Budget
+	gateway  *gateway.Gateway
+	stopping chan struct{}
+	stopOnce sync.Once
+}
+
+const (
+	// memoryShare of a process's memory limit is where the collector gets eager.
+	memoryShare = 0.6
+	// retryShare of the users' retry ratio is what a VM earns, so that counting
+	// windows that differ from theirs stay within it.
+	retryShare = 0.85
+	// expectedVMs divides limits as long as the fleet's size isn't known.
+	expectedVMs = 16
+)
+
+// New builds a daemon from its settings. Logs go to out.
+func New(s platform.Settings, out io.Writer) *Daemon {
+	d := &Daemon{
+		settings: s, metrics: metrics.NewSet(), stopping: make(chan struct{}),
+		log: zerolog.New(out).With().Timestamp().Str("vm", s.VM).Logger(),
+	}
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	d.picker = placement.NewPicker(s.Zone, r)
+	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
+	d.budget = retrybudget.New(s.Bounds.RetryRatio*retryShare, s.Bounds.RetrySlack/expectedVMs)
+	store := platform.NewStore(s.Store.String(), storeClient())
+	d.follower = knowledge.NewFollower(store, knowledge.DefaultPolicy(), platform.ErrHistoryGone, d.log, d.apply)
+	d.gateway = gateway.New(gateway.Parts{
+		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Knowledge: d.follower,
+		Limiter: noLimit{}, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	return d
+}
+
+func gatewayPolicy(s platform.Settings) gateway.Policy {
+	return gateway.Policy{
+		// A tenth is kept for the way of a request to this VM.
+		RevokeAge:     s.Bounds.Revoke * 9 / 10,
+		DefaultBudget: 5 * time.Second,
+		CallerTransit: 12 * time.Millisecond,
+		FinalAnswer:   20 * time.Millisecond,
+		Linger:        250 * time.Millisecond,
+	}
+}
+
+// apply puts a new view in force.
+func (d *Daemon) apply(v *feed.View) {
+	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, nil)
+	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
+}
+
+// connectionShare is the part of an upstream's connections that the fleet uses;
+// the rest is for VMs that are added or restarted.
+const connectionShare = 0.8
+
+func (d *Daemon) connectionLimit(v *feed.View, service string) int {
+	s := v.Table.Service(service)
+	if s == nil {
+		return 1
+	}
+	return max(int(float64(s.MaxConnections)*connectionShare/expectedVMs), 1)
+}
+
+// Run serves until SIGTERM.
+func (d *Daemon) Run(ctx context.Context) error {
+	runtime.GOMAXPROCS(max(d.settings.Cores, 1))
+	debug.SetMemoryLimit(int64(float64(d.settings.MemoryMB<<20) * memoryShare))
+	d.log.Info().Str("event", "start").Str("zone", d.settings.Zone).
+		Bool("first_start", d.settings.FirstStart).Int("pid", os.Getpid()).Send()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.follower.Run(ctx)
+	callers := d.callerServer()
+	ready := &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout}
+	errs := make(chan error, 2)
+	if err := listen(d.settings.Readiness.String(), ready, errs); err != nil {
+		return err
+	}
+	if err := listen(d.settings.Callers.String(), callers, errs); err != nil {
+		return err
+	}
+	return d.waitForEnd(callers, errs)
+}
+
+func listen(address string, s *http.Server, errs chan<- error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			errs <- err
+		}
+	}()
+	return nil
+}
+
+// waitForEnd handles signals.
+func (d *Daemon) waitForEnd(callers *http.Server, errs <-chan error) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case err := <-errs:
+			d.log.Error().Str("event", "stop").Str("error", err.Error()).Send()
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				d.shutdown(callers)
+				return nil
+			}
+			d.reload()
+		}
+	}
+}
+
+// reload reads the settings again. Addresses can't change while the process
+// runs; what else has changed is logged.
+func (d *Daemon) reload() {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		d.log.Error().Str("event", "reload").Str("error", err.Error()).Send()
+		return
+	}
+	changed := s.Callers != d.settings.Callers || s.Store != d.settings.Store
+	d.log.Info().Str("event", "reload").Bool("addresses_changed", changed).Send()
+}
--- /dev/null
+++ b/internal/knowledge/knowledge.go
@@ -0,0 +1,177 @@
+// Package knowledge follows the metadata store and publishes what the VM knows
+// from it, with its age.
+package knowledge
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ryecourse.example/ryecourse/internal/boottime"
+	"ryecourse.example/ryecourse/internal/core/feed"
+)
+
+// Source reads the store.
+type Source interface {
+	// Changes returns what was written after the revision, ErrHistoryGone of the
+	// source if it no longer knows, and waits up to wait for a first change.
+	Changes(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error)
+	// Everything returns all items.
+	Everything(ctx context.Context) (feed.Batch, error)
+}
+
+// Policy paces the reads.
+type Policy struct {
+	// Interval is the time between two reads.
+	Interval time.Duration
+	// RetryInterval is the time between two reads while the source fails.
+	RetryInterval time.Duration
+	// CallTimeout bounds one read of changes, FullTimeout one of everything.
+	CallTimeout, FullTimeout time.Duration
+	// Outage and LapseHold are those of feed.State.
+	Outage, LapseHold time.Duration
+}
+
+// DefaultPolicy returns the pace for bounds of 3 s and more on what must be in
+// force everywhere: one read a second leaves room for one that fails.
+func DefaultPolicy() Policy {
+	return Policy{
+		Interval: time.Second, RetryInterval: 250 * time.Millisecond,
+		CallTimeout: time.Second, FullTimeout: 3 * time.Second,
+		Outage: 2500 * time.Millisecond, LapseHold: 2200 * time.Millisecond,
+	}
+}
+
+// changeWait is how long a read waits for a first change. Upstreams announce
+// themselves all the time, so that it seldom waits at all.
+const changeWait = 100 * time.Millisecond
+
+// Follower follows one source. Only Run changes it.
+type Follower struct {
+	source  Source
+	policy  Policy
+	log     zerolog.Logger
+	gone    error
+	publish func(*feed.View)
+	now     func() time.Duration
+
+	state    *feed.State
+	view     atomic.Pointer[feed.View]
+	evidence atomic.Int64 // boot time in ns of the last read that proves the view
+	lost     bool
+	failures int
+}
+
+// NewFollower returns a follower. historyGone is the source's error for changes
+// that it no longer knows; publish is called with each new view.
+func NewFollower(s Source, p Policy, historyGone error, log zerolog.Logger, publish func(*feed.View)) *Follower {
+	return &Follower{
+		source: s, policy: p, log: log, gone: historyGone, publish: publish, now: boottime.Now,
+		state: feed.NewState(p.Outage, p.LapseHold),
+	}
+}
+
+// View returns the latest view, or nil as long as there is no configuration.
+func (f *Follower) View() *feed.View { return f.view.Load() }
+
+// neverProved is the age of a view that no read has proved.
+const neverProved = time.Duration(1 << 62)
+
+// Age returns the time since the start of the latest read that succeeded.
+func (f *Follower) Age() time.Duration {
+	at := f.evidence.Load()
+	if at == 0 {
+		return neverProved
+	}
+	return f.now() - time.Duration(at)
+}
+
+// Run follows the source until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		pause := f.policy.Interval
+		if err := f.read(ctx); err != nil {
+			pause = f.policy.RetryInterval
+		}
+		sleep(ctx, pause-time.Since(began))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// read makes one read of the source and applies it.
+func (f *Follower) read(ctx context.Context) error {
+	asked := f.now()
+	batch, err := f.fetch(ctx)
+	if err != nil {
+		f.failed(err)
+		return err
+	}
+	now := f.now()
+	events := f.state.Apply(asked, now, batch)
+	f.evidence.Store(int64(asked))
+	f.recovered()
+	for _, e := range events {
+		f.logEvent(e, batch.Revision)
+	}
+	if len(events) > 0 || f.view.Load() == nil {
+		if v := f.state.View(); v != nil {
+			f.view.Store(v)
+			f.publish(v)
+		}
+	}
+	return nil
+}
+
+func (f *Follower) fetch(ctx context.Context) (feed.Batch, error) {
+	if rev := f.state.Revision(); rev > 0 {
+		call, cancel := context.WithTimeout(ctx, f.policy.CallTimeout)
+		defer cancel()
+		b, err := f.source.Changes(call, rev, changeWait)
+		if !errors.Is(err, f.gone) {
+			return b, err
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, f.policy.FullTimeout)
+	defer cancel()
+	return f.source.Everything(call)
+}
+
+func (f *Follower) failed(err error) {
+	f.failures++
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.log.Warn().Str("event", "store_lost").Str("error", err.Error()).Dur("knowledge_age_ms", f.Age()).Send()
+}
+
+func (f *Follower) recovered() {
+	if f.lost {
+		f.log.Info().Str("event", "store_regained").Int("failed_reads", f.failures).Send()
+	}
+	f.lost, f.failures = false, 0
+}
+
+func (f *Follower) logEvent(e feed.Event, revision int64) {
+	l := f.log.Info().Str("event", "knowledge").Stringer("subject", e.Subject).
+		Str("name", e.Name).Str("change", e.What).Int64("revision", revision)
+	if e.Err != nil {
+		l.Str("error", e.Err.Error())
+	}
+	l.Send()
+}
