--- a/internal/core/customerrate/bucket.go
+++ b/internal/core/customerrate/bucket.go
@@ -5,7 +5,10 @@
 // The package has no I/O; callers pass the time.
 package customerrate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // bucket is a token bucket whose rate and depth change with the VM's part.
 type bucket struct {
@@ -39,3 +42,8 @@
 	}
 	return false, time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
 }
+
+// decay returns what is left of a moving average after dt.
+func decay(dt, halfLife time.Duration) float64 {
+	return math.Exp2(-dt.Seconds() / halfLife.Seconds())
+}
--- /dev/null
+++ b/internal/fleetlink/link.go
@@ -0,0 +1,184 @@
+package fleetlink
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ryecourse.example/ryecourse/internal/boottime"
+	"ryecourse.example/ryecourse/internal/core/fleet"
+	fleetv1 "ryecourse.example/ryecourse/internal/gen/fleet/v1"
+	"ryecourse.example/ryecourse/internal/gen/fleet/v1/fleetv1connect"
+)
+
+// Usage is what reports are made of, and what they are for.
+type Usage interface {
+	// Tick returns what to tell the other VMs.
+	Tick(now time.Time, bootNow time.Duration) map[uint32]fleet.Usage
+	// Learn takes in a report of another VM.
+	Learn(now time.Time, r fleet.Report)
+	// Forget drops a VM that has left.
+	Forget(address string)
+}
+
+const (
+	// Interval is the time between two reports of a VM. A customer at many times
+	// its rate is held back by then.
+	Interval = 250 * time.Millisecond
+	// callTimeout bounds one exchange; links of a region take milliseconds.
+	callTimeout = 400 * time.Millisecond
+	// idleTimeout is how long the connection to a peer is kept.
+	idleTimeout = 30 * time.Second
+)
+
+// Link exchanges reports with the other VMs.
+type Link struct {
+	usage   Usage
+	log     zerolog.Logger
+	client  *http.Client
+	resized func(vms int)
+
+	mu    sync.Mutex
+	table *fleet.Table
+	peers map[string]*peer
+	size  int
+	self  string
+}
+
+// peer is another VM as this one calls it.
+type peer struct {
+	client  fleetv1connect.FleetServiceClient
+	calling bool
+	lost    bool
+	seen    bool
+}
+
+// New returns a link. resized is called when the number of VMs changes that
+// limits are divided by.
+func New(self fleet.Report, seeds []string, usage Usage, log zerolog.Logger, resized func(vms int)) *Link {
+	return &Link{
+		usage: usage, log: log, resized: resized, self: self.Address,
+		table: fleet.NewTable(fleet.DefaultPolicy(), self, seeds),
+		peers: map[string]*peer{},
+		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// Handler returns the path and handler of the link's own side.
+func (l *Link) Handler() (string, http.Handler) {
+	return fleetv1connect.NewFleetServiceHandler(server{l})
+}
+
+type server struct{ link *Link }
+
+// Exchange implements fleetv1connect.FleetServiceHandler.
+func (s server) Exchange(_ context.Context, req *fleetv1.ExchangeRequest) (*fleetv1.ExchangeResponse, error) {
+	l := s.link
+	now := boottime.Now()
+	reports := decode(now, req.Reports)
+	if len(reports) == 0 {
+		return &fleetv1.ExchangeResponse{}, nil
+	}
+	caller := reports[0].Address
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := len(reports) > 1 || l.peers[caller] != nil
+	l.merge(reports, caller)
+	// A VM that knows nobody gets everything.
+	return &fleetv1.ExchangeResponse{Reports: encode(now, l.table.For(caller, len(reports) > 1 || !known))}, nil
+}
+
+// merge takes in reports. The caller holds mu.
+func (l *Link) merge(reports []fleet.Report, direct string) {
+	now := time.Now()
+	for _, r := range l.table.Merge(reports, direct) {
+		l.usage.Learn(now, r)
+		p := l.peer(r.Address)
+		if !p.seen {
+			p.seen = true
+			l.log.Info().Str("event", "vm_joined").Str("peer", r.Address).Str("peer_zone", r.Zone).Send()
+		}
+	}
+}
+
+func (l *Link) peer(address string) *peer {
+	p := l.peers[address]
+	if p == nil {
+		p = &peer{client: fleetv1connect.NewFleetServiceClient(l.client, "http://"+address)}
+		l.peers[address] = p
+	}
+	return p
+}
+
+// Run exchanges reports until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	for {
+		l.tick(ctx, false)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Leave tells the others that this VM stops.
+func (l *Link) Leave(ctx context.Context) { l.tick(ctx, true) }
+
+func (l *Link) tick(ctx context.Context, leaving bool) {
+	now := boottime.Now()
+	usage := l.usage.Tick(time.Now(), now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Write(now, usage, leaving)
+	for _, addr := range l.table.Expire(now) {
+		l.usage.Forget(addr)
+		delete(l.peers, addr)
+		l.log.Info().Str("event", "vm_forgotten").Str("peer", addr).Send()
+	}
+	for _, target := range l.table.Targets() {
+		p := l.peer(target.Address)
+		if p.calling {
+			continue
+		}
+		p.calling = true
+		req := &fleetv1.ExchangeRequest{Reports: encode(now, l.table.For(target.Address, target.Relay))}
+		go l.call(ctx, target.Address, p, req)
+	}
+	if n := l.table.Size(); n != l.size {
+		l.size = n
+		l.log.Info().Str("event", "fleet_resized").Int("vms", n).Send()
+		l.resized(n)
+	}
+}
+
+func (l *Link) call(ctx context.Context, address string, p *peer, req *fleetv1.ExchangeRequest) {
+	resp, err := p.client.Exchange(ctx, req)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.calling = false
+	if err != nil {
+		l.table.Failed(address)
+		if !p.lost {
+			l.log.Info().Str("event", "peer_lost").Str("peer", address).Str("error", err.Error()).Send()
+		}
+		p.lost = true
+		return
+	}
+	if p.lost {
+		l.log.Info().Str("event", "peer_regained").Str("peer", address).Send()
+	}
+	p.lost = false
+	l.merge(decode(boottime.Now(), resp.Reports), address)
+}
--- /dev/null
+++ b/internal/fleetlink/wire.go
@@ -0,0 +1,41 @@
+// Package fleetlink carries the reports of the fleet's VMs over connect-go.
+package fleetlink
+
+import (
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/fleet"
+	fleetv1 "ryecourse.example/ryecourse/internal/gen/fleet/v1"
+)
+
+func encode(now time.Duration, reports []fleet.Report) []*fleetv1.Report {
+	out := make([]*fleetv1.Report, 0, len(reports))
+	for _, r := range reports {
+		m := &fleetv1.Report{
+			Address: r.Address, Zone: r.Zone, Boot: r.Boot, Sequence: r.Sequence,
+			AgeMs: uint32(max(now-r.At, 0).Milliseconds()), Leaving: r.Leaving,
+			Usage: make([]*fleetv1.Usage, 0, len(r.Usage)),
+		}
+		for customer, u := range r.Usage {
+			m.Usage = append(m.Usage, &fleetv1.Usage{Customer: customer, Demand: float32(u.Demand), Admitted: u.Admitted})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func decode(now time.Duration, reports []*fleetv1.Report) []fleet.Report {
+	out := make([]fleet.Report, 0, len(reports))
+	for _, m := range reports {
+		r := fleet.Report{
+			Address: m.Address, Zone: m.Zone, Boot: m.Boot, Sequence: m.Sequence, Leaving: m.Leaving,
+			At:    now - time.Duration(m.AgeMs)*time.Millisecond,
+			Usage: make(map[uint32]fleet.Usage, len(m.Usage)),
+		}
+		for _, u := range m.Usage {
+			r.Usage[u.Customer] = fleet.Usage{Demand: float64(u.Demand), Admitted: u.Admitted}
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -15,15 +15,19 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
+	"ryecourse.example/ryecourse/internal/fleetlink"
 	"ryecourse.example/ryecourse/internal/gateway"
 	"ryecourse.example/ryecourse/internal/knowledge"
 	"ryecourse.example/ryecourse/platform"
@@ -39,6 +43,9 @@
 	pools    *gateway.Pools
 	budget   *retrybudget.Budget
 	gateway  *gateway.Gateway
+	limiter  *customerrate.Limiter
+	link     *fleetlink.Link
+	vms      atomic.Int64 // the number of VMs that limits are divided by
 	stopping chan struct{}
 	stopOnce sync.Once
 }
@@ -51,6 +58,11 @@
 	retryShare = 0.85
 	// expectedVMs divides limits as long as the fleet's size isn't known.
 	expectedVMs = 16
+	// minVMs is the least size that limits are divided by, since a VM that sees
+	// few others may be cut off.
+	minVMs = 4
+	// spareVMs may join before this VM hears of them.
+	spareVMs = 3
 )
 
 // New builds a daemon from its settings. Logs go to out.
@@ -65,14 +77,27 @@
 	d.budget = retrybudget.New(s.Bounds.RetryRatio*retryShare, s.Bounds.RetrySlack/expectedVMs)
 	store := platform.NewStore(s.Store.String(), storeClient())
 	d.follower = knowledge.NewFollower(store, knowledge.DefaultPolicy(), platform.ErrHistoryGone, d.log, d.apply)
+	d.limiter = customerrate.NewLimiter(customerrate.DefaultPolicy())
+	d.vms.Store(expectedVMs)
+	d.link = fleetlink.New(fleet.Report{
+		Address: s.Peers.String(), Zone: s.Zone, Boot: rand.Uint64(),
+	}, seedAddresses(s), d.limiter, d.log, d.resize)
 	d.gateway = gateway.New(gateway.Parts{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Knowledge: d.follower,
-		Limiter: noLimit{}, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	return d
 }
 
+func seedAddresses(s platform.Settings) []string {
+	var out []string
+	for _, a := range s.Seeds {
+		out = append(out, a.String())
+	}
+	return out
+}
+
 func gatewayPolicy(s platform.Settings) gateway.Policy {
 	return gateway.Policy{
 		// A tenth is kept for the way of a request to this VM.
@@ -84,8 +109,18 @@
 	}
 }
 
+// resize divides the limits by a new number of VMs.
+func (d *Daemon) resize(vms int) {
+	d.vms.Store(int64(max(vms, minVMs)))
+	d.budget.SetReserve(d.settings.Bounds.RetrySlack / float64(d.vms.Load()+spareVMs))
+	if v := d.follower.View(); v != nil {
+		d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
+	}
+}
+
 // apply puts a new view in force.
 func (d *Daemon) apply(v *feed.View) {
+	d.limiter.Update(time.Now(), v.Table.Config.Customers)
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, nil)
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 }
@@ -99,7 +134,7 @@
 	if s == nil {
 		return 1
 	}
-	return max(int(float64(s.MaxConnections)*connectionShare/expectedVMs), 1)
+	return max(int(float64(s.MaxConnections)*connectionShare/float64(d.vms.Load())), 1)
 }
 
 // Run serves until SIGTERM.
@@ -111,9 +146,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go d.follower.Run(ctx)
+	go d.link.Run(ctx)
 	callers := d.callerServer()
 	ready := &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout}
-	errs := make(chan error, 2)
+	mux := http.NewServeMux()
+	mux.Handle(d.link.Handler())
+	peers := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	errs := make(chan error, 3)
+	if err := listen(d.settings.Peers.String(), peers, errs); err != nil {
+		return err
+	}
 	if err := listen(d.settings.Readiness.String(), ready, errs); err != nil {
 		return err
 	}
--- a/internal/gatewaydaemon/listeners.go
+++ b/internal/gatewaydaemon/listeners.go
@@ -70,6 +70,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitMargin))
 	defer cancel()
 	err := callers.Shutdown(ctx)
+	d.link.Leave(ctx)
 	e := d.log.Info().Str("event", "stop").Str("phase", "ended").Dur("took_ms", time.Since(began))
 	if err != nil {
 		e.Str("error", err.Error())
