--- /dev/null
+++ b/internal/core/customerrate/fleet_test.go
@@ -0,0 +1,287 @@
+package customerrate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/fleet"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+const (
+	step     = 5 * time.Millisecond
+	interval = 250 * time.Millisecond
+	window   = 5 * time.Second
+	// The tolerance of the users' bounds: quota_overage and quota_slack.
+	overage = 0.25
+	slack   = 20
+)
+
+// simFleet is a fleet of limiters under a virtual clock. Reports take one step.
+type simFleet struct {
+	t        *testing.T
+	rng      *rand.Rand
+	start    time.Time
+	now      time.Duration
+	customer routetable.Customer
+	vms      []*simVM
+	offered  int
+	admitted []time.Duration
+	cut      func(a, b int) bool
+	reports  int
+}
+
+type simVM struct {
+	limiter *Limiter
+	address string
+	boot    uint64
+	phase   time.Duration
+	down    bool
+	// frozen VMs keep their state and do nothing.
+	frozen bool
+	seq    uint64
+	last   fleet.Report
+	rate   float64 // demand a second
+	missed float64
+}
+
+func newSimFleet(t *testing.T, seed uint64, vms int, c routetable.Customer) *simFleet {
+	f := &simFleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), customer: c,
+		cut: func(int, int) bool { return false },
+	}
+	for i := range vms {
+		vm := &simVM{address: fmt.Sprintf("vm-%02d", i), phase: time.Duration(f.rng.Int64N(int64(interval/step))) * step}
+		f.vms = append(f.vms, vm)
+		f.boot(vm)
+	}
+	return f
+}
+
+func (f *simFleet) time() time.Time { return f.start.Add(f.now) }
+
+// boot starts a VM that remembers nothing.
+func (f *simFleet) boot(vm *simVM) {
+	vm.limiter = NewLimiter(DefaultPolicy())
+	vm.limiter.Update(f.time(), []routetable.Customer{f.customer})
+	vm.boot, vm.seq, vm.down = f.rng.Uint64(), 0, false
+	vm.last = fleet.Report{}
+}
+
+// demand spreads a demand over the VMs by weights that differ.
+func (f *simFleet) demand(perSecond float64) {
+	var sum float64
+	weights := make([]float64, len(f.vms))
+	for i := range weights {
+		weights[i] = 0.3 + float64(i%4)
+		sum += weights[i]
+	}
+	for i, vm := range f.vms {
+		vm.rate = perSecond * weights[i] / sum
+	}
+}
+
+func (f *simFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += step {
+		for i, vm := range f.vms {
+			if vm.down || vm.frozen {
+				continue
+			}
+			if (f.now+vm.phase)%interval == 0 {
+				f.tick(i, vm)
+			}
+			f.arrive(vm)
+		}
+	}
+}
+
+func (f *simFleet) tick(i int, vm *simVM) {
+	vm.seq++
+	vm.last = fleet.Report{
+		Address: vm.address, Boot: vm.boot, Sequence: vm.seq, At: f.now,
+		Usage: vm.limiter.Tick(f.time(), f.now),
+	}
+	for j, other := range f.vms {
+		if j == i || other.down || other.frozen || f.cut(i, j) {
+			continue
+		}
+		other.limiter.Learn(f.time(), vm.last)
+		if other.last.Boot != 0 {
+			vm.limiter.Learn(f.time(), other.last)
+		}
+	}
+}
+
+func (f *simFleet) arrive(vm *simVM) {
+	if f.rng.Float64() >= vm.rate*step.Seconds() {
+		return
+	}
+	f.offered++
+	if ok, _ := vm.limiter.Admit(f.time(), &f.customer); ok {
+		f.admitted = append(f.admitted, f.now)
+	}
+}
+
+// checkWindows fails if any window holds more than the users allow.
+func (f *simFleet) checkWindows() {
+	f.t.Helper()
+	c := f.customer
+	allowed := (c.RatePerSecond*window.Seconds()+c.Burst)*(1+overage) + slack
+	worst, at := 0, time.Duration(0)
+	first := 0
+	for i, when := range f.admitted {
+		for f.admitted[first] <= when-window {
+			first++
+		}
+		if n := i - first + 1; n > worst {
+			worst, at = n, f.admitted[first]
+		}
+	}
+	if float64(worst) > math.Floor(allowed) {
+		f.t.Errorf("%d requests admitted in %v from %v on; allowed %.0f", worst, window, at, allowed)
+	}
+}
+
+func seeds(t *testing.T, run func(t *testing.T, seed uint64)) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+var large = routetable.Customer{Name: "large", RatePerSecond: 122, Burst: 122}
+var small = routetable.Customer{Name: "small", RatePerSecond: 14, Burst: 14}
+
+func TestUsualDemandIsNotRefused(t *testing.T) {
+	for _, c := range []routetable.Customer{large, small} {
+		seeds(t, func(t *testing.T, seed uint64) {
+			f := newSimFleet(t, seed, 9, c)
+			f.run(10 * time.Second)
+			f.demand(c.RatePerSecond / 1.6)
+			f.run(30 * time.Second)
+			f.checkWindows()
+			if refused := f.offered - len(f.admitted); refused*200 > f.offered {
+				t.Errorf("%d of %d requests refused below the rate", refused, f.offered)
+			}
+		})
+	}
+}
+
+func TestManyTimesTheRateKeepsToTheLimit(t *testing.T) {
+	for _, c := range []routetable.Customer{large, small} {
+		seeds(t, func(t *testing.T, seed uint64) {
+			f := newSimFleet(t, seed, 9, c)
+			f.run(10 * time.Second)
+			f.demand(c.RatePerSecond / 1.6)
+			f.run(10 * time.Second)
+			f.demand(c.RatePerSecond / 1.6 * 7.5)
+			before := len(f.admitted)
+			f.run(20 * time.Second)
+			f.checkWindows()
+			if got := float64(len(f.admitted)-before) / 20; got < 0.9*c.RatePerSecond {
+				t.Errorf("%.1f requests a second admitted under excess demand; the rate is %.0f", got, c.RatePerSecond)
+			}
+		})
+	}
+}
+
+func TestRestartOfAllVMsAdmitsNoSecondBurst(t *testing.T) {
+	for _, c := range []routetable.Customer{large, small} {
+		seeds(t, func(t *testing.T, seed uint64) {
+			f := newSimFleet(t, seed, 8, c)
+			f.run(10 * time.Second)
+			f.demand(c.RatePerSecond * 3)
+			f.run(4 * time.Second)
+			for _, vm := range f.vms {
+				vm.down = true
+			}
+			f.run(500 * time.Millisecond)
+			for _, vm := range f.vms {
+				f.boot(vm)
+			}
+			f.run(10 * time.Second)
+			f.checkWindows()
+		})
+	}
+}
+
+func TestPartitionKeepsToTheLimit(t *testing.T) {
+	for _, c := range []routetable.Customer{large, small} {
+		seeds(t, func(t *testing.T, seed uint64) {
+			f := newSimFleet(t, seed, 8, c)
+			f.run(10 * time.Second)
+			f.demand(c.RatePerSecond * 4)
+			f.run(4 * time.Second)
+			f.cut = func(a, b int) bool { return (a < 3) != (b < 3) }
+			f.run(8 * time.Second)
+			f.cut = func(int, int) bool { return false }
+			f.run(8 * time.Second)
+			f.checkWindows()
+		})
+	}
+}
+
+func TestDemandThatRisesDuringAPartition(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		f := newSimFleet(t, seed, 8, large)
+		f.run(10 * time.Second)
+		f.demand(large.RatePerSecond / 1.6)
+		f.run(4 * time.Second)
+		f.cut = func(a, b int) bool { return (a < 4) != (b < 4) }
+		f.run(time.Second)
+		f.demand(large.RatePerSecond * 4)
+		f.run(8 * time.Second)
+		f.checkWindows()
+	})
+}
+
+func TestFrozenVMWakesWithoutABurst(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		f := newSimFleet(t, seed, 8, large)
+		f.run(10 * time.Second)
+		f.demand(large.RatePerSecond * 4)
+		f.run(4 * time.Second)
+		f.vms[1].frozen, f.vms[2].frozen = true, true
+		f.run(4 * time.Second)
+		f.vms[1].frozen, f.vms[2].frozen = false, false
+		f.run(6 * time.Second)
+		f.checkWindows()
+	})
+}
+
+func TestLoweredRateHoldsAfterAWindow(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		f := newSimFleet(t, seed, 8, large)
+		f.run(10 * time.Second)
+		f.demand(large.RatePerSecond / 1.6)
+		f.run(5 * time.Second)
+		f.customer = small
+		f.customer.Name = large.Name
+		for _, vm := range f.vms {
+			vm.limiter.Update(f.time(), []routetable.Customer{f.customer})
+		}
+		f.admitted = nil
+		f.run(window)
+		f.admitted = nil
+		f.run(15 * time.Second)
+		f.checkWindows()
+	})
+}
+
+func TestRollingRestartsKeepToTheLimit(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		f := newSimFleet(t, seed, 9, large)
+		f.run(10 * time.Second)
+		f.demand(large.RatePerSecond * 3)
+		for _, vm := range f.vms {
+			f.run(time.Second)
+			vm.down = true
+			f.run(500 * time.Millisecond)
+			f.boot(vm)
+		}
+		f.run(5 * time.Second)
+		f.checkWindows()
+	})
+}
--- a/internal/core/customerrate/limiter.go
+++ b/internal/core/customerrate/limiter.go
@@ -1,6 +1,7 @@
 package customerrate
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 	// Headroom multiplies rates; it uses a part of the tolerance that the users
 	// grant.
 	Headroom float64
+	// Slack is the number of requests, over all VMs, by which a window may exceed
+	// the rate; half of it deepens the VMs' own buckets.
+	Slack float64
 	// Staleness is how old reports of other VMs usually are.
 	Staleness time.Duration
 	// Silent is the age from which a VM without a report is assumed to go on
@@ -22,15 +26,19 @@
 	Silent time.Duration
 	// DemandMemory is the half-life of the measured demand.
 	DemandMemory time.Duration
-	// FreshVMs divides rates as long as no report has come.
-	FreshVMs int
+	// Settle is the time after a start in which a VM doesn't draw on pools, since
+	// it can't know yet what the others have used.
+	Settle time.Duration
+	// FreshVMs divides rates while a VM settles and knows no other VM; LoneVMs
+	// does so later.
+	FreshVMs, LoneVMs int
 }
 
 // DefaultPolicy suits exchanges every quarter of a second.
 func DefaultPolicy() Policy {
 	return Policy{
-		Headroom: 1.08, Staleness: 600 * time.Millisecond, Silent: 1200 * time.Millisecond,
-		DemandMemory: 500 * time.Millisecond, FreshVMs: 16,
+		Headroom: 1.08, Slack: 20, Staleness: 400 * time.Millisecond, Silent: 800 * time.Millisecond,
+		DemandMemory: 500 * time.Millisecond, Settle: time.Second, FreshVMs: 64, LoneVMs: 16,
 	}
 }
 
@@ -49,8 +57,9 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	byHash   map[uint32]*account
-	silent   map[string]time.Duration // by VM: when its report was written
+	heardAt  map[string]time.Duration // by VM: when its report was written
 	ticked   time.Time
+	started  time.Time // of the process, or of its life after it stood still
 }
 
 // use is what another VM has told of a customer.
@@ -58,6 +67,8 @@
 	boot     uint64
 	demand   float64
 	admitted uint32
+	// part of the rate that the VM had when it was last heard.
+	part float64
 	// assumed is what was taken from the pool for a silent VM.
 	assumed float64
 }
@@ -74,8 +85,11 @@
 	filledAt time.Time
 	reserve  float64
 	part     float64 // of the rate that is open to this VM
-	local    bucket
-	others   map[string]*use
+	// heard is the demand of the VMs that can be heard; silentPart is the part of
+	// the rate that is left to the others.
+	heard, silentPart float64
+	local             bucket
+	others            map[string]*use
 }
 
 // Hash returns the key of a customer in reports.
@@ -84,7 +98,7 @@
 // NewLimiter returns a limiter whose buckets are empty, since the process may
 // have restarted right after it had used them up.
 func NewLimiter(p Policy) *Limiter {
-	return &Limiter{policy: p, accounts: map[string]*account{}, byHash: map[uint32]*account{}, silent: map[string]time.Duration{}}
+	return &Limiter{policy: p, accounts: map[string]*account{}, byHash: map[uint32]*account{}, heardAt: map[string]time.Duration{}}
 }
 
 // Update takes in the customers of a new configuration.
@@ -98,6 +112,9 @@
 		a := l.accounts[c.Name]
 		if a == nil {
 			a = &account{filledAt: now, others: map[string]*use{}}
+			if l.started.IsZero() {
+				l.started = now
+			}
 			a.local.filledAt = now
 			l.accounts[c.Name], l.byHash[Hash(c.Name)] = a, a
 		}
@@ -117,10 +134,11 @@
 func (l *Limiter) fill(a *account, now time.Time) {
 	if dt := now.Sub(a.filledAt).Seconds(); dt > 0 {
 		rate := a.rate * l.policy.Headroom
-		if len(l.silent) == 0 {
-			rate /= float64(l.policy.FreshVMs)
+		if len(l.heardAt) == 0 {
+			rate /= l.fleetSize(now)
 		}
-		a.pool = min(a.pool+dt*rate, a.burst)
+		// What lies in the pool is for the VMs that can't be heard, too.
+		a.pool = min(a.pool+dt*rate, a.burst*(1-a.silentPart))
 		a.filledAt = now
 	}
 }
@@ -149,7 +167,7 @@
 func (l *Limiter) Learn(now time.Time, r fleet.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent[r.Address] = r.At
+	l.heardAt[r.Address] = r.At
 	for hash, told := range r.Usage {
 		a := l.byHash[hash]
 		if a == nil {
@@ -166,7 +184,7 @@
 		default:
 			a.charge(u, float64(told.Admitted-u.admitted))
 		}
-		*u = use{boot: r.Boot, demand: told.Demand, admitted: told.Admitted}
+		*u = use{boot: r.Boot, demand: told.Demand, admitted: told.Admitted, part: u.part}
 	}
 }
 
@@ -179,7 +197,7 @@
 func (l *Limiter) Forget(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.silent, address)
+	delete(l.heardAt, address)
 	for _, a := range l.accounts {
 		delete(a.others, address)
 	}
@@ -201,10 +219,10 @@
 	for hash, a := range l.byHash {
 		l.fill(a, now)
 		if stoodStill {
-			a.pool = min(a.pool, 0)
+			a.pool, l.started = min(a.pool, 0), now
 		}
-		l.assumeSilent(a, dt, bootNow)
 		l.measure(a, dt)
+		l.divide(a, dt, bootNow)
 		l.share(a, now)
 		if a.admitted > 0 || a.told > 0 {
 			out[hash] = fleet.Usage{Demand: a.told, Admitted: a.admitted}
@@ -213,17 +231,24 @@
 	return out
 }
 
-// assumeSilent charges the parts of VMs that can't be heard.
-func (l *Limiter) assumeSilent(a *account, dt, bootNow time.Duration) {
-	total := a.totalDemand()
-	if total <= 0 {
-		return
+// divide works out the parts of the other VMs. Those that can't be heard keep
+// the part that they had, and are charged for it.
+func (l *Limiter) divide(a *account, dt, bootNow time.Duration) {
+	a.heard, a.silentPart = a.told, 0
+	for addr, u := range a.others {
+		if bootNow-l.heardAt[addr] <= l.policy.Silent {
+			a.heard += u.demand
+			continue
+		}
+		a.silentPart += u.part
+		n := a.rate * u.part * dt.Seconds()
+		a.pool -= n
+		u.assumed += n
 	}
+	a.silentPart = min(a.silentPart, 1)
 	for addr, u := range a.others {
-		if bootNow-l.silent[addr] > l.policy.Silent {
-			n := min(u.demand, a.rate*u.demand/total) * dt.Seconds()
-			a.pool -= n
-			u.assumed += n
+		if a.heard > 0 && bootNow-l.heardAt[addr] <= l.policy.Silent {
+			u.part = (1 - a.silentPart) * u.demand / a.heard
 		}
 	}
 }
@@ -268,24 +293,40 @@
 // share sets the VM's part of the rate. All VMs count with demands as they were
 // published, so that their parts add up also while demand grows quickly.
 func (l *Limiter) share(a *account, now time.Time) {
-	total := a.totalDemand()
-	n := float64(len(l.silent) + 1)
-	if len(l.silent) == 0 {
-		n = float64(l.policy.FreshVMs)
-	}
+	n := l.fleetSize(now)
 	part := leastPart / n
-	if total > 0 {
-		part = max(part, a.told/total)
+	if a.heard > 0 {
+		part = max(part, a.told/a.heard)
 	}
 	// Reports of the others may still be on their way.
 	part = min(part, maxPartGrowth*a.part+1/n)
+	settling := now.Sub(l.started) < l.policy.Settle
+	if settling {
+		part = 1 / n
+	}
 	a.part = part
+	part *= 1 - a.silentPart
 	rate := a.rate * l.policy.Headroom * part * l.makeUp(a)
-	a.local.set(now, rate, max(1, rate*localBurst.Seconds()))
-	a.reserve = max(total, a.demand)*l.policy.Staleness.Seconds() + 1
+	a.local.set(now, rate, max(1+l.policy.Slack/2/n, rate*localBurst.Seconds()))
+	a.reserve = max(a.totalDemand(), a.demand)*l.policy.Staleness.Seconds() + 1
+	if settling {
+		a.reserve = math.Inf(1)
+	}
 	a.told = a.demand
 }
 
+// fleetSize is the number of VMs that share a rate.
+func (l *Limiter) fleetSize(now time.Time) float64 {
+	n := len(l.heardAt) + 1
+	if n > 1 {
+		return float64(n)
+	}
+	if now.Sub(l.started) < l.policy.Settle {
+		return float64(l.policy.FreshVMs)
+	}
+	return float64(l.policy.LoneVMs)
+}
+
 // makeUp is the factor by which rates are lowered while more was admitted than
 // the fleet's bucket held.
 func (l *Limiter) makeUp(a *account) float64 {
--- a/internal/core/fanout/latency.go
+++ b/internal/core/fanout/latency.go
@@ -13,9 +13,9 @@
 	refreshEvery = 32
 	// hedgeQuantile is the share of attempts that end before a hedge is due. What
 	// lies above it must fit the budget of repeats.
-	hedgeQuantile = 0.88
+	hedgeQuantile = 0.94
 	// hedgeFactor keeps hedges clear of attempts that are about to end.
-	hedgeFactor = 1.2
+	hedgeFactor = 1.0
 	// minHedgeDelay keeps delays of this VM from being taken for an upstream's.
 	minHedgeDelay = 2 * time.Millisecond
 )
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -37,10 +37,10 @@
 
 // Link exchanges reports with the other VMs.
 type Link struct {
-	usage   Usage
-	log     zerolog.Logger
-	client  *http.Client
-	resized func(vms int)
+	usage  Usage
+	log    zerolog.Logger
+	client *http.Client
+	sized  func(vms int)
 
 	mu    sync.Mutex
 	table *fleet.Table
@@ -57,11 +57,11 @@
 	seen    bool
 }
 
-// New returns a link. resized is called when the number of VMs changes that
-// limits are divided by.
-func New(self fleet.Report, seeds []string, usage Usage, log zerolog.Logger, resized func(vms int)) *Link {
+// New returns a link. sized is called with each tick and gets the number of
+// VMs that limits are divided by.
+func New(self fleet.Report, seeds []string, usage Usage, log zerolog.Logger, sized func(vms int)) *Link {
 	return &Link{
-		usage: usage, log: log, resized: resized, self: self.Address,
+		usage: usage, log: log, sized: sized, self: self.Address,
 		table: fleet.NewTable(fleet.DefaultPolicy(), self, seeds),
 		peers: map[string]*peer{},
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
@@ -156,11 +156,12 @@
 		req := &fleetv1.ExchangeRequest{Reports: encode(now, l.table.For(target.Address, target.Relay))}
 		go l.call(ctx, target.Address, p, req)
 	}
-	if n := l.table.Size(); n != l.size {
+	n := l.table.Size()
+	if n != l.size {
 		l.size = n
 		l.log.Info().Str("event", "fleet_resized").Int("vms", n).Send()
-		l.resized(n)
 	}
+	l.sized(n)
 }
 
 func (l *Link) call(ctx context.Context, address string, p *peer, req *fleetv1.ExchangeRequest) {
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -46,6 +46,7 @@
 	limiter  *customerrate.Limiter
 	link     *fleetlink.Link
 	vms      atomic.Int64 // the number of VMs that limits are divided by
+	started  time.Time
 	stopping chan struct{}
 	stopOnce sync.Once
 }
@@ -58,6 +59,9 @@
 	retryShare = 0.85
 	// expectedVMs divides limits as long as the fleet's size isn't known.
 	expectedVMs = 16
+	// sizeSettle is the time after a start in which a VM may not have heard of all
+	// others yet.
+	sizeSettle = 3 * time.Second
 	// minVMs is the least size that limits are divided by, since a VM that sees
 	// few others may be cut off.
 	minVMs = 4
@@ -68,7 +72,7 @@
 // New builds a daemon from its settings. Logs go to out.
 func New(s platform.Settings, out io.Writer) *Daemon {
 	d := &Daemon{
-		settings: s, metrics: metrics.NewSet(), stopping: make(chan struct{}),
+		settings: s, metrics: metrics.NewSet(), started: time.Now(), stopping: make(chan struct{}),
 		log: zerolog.New(out).With().Timestamp().Str("vm", s.VM).Logger(),
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -77,7 +81,9 @@
 	d.budget = retrybudget.New(s.Bounds.RetryRatio*retryShare, s.Bounds.RetrySlack/expectedVMs)
 	store := platform.NewStore(s.Store.String(), storeClient())
 	d.follower = knowledge.NewFollower(store, knowledge.DefaultPolicy(), platform.ErrHistoryGone, d.log, d.apply)
-	d.limiter = customerrate.NewLimiter(customerrate.DefaultPolicy())
+	rates := customerrate.DefaultPolicy()
+	rates.Slack = s.Bounds.QuotaSlack
+	d.limiter = customerrate.NewLimiter(rates)
 	d.vms.Store(expectedVMs)
 	d.link = fleetlink.New(fleet.Report{
 		Address: s.Peers.String(), Zone: s.Zone, Boot: rand.Uint64(),
@@ -109,10 +115,16 @@
 	}
 }
 
-// resize divides the limits by a new number of VMs.
+// resize divides the limits by the number of VMs.
 func (d *Daemon) resize(vms int) {
-	d.vms.Store(int64(max(vms, minVMs)))
-	d.budget.SetReserve(d.settings.Bounds.RetrySlack / float64(d.vms.Load()+spareVMs))
+	if time.Since(d.started) < sizeSettle {
+		vms = max(vms, expectedVMs)
+	}
+	vms = max(vms, minVMs)
+	if int64(vms) == d.vms.Swap(int64(vms)) {
+		return
+	}
+	d.budget.SetReserve(d.settings.Bounds.RetrySlack / float64(vms+spareVMs))
 	if v := d.follower.View(); v != nil {
 		d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 	}
