--- a/internal/core/customerrate/limiter.go
+++ b/internal/core/customerrate/limiter.go
@@ -17,13 +17,14 @@
 	// grant.
 	Headroom float64
 	// Slack is the number of requests, over all VMs, by which a window may exceed
-	// the rate; half of it deepens the VMs' own buckets.
+	// the rate; parts of it deepen buckets and pools.
 	Slack float64
-	// Staleness is how old reports of other VMs usually are.
-	Staleness time.Duration
-	// Silent is the age from which a VM without a report is assumed to go on
-	// using its part.
-	Silent time.Duration
+	// Staleness is how old reports of other VMs usually are. Silent is the age from
+	// which a VM without a report is assumed to go on using its part.
+	Staleness, Silent time.Duration
+	// LargeFleet is the size above which StalenessLarge and SilentLarge apply.
+	LargeFleet                  int
+	StalenessLarge, SilentLarge time.Duration
 	// DemandMemory is the half-life of the measured demand.
 	DemandMemory time.Duration
 	// Settle is the time after a start in which a VM doesn't draw on pools, since
@@ -38,6 +39,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Headroom: 1.08, Slack: 20, Staleness: 400 * time.Millisecond, Silent: 800 * time.Millisecond,
+		LargeFleet: fleet.MeshSize, StalenessLarge: 900 * time.Millisecond, SilentLarge: 3 * time.Second,
 		DemandMemory: 500 * time.Millisecond, Settle: time.Second, FreshVMs: 64, LoneVMs: 16,
 	}
 }
@@ -120,7 +122,7 @@
 		}
 		l.fill(a, now)
 		a.rate, a.burst = c.RatePerSecond, c.Burst
-		a.pool = min(a.pool, a.burst)
+		a.pool = min(a.pool, a.burst+poolSlack*l.policy.Slack)
 		l.share(a, now)
 	}
 	for name := range l.accounts {
@@ -138,7 +140,7 @@
 			rate /= l.fleetSize(now)
 		}
 		// What lies in the pool is for the VMs that can't be heard, too.
-		a.pool = min(a.pool+dt*rate, a.burst*(1-a.silentPart))
+		a.pool = min(a.pool+dt*rate, (a.burst+poolSlack*l.policy.Slack)*(1-a.silentPart))
 		a.filledAt = now
 	}
 }
@@ -236,7 +238,7 @@
 func (l *Limiter) divide(a *account, dt, bootNow time.Duration) {
 	a.heard, a.silentPart = a.told, 0
 	for addr, u := range a.others {
-		if bootNow-l.heardAt[addr] <= l.policy.Silent {
+		if bootNow-l.heardAt[addr] <= l.silentAge() {
 			a.heard += u.demand
 			continue
 		}
@@ -247,7 +249,7 @@
 	}
 	a.silentPart = min(a.silentPart, 1)
 	for addr, u := range a.others {
-		if a.heard > 0 && bootNow-l.heardAt[addr] <= l.policy.Silent {
+		if a.heard > 0 && bootNow-l.heardAt[addr] <= l.silentAge() {
 			u.part = (1 - a.silentPart) * u.demand / a.heard
 		}
 	}
@@ -285,6 +287,10 @@
 	localBurst = 400 * time.Millisecond
 	// maxPartGrowth limits the growth of a part in one tick.
 	maxPartGrowth = 2
+	// localSlack is the part of the slack that deepens the VMs' own buckets.
+	localSlack = 0.35
+	// poolSlack is the part of the slack that deepens pools.
+	poolSlack = 0.35
 	// leastFactor is the least part of the rate that is admitted while the fleet
 	// makes up for an excess.
 	leastFactor = 0.3
@@ -307,14 +313,30 @@
 	a.part = part
 	part *= 1 - a.silentPart
 	rate := a.rate * l.policy.Headroom * part * l.makeUp(a)
-	a.local.set(now, rate, max(1+l.policy.Slack/2/n, rate*localBurst.Seconds()))
-	a.reserve = max(a.totalDemand(), a.demand)*l.policy.Staleness.Seconds() + 1
+	a.local.set(now, rate, max(1+localSlack*l.policy.Slack/n, rate*localBurst.Seconds()))
+	a.reserve = max(a.totalDemand(), a.demand)*l.staleness().Seconds() + 1
 	if settling {
 		a.reserve = math.Inf(1)
 	}
 	a.told = a.demand
 }
 
+func (l *Limiter) isLarge() bool { return len(l.heardAt)+1 > l.policy.LargeFleet }
+
+func (l *Limiter) staleness() time.Duration {
+	if l.isLarge() {
+		return l.policy.StalenessLarge
+	}
+	return l.policy.Staleness
+}
+
+func (l *Limiter) silentAge() time.Duration {
+	if l.isLarge() {
+		return l.policy.SilentLarge
+	}
+	return l.policy.Silent
+}
+
 // fleetSize is the number of VMs that share a rate.
 func (l *Limiter) fleetSize(now time.Time) float64 {
 	n := len(l.heardAt) + 1
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -58,6 +58,9 @@
 	Revision int64
 	// Full tells that the batch holds every item.
 	Full bool
+	// Age is how long before the answer the source was known to be current; 0 for
+	// the store itself.
+	Age time.Duration
 }
 
 // View is what the VM knows. It is immutable.
@@ -76,12 +79,14 @@
 
 type entry struct {
 	revision int64
+	// material is the revision of the last change other than a heartbeat.
+	material int64
+	err      error
 	upstream routetable.Upstream
 	usable   bool
 	// lapsed is the time of removal of an entry that is kept for a while,
 	// because it may have run out while the store was away.
-	lapsed    bool
-	changedAt time.Duration
+	lapsed bool
 }
 
 // State is the state machine. It isn't safe for concurrent use. Times are
@@ -99,6 +104,7 @@
 	entries    map[string]*entry
 	evacuated  map[string]int64
 	zoneRev    map[string]int64
+	removals   removals
 	lastAnswer time.Duration
 	returned   time.Duration
 	answered   bool
@@ -123,8 +129,8 @@
 	Err     error
 }
 
-// Apply takes in a batch whose read began at asked and was answered at now.
-func (s *State) Apply(asked, now time.Duration, b Batch) []Event {
+// Apply takes in a batch that was answered at now.
+func (s *State) Apply(now time.Duration, b Batch) []Event {
 	if s.answered && now-s.lastAnswer > s.Outage {
 		s.returned = now
 	}
@@ -136,9 +142,8 @@
 	if b.Full {
 		events = s.removeMissing(now, b, events)
 	}
-	events = s.expire(now, events)
 	s.revision = max(s.revision, b.Revision)
-	return events
+	return s.expire(now, events)
 }
 
 func (s *State) applyChange(now time.Duration, c Change, events []Event) []Event {
@@ -148,7 +153,7 @@
 	case SubjectUpstream:
 		return s.applyUpstream(now, c, events)
 	case SubjectEvacuation:
-		return s.applyEvacuation(c, events)
+		return s.applyEvacuation(now, c, events)
 	}
 	return events
 }
@@ -169,7 +174,7 @@
 
 func (s *State) applyUpstream(now time.Duration, c Change, events []Event) []Event {
 	e := s.entries[c.Name]
-	if e != nil && c.Revision <= e.revision {
+	if e != nil && (c.Revision < e.revision || c.Revision == e.revision && !c.Deleted) {
 		return events
 	}
 	if c.Deleted {
@@ -183,7 +188,10 @@
 		s.entries[c.Name] = e
 	}
 	before := *e
-	*e = entry{revision: c.Revision, upstream: c.Upstream, usable: c.Err == nil, changedAt: now}
+	*e = entry{revision: c.Revision, material: before.material, upstream: c.Upstream, usable: c.Err == nil, err: c.Err}
+	if e.usable != before.usable || isMaterial(before.upstream, e.upstream) {
+		e.material = c.Revision
+	}
 	switch {
 	case c.Err != nil && (before.usable || before.revision == 0):
 		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "unusable", Err: c.Err})
@@ -203,10 +211,15 @@
 		e.lapsed, e.revision = true, max(e.revision, revision)
 		return append(events, Event{Subject: SubjectUpstream, Name: name, What: "lapsed"})
 	}
-	delete(s.entries, name)
+	s.drop(now, name, revision)
 	return append(events, Event{Subject: SubjectUpstream, Name: name, What: "removed"})
 }
 
+func (s *State) drop(now time.Duration, name string, revision int64) {
+	delete(s.entries, name)
+	s.removals.add(now, removal{subject: SubjectUpstream, name: name, revision: revision})
+}
+
 func (s *State) holding(now time.Duration) bool {
 	return s.returned > 0 && now-s.returned < s.LapseHold
 }
@@ -218,20 +231,20 @@
 	}
 	for name, e := range s.entries {
 		if e.lapsed {
-			delete(s.entries, name)
+			s.drop(now, name, s.revision)
 			events = append(events, Event{Subject: SubjectUpstream, Name: name, What: "removed"})
 		}
 	}
 	return events
 }
 
-func (s *State) applyEvacuation(c Change, events []Event) []Event {
-	if c.Revision <= s.zoneRev[c.Name] {
+func (s *State) applyEvacuation(now time.Duration, c Change, events []Event) []Event {
+	if c.Revision < s.zoneRev[c.Name] || c.Revision == s.zoneRev[c.Name] && !c.Deleted {
 		return events
 	}
 	s.zoneRev[c.Name] = c.Revision
 	if c.Deleted {
-		return s.endEvacuation(c.Name, events)
+		return s.endEvacuation(now, c.Name, c.Revision, events)
 	}
 	if _, known := s.evacuated[c.Name]; !known {
 		events = append(events, Event{Subject: SubjectEvacuation, Name: c.Name, What: "evacuated"})
@@ -240,11 +253,12 @@
 	return events
 }
 
-func (s *State) endEvacuation(zone string, events []Event) []Event {
+func (s *State) endEvacuation(now time.Duration, zone string, revision int64, events []Event) []Event {
 	if _, known := s.evacuated[zone]; !known {
 		return events
 	}
 	delete(s.evacuated, zone)
+	s.removals.add(now, removal{subject: SubjectEvacuation, name: zone, revision: revision})
 	return append(events, Event{Subject: SubjectEvacuation, Name: zone, What: "returned"})
 }
 
@@ -259,12 +273,12 @@
 	}
 	for name, e := range s.entries {
 		if !present[SubjectUpstream.String()+"/"+name] && e.revision <= b.Revision && !e.lapsed {
-			events = s.remove(now, name, e, e.revision, events)
+			events = s.remove(now, name, e, b.Revision, events)
 		}
 	}
 	for zone, rev := range s.evacuated {
 		if !present[SubjectEvacuation.String()+"/"+zone] && rev <= b.Revision {
-			events = s.endEvacuation(zone, events)
+			events = s.endEvacuation(now, zone, b.Revision, events)
 		}
 	}
 	return events
--- /dev/null
+++ b/internal/core/feed/since.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+// removalMemory is how long removals are kept for VMs that follow this one.
+const removalMemory = 30 * time.Second
+
+// removal is an item that is gone.
+type removal struct {
+	subject  Subject
+	name     string
+	revision int64
+	at       time.Duration
+}
+
+// removals is the list of recent removals, oldest first. What is older than
+// horizon is no longer known.
+type removals struct {
+	list    []removal
+	horizon int64
+}
+
+func (r *removals) add(now time.Duration, x removal) {
+	x.at = now
+	r.list = append(r.list, x)
+	for len(r.list) > 0 && now-r.list[0].at > removalMemory {
+		r.horizon = r.list[0].revision
+		r.list = r.list[1:]
+	}
+}
+
+// isMaterial reports whether an announcement says more than that its instance is
+// still there.
+func isMaterial(old, u routetable.Upstream) bool {
+	warmer := u.Cold > 0 && u.Cold <= old.Cold
+	if warmer {
+		u.Cold = old.Cold
+	}
+	return u != old
+}
+
+// Since returns what a VM that knows the state at a revision lacks. Heartbeats
+// are left out.
+func (s *State) Since(after int64) Batch {
+	b := Batch{Revision: s.revision, Full: after == 0 || after < s.removals.horizon}
+	if b.Full {
+		after = 0
+	}
+	if s.config != nil && s.configRev > after {
+		c := s.config.Config
+		b.Changes = append(b.Changes, Change{Subject: SubjectConfig, Revision: s.configRev, Config: &c})
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
+		if e := s.entries[name]; e.material > after {
+			b.Changes = append(b.Changes, Change{
+				Subject: SubjectUpstream, Name: name, Revision: e.revision, Upstream: e.upstream, Err: e.err,
+			})
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(s.evacuated)) {
+		if rev := s.evacuated[zone]; rev > after {
+			b.Changes = append(b.Changes, Change{Subject: SubjectEvacuation, Name: zone, Revision: rev})
+		}
+	}
+	if !b.Full {
+		for _, r := range s.removals.list {
+			if r.revision > after {
+				b.Changes = append(b.Changes, Change{Subject: r.subject, Name: r.name, Revision: r.revision, Deleted: true})
+			}
+		}
+	}
+	return b
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Usage is one customer's use of one VM.
@@ -34,8 +36,9 @@
 
 // Policy holds the time limits of a Table.
 type Policy struct {
-	// Alive is the age of a report up to which its VM counts as reachable.
-	Alive time.Duration
+	// Alive is the age of a report up to which its VM counts as reachable;
+	// AliveLarge is that in fleets above MeshSize, where reports pass over links.
+	Alive, AliveLarge time.Duration
 	// Forget is the age from which a silent VM no longer counts for anything. It
 	// exceeds the usual length of a partition, so that the parts of a fleet go on
 	// counting each other's use.
@@ -45,13 +48,20 @@
 	// Links is the number of VMs of a zone that exchange with other zones in
 	// larger fleets.
 	Links int
+	// Introduction is the number of ticks in which a VM that has started calls all
+	// others.
+	Introduction int
 	// SeedEvery is the number of ticks between two calls to a seed.
 	SeedEvery int
 }
 
+// MeshSize is the largest fleet in which every pair of VMs exchanges. Above it
+// the calls of all pairs would cost small VMs several hundredths of a core.
+const MeshSize = 14
+
 // DefaultPolicy suits ticks of a quarter of a second.
 func DefaultPolicy() Policy {
-	return Policy{Alive: 1500 * time.Millisecond, Forget: 20 * time.Second, MeshSize: 14, Links: 2, SeedEvery: 12}
+	return Policy{Alive: 1500 * time.Millisecond, AliveLarge: 3 * time.Second, Forget: 20 * time.Second, MeshSize: MeshSize, Links: 2, Introduction: 4, SeedEvery: 12}
 }
 
 type member struct {
@@ -69,6 +79,8 @@
 	version uint64
 	sent    map[string]uint64 // version up to which a peer has had reports
 	ticks   int
+	// failures counts calls without an answer.
+	failures int
 	// peak is the largest size in the last two periods of peakPeriod.
 	peaks  [2]int
 	peakAt time.Duration
@@ -115,15 +127,25 @@
 	return direct == r.Address || r.At > old.At
 }
 
+// Relay says which reports of third VMs go along with a VM's own.
+type Relay uint8
+
+// The kinds of relays.
+const (
+	RelayNone Relay = iota
+	// RelayZone passes on the reports of the own zone.
+	RelayZone
+	RelayAll
+)
+
 // For returns the reports that a peer hasn't had yet, that of this VM first.
-// relay adds those of third VMs.
-func (t *Table) For(peer string, relay bool) []Report {
+func (t *Table) For(peer string, relay Relay) []Report {
 	out := []Report{t.self}
-	if !relay {
+	if relay == RelayNone {
 		return out
 	}
 	for addr, m := range t.members {
-		if m.version > t.sent[peer] && addr != peer {
+		if m.version > t.sent[peer] && addr != peer && (relay == RelayAll || m.report.Zone == t.self.Zone) {
 			out = append(out, m.report)
 		}
 	}
@@ -131,8 +153,30 @@
 	return out
 }
 
+// Answer returns the reports for a VM that has sent its own, which has been
+// merged. known tells whether it was known before.
+func (t *Table) Answer(caller Report, known bool) []Report {
+	switch {
+	case !known || t.isLarge() && caller.Zone == t.self.Zone:
+		return t.For(caller.Address, RelayAll)
+	case t.isLarge():
+		return t.For(caller.Address, RelayZone)
+	default:
+		return t.For(caller.Address, RelayNone)
+	}
+}
+
+// Knows reports whether the VM at the address is a member.
+func (t *Table) Knows(address string) bool { return t.members[address] != nil }
+
+// isLarge reports whether the fleet is too large for exchanges of all pairs.
+func (t *Table) isLarge() bool { return len(t.members)+1 > t.policy.MeshSize }
+
 // Failed tells that a peer may not have had the reports that For returned.
-func (t *Table) Failed(peer string) { delete(t.sent, peer) }
+func (t *Table) Failed(peer string) {
+	delete(t.sent, peer)
+	t.failures++
+}
 
 // Expire drops VMs that have been silent for too long or have left, and returns
 // their addresses.
@@ -141,7 +185,7 @@
 	for addr, m := range t.members {
 		limit := t.policy.Forget
 		if m.report.Leaving {
-			limit = t.policy.Alive
+			limit = t.policy.AliveLarge
 		}
 		if now-m.report.At > limit {
 			delete(t.members, addr)
@@ -176,82 +220,120 @@
 	return out
 }
 
-// IsAlive reports whether a VM's report is fresh.
-func (t *Table) IsAlive(r Report, now time.Duration) bool {
-	return now-r.At <= t.policy.Alive && !r.Leaving
-}
-
 // Target is a peer to exchange with.
 type Target struct {
 	Address string
-	// Relay tells to send the reports of third VMs too.
-	Relay bool
+	Relay   Relay
 }
 
-// Targets returns the peers to call with this tick. Each pair of VMs is covered
-// by a call of one of the two.
-func (t *Table) Targets() []Target {
+// Targets returns the peers to call with this tick. In a small fleet each pair
+// of VMs is covered by a call of one of the two. In a large one, each zone has a
+// few links: the VMs of the zone exchange with one of them, every second tick,
+// and links with their counterparts in other zones.
+func (t *Table) Targets(now time.Duration) []Target {
 	t.ticks++
 	var out []Target
-	if len(t.members)+1 <= t.policy.MeshSize {
-		for _, addr := range t.ringNeighbors(func(Report) bool { return true }) {
+	switch {
+	case t.ticks <= t.policy.Introduction: // the others may not know this VM yet
+		for _, r := range t.Members() {
+			out = append(out, Target{Address: r.Address})
+		}
+	case !t.isLarge():
+		for _, addr := range t.ringNeighbors() {
 			out = append(out, Target{Address: addr})
 		}
-	} else {
-		out = t.zonedTargets()
+	case t.ticks%2 == 0:
+		out = t.linkTargets(now)
 	}
 	if len(t.seeds) > 0 && (len(t.members) == 0 || t.ticks%t.policy.SeedEvery == 0) {
-		seed := t.seeds[(t.ticks/max(t.policy.SeedEvery, 1)+t.ticks)%len(t.seeds)]
+		seed := t.seeds[(t.ticks/t.policy.SeedEvery+t.ticks)%len(t.seeds)]
 		if seed != t.self.Address {
-			out = append(out, Target{Address: seed, Relay: true})
+			out = append(out, Target{Address: seed, Relay: RelayAll})
 		}
 	}
 	return out
 }
 
-// ringNeighbors returns the half of the ring of VMs that follows this one.
-func (t *Table) ringNeighbors(in func(Report) bool) []string {
-	ring := []string{t.self.Address}
-	for addr, m := range t.members {
-		if in(m.report) {
-			ring = append(ring, addr)
-		}
+// Readers returns the VMs of the own zone that read the metadata store for the
+// others, or nil in a small fleet, where each VM reads it.
+func (t *Table) Readers(now time.Duration) []string {
+	if !t.isLarge() {
+		return nil
 	}
-	slices.Sort(ring)
-	self, _ := slices.BinarySearch(ring, t.self.Address)
-	n := len(ring)
+	return t.links(t.self.Zone, now)
+}
+
+// links returns the first reachable VMs of a zone.
+func (t *Table) links(zone string, now time.Duration) []string {
 	var out []string
-	for i := 1; 2*i <= n; i++ {
-		if 2*i == n && self >= n/2 { // the opposite VM calls
-			break
+	if zone == t.self.Zone {
+		out = append(out, t.self.Address)
+	}
+	for addr, m := range t.members {
+		if m.report.Zone == zone && now-m.report.At <= t.policy.AliveLarge && !m.report.Leaving {
+			out = append(out, addr)
 		}
-		out = append(out, ring[(self+i)%n])
 	}
-	return out
+	slices.Sort(out)
+	return out[:min(len(out), t.policy.Links)]
 }
 
-// zonedTargets returns the VMs of the own zone, and for the first VMs of a zone
-// their counterparts in the other zones.
-func (t *Table) zonedTargets() []Target {
+func (t *Table) linkTargets(now time.Duration) []Target {
+	own := t.links(t.self.Zone, now)
+	rank := slices.Index(own, t.self.Address)
+	if rank < 0 {
+		if len(own) == 0 {
+			return nil
+		}
+		return []Target{{Address: own[t.LinkChoice()%len(own)], Relay: RelayNone}}
+	}
 	var out []Target
-	for _, addr := range t.ringNeighbors(func(r Report) bool { return r.Zone == t.self.Zone }) {
-		out = append(out, Target{Address: addr, Relay: true})
+	for _, addr := range own[rank+1:] {
+		out = append(out, Target{Address: addr, Relay: RelayAll})
 	}
-	zones := map[string][]string{t.self.Zone: {t.self.Address}}
-	for addr, m := range t.members {
-		zones[m.report.Zone] = append(zones[m.report.Zone], addr)
+	for _, zone := range t.zones() {
+		if zone <= t.self.Zone { // the other side of the pair calls this one
+			continue
+		}
+		if other := t.links(zone, now); len(other) > 0 {
+			out = append(out, Target{Address: other[rank%len(other)], Relay: RelayZone})
+		}
 	}
-	for _, list := range zones {
-		slices.Sort(list)
+	return out
+}
+
+// LinkChoice spreads the VMs of a zone over its links; it moves on when calls
+// have failed.
+func (t *Table) LinkChoice() int {
+	return int(xxhash.Sum64String(t.self.Address)%uint64(t.policy.Links)) + t.failures
+}
+
+func (t *Table) zones() []string {
+	var out []string
+	for _, m := range t.members {
+		if !slices.Contains(out, m.report.Zone) {
+			out = append(out, m.report.Zone)
+		}
 	}
-	rank := slices.Index(zones[t.self.Zone], t.self.Address)
-	if rank >= t.policy.Links {
-		return out
+	slices.Sort(out)
+	return out
+}
+
+// ringNeighbors returns the half of the ring of VMs that follows this one.
+func (t *Table) ringNeighbors() []string {
+	ring := []string{t.self.Address}
+	for addr := range t.members {
+		ring = append(ring, addr)
 	}
-	for zone, list := range zones {
-		if zone > t.self.Zone { // the other side of the pair calls this one
-			out = append(out, Target{Address: list[rank%len(list)], Relay: true})
+	slices.Sort(ring)
+	self, _ := slices.BinarySearch(ring, t.self.Address)
+	n := len(ring)
+	var out []string
+	for i := 1; 2*i <= n; i++ {
+		if 2*i == n && self >= n/2 { // the opposite VM calls
+			break
 		}
+		out = append(out, ring[(self+i)%n])
 	}
 	return out
 }
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -47,6 +47,15 @@
 	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), expires: time.Now().Add(defaultIdleTimeout)}
 }
 
+// close ends the connection. A reset takes back what is still on its way to the
+// upstream and lets it drop its work.
+func (c *conn) close() {
+	if t, ok := c.nc.(*net.TCPConn); ok && c.broken {
+		_ = t.SetLinger(0) // the close below works without it, too
+	}
+	c.nc.Close()
+}
+
 func (c *conn) expired(now time.Time) bool { return now.After(c.expires) }
 
 func (c *conn) mayBeKept() bool { return !c.broken && c.br.Buffered() == 0 }
@@ -122,8 +131,8 @@
 	a.Reached, a.Verdict = true, verdict.MayHaveRun
 	resp, info, err := c.read(inspector, r)
 	if err != nil {
-		a.Err = err
-		c.nc.Close()
+		a.Err, c.broken = err, true
+		c.close()
 		if w := <-written; w.n == 0 && w.err != nil {
 			a.Reached, a.Verdict = false, verdict.NotRun
 		}
@@ -138,7 +147,7 @@
 		c.broken = c.broken || w.err != nil
 	default: // answered before the body was sent: the connection can't be kept
 		c.broken = true
-		c.nc.Close()
+		c.close()
 	}
 	return a
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -57,7 +57,7 @@
 	p.open -= len(idle)
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.nc.Close()
+		c.close()
 	}
 	for _, w := range waiters {
 		close(w)
@@ -172,7 +172,7 @@
 
 // discard closes a connection.
 func (p *Pool) discard(c *conn) {
-	c.nc.Close()
+	c.close()
 	p.release()
 }
 
--- /dev/null
+++ b/internal/fleetlink/follow.go
@@ -0,0 +1,107 @@
+package fleetlink
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	fleetv1 "ryecourse.example/ryecourse/internal/gen/fleet/v1"
+)
+
+// Knowledge is what a VM has learned from the metadata store.
+type Knowledge interface {
+	// Since returns what a VM at the revision lacks; false if there is nothing yet.
+	Since(after int64) (feed.Batch, bool)
+}
+
+// item is a feed.Change on the wire.
+type item struct {
+	Subject  feed.Subject         `json:"s"`
+	Name     string               `json:"n,omitempty"`
+	Revision int64                `json:"r"`
+	Deleted  bool                 `json:"d,omitempty"`
+	Config   *routetable.Config   `json:"c,omitempty"`
+	Upstream *routetable.Upstream `json:"u,omitempty"`
+	Error    string               `json:"e,omitempty"`
+}
+
+var errNothingKnown = connect.NewError(connect.CodeUnavailable, errors.New("nothing is known from the store yet"))
+
+// Follow implements fleetv1connect.FleetServiceHandler.
+func (s server) Follow(_ context.Context, req *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error) {
+	b, ok := s.link.known.Since(req.After)
+	if !ok {
+		return nil, errNothingKnown
+	}
+	items := make([]item, 0, len(b.Changes))
+	for _, c := range b.Changes {
+		it := item{Subject: c.Subject, Name: c.Name, Revision: c.Revision, Deleted: c.Deleted, Config: c.Config}
+		if c.Subject == feed.SubjectUpstream && !c.Deleted {
+			it.Upstream = &c.Upstream
+		}
+		if c.Err != nil {
+			it.Error = c.Err.Error()
+		}
+		items = append(items, it)
+	}
+	data, err := json.Marshal(items)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return &fleetv1.FollowResponse{
+		Revision: b.Revision, Full: b.Full, AgeMs: uint32(b.Age.Milliseconds()), Changes: data,
+	}, nil
+}
+
+// chooseReader picks the VM that this one follows, if any. The caller holds mu.
+func (l *Link) chooseReader(now time.Duration) {
+	readers := l.table.Readers(now)
+	reader := ""
+	if len(readers) > 0 && !slices.Contains(readers, l.self) {
+		reader = readers[l.table.LinkChoice()%len(readers)]
+	}
+	if reader != l.reader {
+		l.log.Info().Str("event", "reader_chosen").Str("reader", reader).Send()
+	}
+	l.reader = reader
+}
+
+// Reader returns the VM that reads the metadata store for this one, or "".
+func (l *Link) Reader() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reader
+}
+
+// Follow asks another VM for what it has learned since the revision.
+func (l *Link) Follow(ctx context.Context, reader string, after int64) (feed.Batch, error) {
+	l.mu.Lock()
+	client := l.peer(reader).client
+	l.mu.Unlock()
+	resp, err := client.Follow(ctx, &fleetv1.FollowRequest{After: after})
+	if err != nil {
+		return feed.Batch{}, err
+	}
+	var items []item
+	if err := json.Unmarshal(resp.Changes, &items); err != nil {
+		return feed.Batch{}, err
+	}
+	b := feed.Batch{Revision: resp.Revision, Full: resp.Full, Age: time.Duration(resp.AgeMs) * time.Millisecond}
+	for _, it := range items {
+		c := feed.Change{Subject: it.Subject, Name: it.Name, Revision: it.Revision, Deleted: it.Deleted, Config: it.Config}
+		if it.Upstream != nil {
+			c.Upstream = *it.Upstream
+		}
+		if it.Error != "" {
+			c.Err = errors.New(it.Error)
+		}
+		b.Changes = append(b.Changes, c)
+	}
+	return b, nil
+}
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -47,6 +47,10 @@
 	peers map[string]*peer
 	size  int
 	self  string
+	// reader is the VM that reads the metadata store for this one; empty if this
+	// VM reads it itself.
+	reader string
+	known  Knowledge
 }
 
 // peer is another VM as this one calls it.
@@ -73,6 +77,10 @@
 	}
 }
 
+// Serve makes what this VM knows from the metadata store available to others.
+// It is called before Run.
+func (l *Link) Serve(k Knowledge) { l.known = k }
+
 // Handler returns the path and handler of the link's own side.
 func (l *Link) Handler() (string, http.Handler) {
 	return fleetv1connect.NewFleetServiceHandler(server{l})
@@ -88,13 +96,12 @@
 	if len(reports) == 0 {
 		return &fleetv1.ExchangeResponse{}, nil
 	}
-	caller := reports[0].Address
+	caller := reports[0]
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := len(reports) > 1 || l.peers[caller] != nil
-	l.merge(reports, caller)
-	// A VM that knows nobody gets everything.
-	return &fleetv1.ExchangeResponse{Reports: encode(now, l.table.For(caller, len(reports) > 1 || !known))}, nil
+	known := l.table.Knows(caller.Address)
+	l.merge(reports, caller.Address)
+	return &fleetv1.ExchangeResponse{Reports: encode(now, l.table.Answer(caller, known))}, nil
 }
 
 // merge takes in reports. The caller holds mu.
@@ -147,7 +154,7 @@
 		delete(l.peers, addr)
 		l.log.Info().Str("event", "vm_forgotten").Str("peer", addr).Send()
 	}
-	for _, target := range l.table.Targets() {
+	for _, target := range l.table.Targets(now) {
 		p := l.peer(target.Address)
 		if p.calling {
 			continue
@@ -162,6 +169,7 @@
 		l.log.Info().Str("event", "fleet_resized").Int("vms", n).Send()
 	}
 	l.sized(n)
+	l.chooseReader(now)
 }
 
 func (l *Link) call(ctx context.Context, address string, p *peer, req *fleetv1.ExchangeRequest) {
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -79,8 +79,6 @@
 	d.picker = placement.NewPicker(s.Zone, r)
 	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
 	d.budget = retrybudget.New(s.Bounds.RetryRatio*retryShare, s.Bounds.RetrySlack/expectedVMs)
-	store := platform.NewStore(s.Store.String(), storeClient())
-	d.follower = knowledge.NewFollower(store, knowledge.DefaultPolicy(), platform.ErrHistoryGone, d.log, d.apply)
 	rates := customerrate.DefaultPolicy()
 	rates.Slack = s.Bounds.QuotaSlack
 	d.limiter = customerrate.NewLimiter(rates)
@@ -88,6 +86,9 @@
 	d.link = fleetlink.New(fleet.Report{
 		Address: s.Peers.String(), Zone: s.Zone, Boot: rand.Uint64(),
 	}, seedAddresses(s), d.limiter, d.log, d.resize)
+	store := platform.NewStore(s.Store.String(), storeClient())
+	d.follower = knowledge.NewFollower(store, d.link, knowledge.DefaultPolicy(), platform.ErrHistoryGone, d.log, d.apply)
+	d.link.Serve(d.follower)
 	d.gateway = gateway.New(gateway.Parts{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Knowledge: d.follower,
 		Limiter: d.limiter, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
--- a/internal/gen/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/internal/gen/fleet/v1/fleetv1connect/fleet.connect.go
@@ -36,12 +36,16 @@
 const (
 	// FleetServiceExchangeProcedure is the fully-qualified name of the FleetService's Exchange RPC.
 	FleetServiceExchangeProcedure = "/fleet.v1.FleetService/Exchange"
+	// FleetServiceFollowProcedure is the fully-qualified name of the FleetService's Follow RPC.
+	FleetServiceFollowProcedure = "/fleet.v1.FleetService/Follow"
 )
 
 // FleetServiceClient is a client for the fleet.v1.FleetService service.
 type FleetServiceClient interface {
 	// Exchange trades reports. Each side sends what the other hasn't had yet.
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
+	// Follow returns what the receiver has learned from the metadata store.
+	Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error)
 }
 
 // NewFleetServiceClient constructs a client for the fleet.v1.FleetService service. By default, it
@@ -61,12 +65,19 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[v1.FollowRequest, v1.FollowResponse](
+			httpClient,
+			baseURL+FleetServiceFollowProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	follow   *connect.Client[v1.FollowRequest, v1.FollowResponse]
 }
 
 // Exchange calls fleet.v1.FleetService.Exchange.
@@ -78,10 +89,21 @@
 	return nil, err
 }
 
+// Follow calls fleet.v1.FleetService.Follow.
+func (c *fleetServiceClient) Follow(ctx context.Context, req *v1.FollowRequest) (*v1.FollowResponse, error) {
+	response, err := c.follow.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // FleetServiceHandler is an implementation of the fleet.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange trades reports. Each side sends what the other hasn't had yet.
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
+	// Follow returns what the receiver has learned from the metadata store.
+	Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -97,10 +119,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceFollowHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(fleetServiceMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/fleet.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
 			fleetServiceExchangeHandler.ServeHTTP(w, r)
+		case FleetServiceFollowProcedure:
+			fleetServiceFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -113,3 +143,7 @@
 func (UnimplementedFleetServiceHandler) Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fleet.v1.FleetService.Exchange is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fleet.v1.FleetService.Follow is not implemented"))
+}
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,15 @@
 	Everything(ctx context.Context) (feed.Batch, error)
 }
 
+// Peers gives access to VMs that read the source for others.
+type Peers interface {
+	// Reader returns the VM to ask, or "" if this VM is to read the source itself.
+	Reader() string
+	// Follow returns what the VM has learned since the revision. The batch has an
+	// age.
+	Follow(ctx context.Context, reader string, after int64) (feed.Batch, error)
+}
+
 // Policy paces the reads.
 type Policy struct {
 	// Interval is the time between two reads.
@@ -31,6 +41,9 @@
 	RetryInterval time.Duration
 	// CallTimeout bounds one read of changes, FullTimeout one of everything.
 	CallTimeout, FullTimeout time.Duration
+	// PeerTimeout bounds one call to another VM, and PeerAge is the age from which
+	// its answer is too old to rely on.
+	PeerTimeout, PeerAge time.Duration
 	// Outage and LapseHold are those of feed.State.
 	Outage, LapseHold time.Duration
 }
@@ -41,6 +54,7 @@
 	return Policy{
 		Interval: time.Second, RetryInterval: 250 * time.Millisecond,
 		CallTimeout: time.Second, FullTimeout: 3 * time.Second,
+		PeerTimeout: 300 * time.Millisecond, PeerAge: 2 * time.Second,
 		Outage: 2500 * time.Millisecond, LapseHold: 2200 * time.Millisecond,
 	}
 }
@@ -49,15 +63,17 @@
 // themselves all the time, so that it seldom waits at all.
 const changeWait = 100 * time.Millisecond
 
-// Follower follows one source. Only Run changes it.
+// Follower follows one source, or other VMs that do. Only Run changes it.
 type Follower struct {
 	source  Source
+	peers   Peers
 	policy  Policy
 	log     zerolog.Logger
 	gone    error
 	publish func(*feed.View)
 	now     func() time.Duration
 
+	mu       sync.Mutex // guards state
 	state    *feed.State
 	view     atomic.Pointer[feed.View]
 	evidence atomic.Int64 // boot time in ns of the last read that proves the view
@@ -67,9 +83,9 @@
 
 // NewFollower returns a follower. historyGone is the source's error for changes
 // that it no longer knows; publish is called with each new view.
-func NewFollower(s Source, p Policy, historyGone error, log zerolog.Logger, publish func(*feed.View)) *Follower {
+func NewFollower(s Source, peers Peers, p Policy, historyGone error, log zerolog.Logger, publish func(*feed.View)) *Follower {
 	return &Follower{
-		source: s, policy: p, log: log, gone: historyGone, publish: publish, now: boottime.Now,
+		source: s, peers: peers, policy: p, log: log, gone: historyGone, publish: publish, now: boottime.Now,
 		state: feed.NewState(p.Outage, p.LapseHold),
 	}
 }
@@ -122,8 +138,10 @@
 		return err
 	}
 	now := f.now()
-	events := f.state.Apply(asked, now, batch)
-	f.evidence.Store(int64(asked))
+	f.mu.Lock()
+	events := f.state.Apply(now, batch)
+	f.mu.Unlock()
+	f.evidence.Store(max(f.evidence.Load(), int64(asked-batch.Age)))
 	f.recovered()
 	for _, e := range events {
 		f.logEvent(e, batch.Revision)
@@ -138,6 +156,9 @@
 }
 
 func (f *Follower) fetch(ctx context.Context) (feed.Batch, error) {
+	if b, ok := f.fetchFromPeer(ctx); ok {
+		return b, nil
+	}
 	if rev := f.state.Revision(); rev > 0 {
 		call, cancel := context.WithTimeout(ctx, f.policy.CallTimeout)
 		defer cancel()
@@ -151,6 +172,39 @@
 	return f.source.Everything(call)
 }
 
+// fetchFromPeer asks the VM that reads for this one. It returns false if there
+// is none, or it has nothing recent.
+func (f *Follower) fetchFromPeer(ctx context.Context) (feed.Batch, bool) {
+	reader := f.peers.Reader()
+	if reader == "" {
+		return feed.Batch{}, false
+	}
+	call, cancel := context.WithTimeout(ctx, f.policy.PeerTimeout)
+	defer cancel()
+	b, err := f.peers.Follow(call, reader, f.state.Revision())
+	switch {
+	case err != nil:
+		f.log.Info().Str("event", "reader_failed").Str("reader", reader).Str("error", err.Error()).Send()
+		return feed.Batch{}, false
+	case b.Age > f.policy.PeerAge:
+		f.log.Info().Str("event", "reader_behind").Str("reader", reader).Dur("age_ms", b.Age).Send()
+		return feed.Batch{}, false
+	}
+	return b, true
+}
+
+// Since implements fleetlink.Knowledge.
+func (f *Follower) Since(after int64) (feed.Batch, bool) {
+	if f.view.Load() == nil {
+		return feed.Batch{}, false
+	}
+	f.mu.Lock()
+	b := f.state.Since(after)
+	f.mu.Unlock()
+	b.Age = f.Age()
+	return b, true
+}
+
 func (f *Follower) failed(err error) {
 	f.failures++
 	if f.lost {
