--- /dev/null
+++ b/internal/core/fanout/fanout_test.go
@@ -0,0 +1,201 @@
+package fanout
+
+import (
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// script is a Sender whose results are set by the test.
+type script struct {
+	sent   []Kind
+	shards []int
+	next   map[int][]Sent // results by shard; Started when used up
+}
+
+func (s *script) Send(shard int, kind Kind) Sent {
+	result := Started
+	if q := s.next[shard]; len(q) > 0 {
+		result, s.next[shard] = q[0], q[1:]
+	}
+	if result == Started {
+		s.sent = append(s.sent, kind)
+		s.shards = append(s.shards, shard)
+	}
+	return result
+}
+
+var start = time.Unix(100, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func policy(shards int, minShare float64) Policy {
+	return Policy{
+		Shards: shards, MinShare: minShare, MaxRuns: 2, Idempotent: true,
+		HedgeDelay: 10 * time.Millisecond, Enough: at(80), WaitUntil: at(30), Deadline: at(1000),
+	}
+}
+
+func expect(t *testing.T, q *Query, want Outcome) {
+	t.Helper()
+	if q.Outcome() != want {
+		t.Errorf("outcome is %v, want %v", q.Outcome(), want)
+	}
+}
+
+func expectSent(t *testing.T, s *script, want ...Kind) {
+	t.Helper()
+	if len(s.sent) != len(want) {
+		t.Fatalf("attempts are %v, want %v", s.sent, want)
+	}
+	for i := range want {
+		if s.sent[i] != want[i] {
+			t.Fatalf("attempts are %v, want %v", s.sent, want)
+		}
+	}
+}
+
+func TestCompleteAnswerEndsAtOnce(t *testing.T) {
+	s := &script{}
+	q := New(policy(3, 0.5), s)
+	q.Start(start)
+	q.Result(at(5), 0, true, verdict.Ran)
+	q.Result(at(6), 1, true, verdict.Ran)
+	expect(t, q, Running)
+	q.Result(at(7), 2, true, verdict.Ran)
+	expect(t, q, Success)
+}
+
+func TestPartialAnswerWaitsForTheObjective(t *testing.T) {
+	q := New(policy(10, 0.9), &script{})
+	q.Start(start)
+	for i := range 9 {
+		q.Result(at(5), i, true, verdict.Ran)
+	}
+	expect(t, q, Running)
+	if next := q.Next(at(20)); next.After(at(80)) {
+		t.Errorf("the timer is set to %v, want the objective at the latest", next.Sub(start))
+	}
+	q.Timer(at(80))
+	expect(t, q, Success)
+}
+
+func TestTooFewPartsGoOnAfterTheObjective(t *testing.T) {
+	q := New(policy(10, 0.9), &script{})
+	q.Start(start)
+	for i := range 8 {
+		q.Result(at(5), i, true, verdict.Ran)
+	}
+	q.Timer(at(80))
+	expect(t, q, Running)
+	q.Result(at(90), 8, true, verdict.Ran)
+	expect(t, q, Success)
+}
+
+func TestHedgeOnceAfterTheDelay(t *testing.T) {
+	s := &script{}
+	q := New(policy(1, 1), s)
+	q.Start(start)
+	q.Timer(at(9))
+	expectSent(t, s, First)
+	q.Timer(at(10))
+	q.Timer(at(30))
+	expectSent(t, s, First, Hedge)
+	q.Result(at(31), 0, true, verdict.Ran)
+	expect(t, q, Success)
+}
+
+func TestNoHedgeForWhatMustNotRunTwice(t *testing.T) {
+	s := &script{}
+	p := policy(1, 1)
+	p.Idempotent = false
+	q := New(p, s)
+	q.Start(start)
+	q.Timer(at(500))
+	expectSent(t, s, First)
+	q.Result(at(501), 0, false, verdict.MayHaveRun)
+	expectSent(t, s, First)
+	expect(t, q, Unanswerable)
+	if q.Verdict() != verdict.MayHaveRun {
+		t.Errorf("verdict is %v", q.Verdict())
+	}
+}
+
+func TestNotRunIsRepeatedAlsoForWhatMustNotRunTwice(t *testing.T) {
+	s := &script{}
+	p := policy(1, 1)
+	p.Idempotent = false
+	q := New(p, s)
+	q.Start(start)
+	q.Result(at(1), 0, false, verdict.NotRun)
+	expectSent(t, s, First, Retry)
+	q.Result(at(2), 0, true, verdict.Ran)
+	expect(t, q, Success)
+}
+
+func TestRunsPerShardAreLimited(t *testing.T) {
+	s := &script{}
+	q := New(policy(1, 1), s)
+	q.Start(start)
+	q.Result(at(1), 0, false, verdict.MayHaveRun)
+	q.Result(at(2), 0, false, verdict.Ran)
+	expectSent(t, s, First, Retry)
+	expect(t, q, Unanswerable)
+}
+
+func TestUnservableRequestEndsAtOnce(t *testing.T) {
+	p := policy(10, 0.9)
+	p.MaxRuns = 1
+	q := New(p, &script{})
+	q.Start(start)
+	q.Result(at(1), 0, false, verdict.MayHaveRun)
+	expect(t, q, Running)
+	q.Result(at(2), 1, false, verdict.MayHaveRun)
+	expect(t, q, Unanswerable)
+}
+
+func TestLostShardDoesNotHoldAPartialAnswer(t *testing.T) {
+	s := &script{next: map[int][]Sent{3: {NoUpstream, NoUpstream, NoUpstream, NoUpstream}}}
+	q := New(policy(10, 0.9), s)
+	q.Start(start)
+	for i := range 10 {
+		if i != 3 {
+			q.Result(at(5), i, true, verdict.Ran)
+		}
+	}
+	expect(t, q, Running)
+	for _, ms := range []int{10, 20, 30} {
+		q.Timer(at(ms))
+	}
+	expect(t, q, Success)
+}
+
+func TestRetryWithoutBudgetFailsTheShard(t *testing.T) {
+	s := &script{next: map[int][]Sent{0: {Started, NoBudget}}}
+	q := New(policy(1, 1), s)
+	q.Start(start)
+	q.Result(at(1), 0, false, verdict.MayHaveRun)
+	expect(t, q, Unanswerable)
+}
+
+func TestDeadline(t *testing.T) {
+	q := New(policy(2, 1), &script{})
+	q.Start(start)
+	q.Timer(at(999))
+	expect(t, q, Running)
+	q.Timer(at(1000))
+	expect(t, q, TimedOut)
+}
+
+func TestLateResultsAreNotTaken(t *testing.T) {
+	q := New(policy(1, 1), &script{})
+	q.Start(start)
+	q.Timer(at(10))
+	if !q.Result(at(11), 0, true, verdict.Ran) {
+		t.Error("the first answer was not taken")
+	}
+	if q.Result(at(12), 0, true, verdict.Ran) {
+		t.Error("a second answer was taken")
+	}
+}
--- /dev/null
+++ b/internal/core/feed/feed_test.go
@@ -0,0 +1,211 @@
+package feed
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+const (
+	outage    = 2500 * time.Millisecond
+	lapseHold = 2200 * time.Millisecond
+)
+
+func config(version, revision int64) Change {
+	return Change{Subject: SubjectConfig, Revision: revision, Config: &routetable.Config{Version: version}}
+}
+
+func upstream(id string, revision int64, change ...func(*routetable.Upstream)) Change {
+	u := routetable.Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 2, Born: 1}
+	for _, f := range change {
+		f(&u)
+	}
+	return Change{Subject: SubjectUpstream, Name: id, Revision: revision, Upstream: u}
+}
+
+func removed(id string, revision int64) Change {
+	return Change{Subject: SubjectUpstream, Name: id, Revision: revision, Deleted: true}
+}
+
+func ids(v *View) []string {
+	var out []string
+	for _, u := range v.Upstreams["s"] {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+func expectIDs(t *testing.T, s *State, want ...string) {
+	t.Helper()
+	if got := ids(s.View()); !reflect.DeepEqual(got, want) {
+		t.Errorf("upstreams are %v, want %v", got, want)
+	}
+}
+
+func started(t *testing.T, changes ...Change) *State {
+	t.Helper()
+	s := NewState(outage, lapseHold)
+	s.Apply(time.Second, Batch{Changes: append([]Change{config(5, 10)}, changes...), Revision: 20, Full: true})
+	return s
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	s := started(t)
+	s.Apply(2*time.Second, Batch{Changes: []Change{config(4, 9)}, Revision: 21})
+	s.Apply(2*time.Second, Batch{Changes: []Change{config(3, 22)}, Revision: 22})
+	s.Apply(2*time.Second, Batch{Changes: []Change{{Subject: SubjectConfig, Revision: 23, Deleted: true}}, Revision: 23})
+	s.Apply(2*time.Second, Batch{Changes: []Change{{Subject: SubjectConfig, Revision: 24, Err: errors.New("broken")}}, Revision: 24})
+	if v := s.View().Table.Config.Version; v != 5 {
+		t.Errorf("version %d is in force, want 5", v)
+	}
+	s.Apply(2*time.Second, Batch{Changes: []Change{config(6, 25)}, Revision: 25})
+	if v := s.View().Table.Config.Version; v != 6 {
+		t.Errorf("version %d is in force, want 6", v)
+	}
+}
+
+func TestBrokenAnnouncementNamesNoUpstreamAndHidesNone(t *testing.T) {
+	broken := Change{Subject: SubjectUpstream, Name: "b", Revision: 11, Err: errors.New("a field is missing")}
+	s := started(t, upstream("a", 11), broken, upstream("c", 12))
+	expectIDs(t, s, "a", "c")
+	s.Apply(2*time.Second, Batch{Changes: []Change{{Subject: SubjectUpstream, Name: "a", Revision: 30, Err: errors.New("bad")}}, Revision: 30})
+	expectIDs(t, s, "c")
+	s.Apply(3*time.Second, Batch{Changes: []Change{upstream("a", 31)}, Revision: 31})
+	expectIDs(t, s, "a", "c")
+}
+
+func TestRemovalInQuietTimesActsAtOnce(t *testing.T) {
+	s := started(t, upstream("a", 11), upstream("b", 12))
+	s.Apply(2*time.Second, Batch{Changes: []Change{removed("a", 21)}, Revision: 21})
+	expectIDs(t, s, "b")
+}
+
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	s := started(t, upstream("a", 11), upstream("b", 12), upstream("c", 13, func(u *routetable.Upstream) { u.Draining = true }))
+	back := time.Second + 4*time.Second
+	s.Apply(back, Batch{Changes: []Change{removed("a", 21), removed("b", 22), removed("c", 23)}, Revision: 23})
+	expectIDs(t, s, "a", "b")
+	s.Apply(back+time.Second, Batch{Changes: []Change{upstream("a", 24)}, Revision: 24})
+	expectIDs(t, s, "a", "b")
+	s.Apply(back+lapseHold, Batch{Revision: 25})
+	expectIDs(t, s, "a")
+}
+
+func TestFullReadRemovesWhatIsMissing(t *testing.T) {
+	s := started(t, upstream("a", 11), upstream("b", 12), Change{Subject: SubjectEvacuation, Name: "z", Revision: 13})
+	if !s.View().Evacuated["z"] {
+		t.Fatal("the zone isn't evacuated")
+	}
+	s.Apply(2*time.Second, Batch{Changes: []Change{config(5, 10), upstream("b", 12)}, Revision: 40, Full: true})
+	expectIDs(t, s, "b")
+	if s.View().Evacuated["z"] {
+		t.Error("the zone is still evacuated")
+	}
+}
+
+func TestRestartUnderTheSameID(t *testing.T) {
+	s := started(t, upstream("a", 11))
+	events := s.Apply(2*time.Second, Batch{Changes: []Change{upstream("a", 21, func(u *routetable.Upstream) { u.Born = 2 })}, Revision: 21})
+	if len(events) != 1 || events[0].What != "restarted" {
+		t.Errorf("events are %+v, want a restart", events)
+	}
+}
+
+// TestFollowerEndsWithTheSameView lets a VM follow another one that reads a
+// random history, with reads of its own in between.
+func TestFollowerEndsWithTheSameView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &history{items: map[string]Change{}}
+		leader, follower := NewState(outage, lapseHold), NewState(outage, lapseHold)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				store.write(t)
+			case 2, 3:
+				leader.Apply(now, store.since(leader.Revision(), rapid.Bool().Draw(t, "full")))
+			case 4:
+				follower.Apply(now, leader.Since(follower.Revision()))
+			case 5:
+				follower.Apply(now, store.since(follower.Revision(), rapid.Bool().Draw(t, "full")))
+			}
+		}
+		// Quiet times: the leader reads once more and what had lapsed is dropped.
+		for range 8 {
+			now += time.Second
+			store.rev++ // heartbeats
+			leader.Apply(now, store.since(leader.Revision(), false))
+			follower.Apply(now, leader.Since(follower.Revision()))
+		}
+		a, b := leader.View(), follower.View()
+		if (a == nil) != (b == nil) {
+			t.Fatalf("views are %v and %v", a, b)
+		}
+		if a == nil {
+			return
+		}
+		if a.Table.Config.Version != b.Table.Config.Version || !reflect.DeepEqual(a.Upstreams, b.Upstreams) || !maps.Equal(a.Evacuated, b.Evacuated) {
+			t.Fatalf("leader knows %v %v, follower %v %v", a.Upstreams, a.Evacuated, b.Upstreams, b.Evacuated)
+		}
+	})
+}
+
+// history is a store of a few items.
+type history struct {
+	rev    int64
+	items  map[string]Change
+	events []Change
+}
+
+func (h *history) write(t *rapid.T) {
+	h.rev += int64(rapid.IntRange(1, 3).Draw(t, "gap"))
+	var c Change
+	key := ""
+	switch rapid.IntRange(0, 4).Draw(t, "item") {
+	case 0:
+		c, key = config(h.rev, h.rev), "config"
+	case 1:
+		zone := fmt.Sprintf("z%d", rapid.IntRange(0, 1).Draw(t, "zone"))
+		c, key = Change{Subject: SubjectEvacuation, Name: zone, Revision: h.rev}, "zone/"+zone
+	default:
+		id := fmt.Sprintf("u%d", rapid.IntRange(0, 3).Draw(t, "id"))
+		c, key = upstream(id, h.rev, func(u *routetable.Upstream) {
+			u.Draining = rapid.Bool().Draw(t, "draining")
+			u.Born = int64(rapid.IntRange(1, 2).Draw(t, "born"))
+		}), "upstream/"+id
+	}
+	if key != "config" && rapid.IntRange(0, 2).Draw(t, "delete") == 0 {
+		if _, ok := h.items[key]; !ok {
+			return
+		}
+		delete(h.items, key)
+		h.events = append(h.events, Change{Subject: c.Subject, Name: c.Name, Revision: h.rev, Deleted: true})
+		return
+	}
+	h.items[key] = c
+	h.events = append(h.events, c)
+}
+
+func (h *history) since(after int64, full bool) Batch {
+	b := Batch{Revision: h.rev, Full: full || after == 0}
+	if b.Full {
+		for _, c := range h.items {
+			b.Changes = append(b.Changes, c)
+		}
+		return b
+	}
+	for _, c := range h.events {
+		if c.Revision > after {
+			b.Changes = append(b.Changes, c)
+		}
+	}
+	return b
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -36,9 +36,9 @@
 
 // Policy holds the time limits of a Table.
 type Policy struct {
-	// Alive is the age of a report up to which its VM counts as reachable;
-	// AliveLarge is that in fleets above MeshSize, where reports pass over links.
-	Alive, AliveLarge time.Duration
+	// Leave is how long a VM that has said that it leaves is remembered, so that
+	// relayed reports don't bring it back.
+	Leave time.Duration
 	// Forget is the age from which a silent VM no longer counts for anything. It
 	// exceeds the usual length of a partition, so that the parts of a fleet go on
 	// counting each other's use.
@@ -48,9 +48,11 @@
 	// Links is the number of VMs of a zone that exchange with other zones in
 	// larger fleets.
 	Links int
-	// Introduction is the number of ticks in which a VM that has started calls all
-	// others.
-	Introduction int
+	// ZoneSilent is the time without a report of a zone after which its links are
+	// called from either side.
+	ZoneSilent time.Duration
+	// Suspect is how long a VM that didn't answer is not chosen as a link.
+	Suspect time.Duration
 	// SeedEvery is the number of ticks between two calls to a seed.
 	SeedEvery int
 }
@@ -61,13 +63,18 @@
 
 // DefaultPolicy suits ticks of a quarter of a second.
 func DefaultPolicy() Policy {
-	return Policy{Alive: 1500 * time.Millisecond, AliveLarge: 3 * time.Second, Forget: 20 * time.Second, MeshSize: MeshSize, Links: 2, Introduction: 4, SeedEvery: 12}
+	return Policy{Leave: 3 * time.Second, Forget: 20 * time.Second, MeshSize: MeshSize, Links: 2, ZoneSilent: 1500 * time.Millisecond,
+		Suspect: 10 * time.Second, SeedEvery: 12}
 }
 
 type member struct {
 	report Report
 	// version orders the reports by when this VM took them in.
 	version uint64
+	// from is the peer that sent the report.
+	from string
+	// introduced tells that the VM and this one have exchanged.
+	introduced bool
 }
 
 // Table is the state of one VM. It isn't safe for concurrent use.
@@ -79,8 +86,8 @@
 	version uint64
 	sent    map[string]uint64 // version up to which a peer has had reports
 	ticks   int
-	// failures counts calls without an answer.
-	failures int
+	// failedAt holds the latest call without an answer to each peer.
+	failedAt map[string]time.Duration
 	// peak is the largest size in the last two periods of peakPeriod.
 	peaks  [2]int
 	peakAt time.Duration
@@ -91,7 +98,10 @@
 
 // NewTable returns the table of a VM that knows only seeds.
 func NewTable(p Policy, self Report, seeds []string) *Table {
-	return &Table{policy: p, self: self, seeds: seeds, members: map[string]*member{}, sent: map[string]uint64{}}
+	return &Table{
+		policy: p, self: self, seeds: seeds, members: map[string]*member{},
+		sent: map[string]uint64{}, failedAt: map[string]time.Duration{},
+	}
 }
 
 // Write replaces the VM's own report.
@@ -108,11 +118,15 @@
 		if r.Address == t.self.Address || r.Address == "" {
 			continue
 		}
-		if m := t.members[r.Address]; m != nil && !isNewer(r, m.report, direct) {
+		old := t.members[r.Address]
+		if old != nil && !isNewer(r, old.report, direct) {
 			continue
 		}
 		t.version++
-		t.members[r.Address] = &member{report: r, version: t.version}
+		t.members[r.Address] = &member{
+			report: r, version: t.version, from: direct,
+			introduced: r.Address == direct || old != nil && old.introduced && old.report.Boot == r.Boot,
+		}
 		news = append(news, r)
 	}
 	return news
@@ -145,7 +159,7 @@
 		return out
 	}
 	for addr, m := range t.members {
-		if m.version > t.sent[peer] && addr != peer && (relay == RelayAll || m.report.Zone == t.self.Zone) {
+		if m.version > t.sent[peer] && addr != peer && m.from != peer && (relay == RelayAll || m.report.Zone == t.self.Zone) {
 			out = append(out, m.report)
 		}
 	}
@@ -157,7 +171,9 @@
 // merged. known tells whether it was known before.
 func (t *Table) Answer(caller Report, known bool) []Report {
 	switch {
-	case !known || t.isLarge() && caller.Zone == t.self.Zone:
+	case !known:
+		return append([]Report{t.self}, t.except(caller.Address)...)
+	case t.isLarge() && caller.Zone == t.self.Zone:
 		return t.For(caller.Address, RelayAll)
 	case t.isLarge():
 		return t.For(caller.Address, RelayZone)
@@ -166,16 +182,24 @@
 	}
 }
 
-// Knows reports whether the VM at the address is a member.
-func (t *Table) Knows(address string) bool { return t.members[address] != nil }
+// except returns the reports of all third VMs.
+func (t *Table) except(address string) []Report {
+	return slices.DeleteFunc(t.Members(), func(r Report) bool { return r.Address == address })
+}
+
+// Knows reports whether this run of a VM is a member.
+func (t *Table) Knows(r Report) bool {
+	m := t.members[r.Address]
+	return m != nil && m.report.Boot == r.Boot
+}
 
 // isLarge reports whether the fleet is too large for exchanges of all pairs.
 func (t *Table) isLarge() bool { return len(t.members)+1 > t.policy.MeshSize }
 
 // Failed tells that a peer may not have had the reports that For returned.
-func (t *Table) Failed(peer string) {
+func (t *Table) Failed(now time.Duration, peer string) {
 	delete(t.sent, peer)
-	t.failures++
+	t.failedAt[peer] = now
 }
 
 // Expire drops VMs that have been silent for too long or have left, and returns
@@ -185,11 +209,12 @@
 	for addr, m := range t.members {
 		limit := t.policy.Forget
 		if m.report.Leaving {
-			limit = t.policy.AliveLarge
+			limit = t.policy.Leave
 		}
 		if now-m.report.At > limit {
 			delete(t.members, addr)
 			delete(t.sent, addr)
+			delete(t.failedAt, addr)
 			gone = append(gone, addr)
 		}
 	}
@@ -234,18 +259,14 @@
 	t.ticks++
 	var out []Target
 	switch {
-	case t.ticks <= t.policy.Introduction: // the others may not know this VM yet
-		for _, r := range t.Members() {
-			out = append(out, Target{Address: r.Address})
-		}
 	case !t.isLarge():
-		for _, addr := range t.ringNeighbors() {
+		for _, addr := range t.smallTargets() {
 			out = append(out, Target{Address: addr})
 		}
 	case t.ticks%2 == 0:
 		out = t.linkTargets(now)
 	}
-	if len(t.seeds) > 0 && (len(t.members) == 0 || t.ticks%t.policy.SeedEvery == 0) {
+	if len(t.seeds) > 0 && (len(t.members) == 0 || t.ticks <= firstSeedTicks || t.ticks%t.policy.SeedEvery == 0) {
 		seed := t.seeds[(t.ticks/t.policy.SeedEvery+t.ticks)%len(t.seeds)]
 		if seed != t.self.Address {
 			out = append(out, Target{Address: seed, Relay: RelayAll})
@@ -254,6 +275,10 @@
 	return out
 }
 
+// firstSeedTicks is the number of ticks in which a started VM calls a seed, also
+// if others have called it: those tell of themselves only.
+const firstSeedTicks = 4
+
 // Readers returns the VMs of the own zone that read the metadata store for the
 // others, or nil in a small fleet, where each VM reads it.
 func (t *Table) Readers(now time.Duration) []string {
@@ -263,14 +288,18 @@
 	return t.links(t.self.Zone, now)
 }
 
-// links returns the first reachable VMs of a zone.
+// links returns the first VMs of a zone that answer this one. Others may see it
+// differently for a while; reports then take one more step.
 func (t *Table) links(zone string, now time.Duration) []string {
 	var out []string
 	if zone == t.self.Zone {
 		out = append(out, t.self.Address)
 	}
 	for addr, m := range t.members {
-		if m.report.Zone == zone && now-m.report.At <= t.policy.AliveLarge && !m.report.Leaving {
+		if failed, ok := t.failedAt[addr]; ok && now-failed <= t.policy.Suspect {
+			continue
+		}
+		if m.report.Zone == zone && !m.report.Leaving {
 			out = append(out, addr)
 		}
 	}
@@ -285,14 +314,18 @@
 		if len(own) == 0 {
 			return nil
 		}
-		return []Target{{Address: own[t.LinkChoice()%len(own)], Relay: RelayNone}}
+		return []Target{{Address: own[t.LinkChoice()%len(own)], Relay: RelayAll}}
 	}
 	var out []Target
-	for _, addr := range own[rank+1:] {
-		out = append(out, Target{Address: addr, Relay: RelayAll})
+	for i, addr := range own {
+		if i != rank { // both call, so that each notices when the other is lost
+			out = append(out, Target{Address: addr, Relay: RelayAll})
+		}
 	}
 	for _, zone := range t.zones() {
-		if zone <= t.self.Zone { // the other side of the pair calls this one
+		// One side of a pair calls, the other one too if it hears nothing: the
+		// first may not know its zone yet.
+		if zone < t.self.Zone && now-t.newest(zone) <= t.policy.ZoneSilent {
 			continue
 		}
 		if other := t.links(zone, now); len(other) > 0 {
@@ -302,16 +335,27 @@
 	return out
 }
 
-// LinkChoice spreads the VMs of a zone over its links; it moves on when calls
-// have failed.
+// LinkChoice spreads the VMs of a zone over its links.
 func (t *Table) LinkChoice() int {
-	return int(xxhash.Sum64String(t.self.Address)%uint64(t.policy.Links)) + t.failures
+	return int(xxhash.Sum64String(t.self.Address) % uint64(t.policy.Links))
+}
+
+// newest returns when the latest report of a zone was written.
+func (t *Table) newest(zone string) time.Duration {
+	var at time.Duration
+	for _, m := range t.members {
+		if m.report.Zone == zone {
+			at = max(at, m.report.At)
+		}
+	}
+	return at
 }
 
+// zones returns the other zones that have VMs.
 func (t *Table) zones() []string {
 	var out []string
 	for _, m := range t.members {
-		if !slices.Contains(out, m.report.Zone) {
+		if m.report.Zone != t.self.Zone && !slices.Contains(out, m.report.Zone) {
 			out = append(out, m.report.Zone)
 		}
 	}
@@ -319,6 +363,18 @@
 	return out
 }
 
+// smallTargets returns the peers of a tick in a small fleet: half of the ring,
+// and those that may not know this VM yet.
+func (t *Table) smallTargets() []string {
+	out := t.ringNeighbors()
+	for addr, m := range t.members {
+		if !m.introduced && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // ringNeighbors returns the half of the ring of VMs that follows this one.
 func (t *Table) ringNeighbors() []string {
 	ring := []string{t.self.Address}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// network is a set of tables that exchange without delay.
+type network struct {
+	t      *testing.T
+	now    time.Duration
+	tables map[string]*Table
+	order  []string
+	calls  int
+	down   map[string]bool
+	cut    func(a, b string) bool
+}
+
+func newNetwork(t *testing.T, zones, perZone int) *network {
+	n := &network{t: t, tables: map[string]*Table{}, down: map[string]bool{}, cut: func(string, string) bool { return false }}
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, address(i%zones, 0))
+	}
+	for z := range zones {
+		for i := range perZone {
+			n.start(address(z, i), fmt.Sprint("zone-", z), seeds, uint64(z*100+i+1))
+		}
+	}
+	return n
+}
+
+func address(zone, i int) string { return fmt.Sprintf("10.%d.0.%02d:80", zone, i) }
+
+func (n *network) start(addr, zone string, seeds []string, boot uint64) {
+	if n.tables[addr] == nil {
+		n.order = append(n.order, addr)
+	}
+	n.tables[addr] = NewTable(DefaultPolicy(), Report{Address: addr, Zone: zone, Boot: boot}, seeds)
+	delete(n.down, addr)
+}
+
+func (n *network) run(ticks int) {
+	for range ticks {
+		n.now += 250 * time.Millisecond
+		for _, addr := range n.order {
+			if !n.down[addr] {
+				n.tick(addr, n.tables[addr])
+			}
+		}
+	}
+}
+
+func (n *network) tick(addr string, t *Table) {
+	t.Write(n.now, nil, false)
+	t.Expire(n.now)
+	for _, target := range t.Targets(n.now) {
+		n.calls++
+		other := n.tables[target.Address]
+		reports := t.For(target.Address, target.Relay)
+		if other == nil || n.down[target.Address] || n.cut(addr, target.Address) {
+			t.Failed(n.now, target.Address)
+			continue
+		}
+		known := other.Knows(reports[0])
+		other.Merge(reports, addr)
+		t.Merge(other.Answer(reports[0], known), target.Address)
+	}
+}
+
+func (n *network) expectAllKnown(limit time.Duration) {
+	n.t.Helper()
+	for _, addr := range n.order {
+		if n.down[addr] {
+			continue
+		}
+		fresh := 0
+		for _, r := range n.tables[addr].Members() {
+			if n.now-r.At <= limit {
+				fresh++
+			}
+		}
+		if want := len(n.order) - len(n.down) - 1; fresh != want {
+			n.t.Errorf("%s has fresh reports of %d VMs, want %d", addr, fresh, want)
+		}
+	}
+}
+
+func TestVMsFindEachOther(t *testing.T) {
+	for _, perZone := range []int{2, 16} {
+		n := newNetwork(t, 5, perZone)
+		n.run(12)
+		n.expectAllKnown(3 * time.Second)
+	}
+}
+
+func TestOneReportATickReachesAllOfASmallFleet(t *testing.T) {
+	n := newNetwork(t, 4, 2)
+	n.run(20)
+	n.expectAllKnown(500 * time.Millisecond)
+}
+
+func TestCallsOfALargeFleetGrowWithItsSizeOnly(t *testing.T) {
+	n := newNetwork(t, 5, 16)
+	n.run(40)
+	n.calls = 0
+	n.run(40)
+	if perVM := float64(n.calls) / 80 / 10; perVM > 3 {
+		t.Errorf("%.1f calls a second by VM, want 3 at most", perVM)
+	}
+	n.expectAllKnown(3 * time.Second)
+}
+
+func TestLinksThatFailAreReplaced(t *testing.T) {
+	n := newNetwork(t, 5, 16)
+	n.run(20)
+	for z := range 5 {
+		n.down[address(z, 0)], n.down[address(z, 1)] = true, true
+	}
+	n.run(40)
+	n.expectAllKnown(3 * time.Second)
+	if readers := n.tables[address(1, 5)].Readers(n.now); len(readers) != 2 || readers[0] != address(1, 2) {
+		t.Errorf("readers are %v", readers)
+	}
+}
+
+func TestRestartedVMIsKnownAgain(t *testing.T) {
+	n := newNetwork(t, 4, 2)
+	n.run(12)
+	n.start(address(2, 1), "zone-2", []string{address(0, 0)}, 999)
+	n.run(4)
+	n.expectAllKnown(time.Second)
+	for _, r := range n.tables[address(3, 0)].Members() {
+		if r.Address == address(2, 1) && r.Boot != 999 {
+			t.Errorf("boot %d is known, want that of the restart", r.Boot)
+		}
+	}
+}
+
+func TestSilentVMsAreForgottenLate(t *testing.T) {
+	n := newNetwork(t, 4, 2)
+	n.run(12)
+	n.cut = func(a, b string) bool { return (a == address(0, 0)) != (b == address(0, 0)) }
+	n.run(40)
+	if got := len(n.tables[address(1, 0)].Members()); got != 7 {
+		t.Errorf("%d VMs are members 10 s after the cut, want 7", got)
+	}
+	n.run(60)
+	if got := len(n.tables[address(1, 0)].Members()); got != 6 {
+		t.Errorf("%d VMs are members 25 s after the cut, want 6", got)
+	}
+	n.cut = func(string, string) bool { return false }
+	n.run(24)
+	n.expectAllKnown(time.Second)
+}
+
+func TestOlderReportsDontReplaceNewerOnes(t *testing.T) {
+	table := NewTable(DefaultPolicy(), Report{Address: "self"}, nil)
+	table.Merge([]Report{{Address: "a", Boot: 1, Sequence: 5, At: 100}}, "a")
+	for _, r := range []Report{
+		{Address: "a", Boot: 1, Sequence: 4, At: 200},
+		{Address: "a", Boot: 9, Sequence: 1, At: 50},
+		{Address: "self", Boot: 3, Sequence: 1, At: 300},
+		{},
+	} {
+		if news := table.Merge([]Report{r}, "b"); len(news) != 0 {
+			t.Errorf("%+v counts as news", r)
+		}
+	}
+	if news := table.Merge([]Report{{Address: "a", Boot: 2, Sequence: 1, At: 150}}, "b"); len(news) != 1 {
+		t.Error("the report of a later start isn't news")
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+var start = time.Unix(100, 0)
+
+const usual = 10 * time.Millisecond
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// picker returns a picker in zone "a" with one instance in each of the zones.
+func picker(zones ...string) *Picker {
+	p := NewPicker("a", rand.New(rand.NewPCG(1, 2)))
+	p.Update(start, instances(zones...), nil, nil)
+	return p
+}
+
+func instances(zones ...string) map[string][]routetable.Upstream {
+	var list []routetable.Upstream
+	for i, z := range zones {
+		list = append(list, routetable.Upstream{
+			ID: fmt.Sprint("u", i), Service: "s", Zone: z, Slots: 2, Address: fmt.Sprintf("10.0.0.%d:80", i), Born: 1,
+		})
+	}
+	return map[string][]routetable.Upstream{"s": list}
+}
+
+func pick(t *testing.T, p *Picker, ms int) *Flight {
+	t.Helper()
+	f := p.Pick(at(ms), "s", usual, nil)
+	if f == nil {
+		t.Fatal("no instance was picked")
+	}
+	return f
+}
+
+// shares counts the picks of many short requests.
+func shares(t *testing.T, p *Picker, from, n int) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for i := range n {
+		f := pick(t, p, from+i)
+		out[f.Upstream.ID]++
+		p.Done(f, at(from+i).Add(usual), Answered, nil)
+	}
+	return out
+}
+
+func TestTheOwnZoneIsPreferred(t *testing.T) {
+	p := picker("b", "a", "c")
+	if got := shares(t, p, 0, 50); got["u1"] != 50 {
+		t.Errorf("picks are %v, want all in the own zone", got)
+	}
+}
+
+func TestAFullInstanceOfTheOwnZoneIsPassedOver(t *testing.T) {
+	p := picker("a", "b")
+	p.Done(pick(t, p, 0), at(10), Answered, &Load{Running: 2, Waiting: 4, Slots: 2})
+	if f := pick(t, p, 11); f.Upstream.ID != "u1" {
+		t.Error("the loaded instance was picked")
+	}
+}
+
+func TestAPausedInstanceIsAvoidedUntilItAnswers(t *testing.T) {
+	p := picker("a", "b")
+	stuck := pick(t, p, 0)
+	if stuck.Upstream.ID != "u0" {
+		t.Fatal("the own zone wasn't picked")
+	}
+	if got := shares(t, p, 60, 20); got["u0"] != 0 {
+		t.Errorf("picks are %v while an attempt is overdue", got)
+	}
+	p.Done(stuck, at(100), Answered, nil)
+	if got := shares(t, p, 8000, 20); got["u0"] != 20 {
+		t.Errorf("picks are %v long after the pause", got)
+	}
+}
+
+func TestASlowInstanceGetsLess(t *testing.T) {
+	p := picker("a", "b")
+	for i := range 6 {
+		f := p.Pick(at(i), "s", usual, []*Node{p.nodes["u1"]})
+		p.Done(f, at(i).Add(8*usual), Answered, nil)
+	}
+	if got := shares(t, p, 60, 20); got["u0"] > 2 {
+		t.Errorf("picks are %v after slow answers", got)
+	}
+}
+
+func TestAFailingInstanceIsAvoidedAndTriedAgain(t *testing.T) {
+	p := picker("a", "b")
+	for i := range 3 {
+		f := p.Pick(at(i), "s", usual, []*Node{p.nodes["u1"]})
+		p.Done(f, at(i), Failed, nil)
+	}
+	if got := shares(t, p, 10, 20); got["u0"] != 0 {
+		t.Errorf("picks are %v right after failures", got)
+	}
+	if got := shares(t, p, 20_000, 20); got["u0"] == 0 {
+		t.Error("the instance is never tried again")
+	}
+}
+
+func TestWhatMustNotBeUsed(t *testing.T) {
+	for name, change := range map[string]func(u *routetable.Upstream, evacuated map[string]bool){
+		"draining":  func(u *routetable.Upstream, _ map[string]bool) { u.Draining = true },
+		"evacuated": func(u *routetable.Upstream, e map[string]bool) { e[u.Zone] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := picker("a")
+			list, evacuated := instances("a"), map[string]bool{}
+			change(&list["s"][0], evacuated)
+			p.Update(start, list, evacuated, nil)
+			if p.Pick(start, "s", usual, nil) != nil || p.Known("s") {
+				t.Error("the instance was picked")
+			}
+			p.Update(start, instances("a"), nil, nil)
+			if p.Pick(start, "s", usual, nil) == nil {
+				t.Error("the instance isn't picked after its return")
+			}
+		})
+	}
+}
+
+func TestAnInstanceThatIsAnotherOneIsGoneUntilItsNextStart(t *testing.T) {
+	p := picker("a")
+	p.Done(pick(t, p, 0), at(0), Gone, nil)
+	if p.Pick(at(1), "s", usual, nil) != nil {
+		t.Error("the instance was picked")
+	}
+	p.Update(at(2), instances("a"), nil, nil)
+	if p.Pick(at(2), "s", usual, nil) != nil {
+		t.Error("the instance was picked after a heartbeat")
+	}
+	again := instances("a")
+	again["s"][0].Born = 2
+	p.Update(at(3), again, nil, nil)
+	if p.Pick(at(3), "s", usual, nil) == nil {
+		t.Error("the instance isn't picked after its next start")
+	}
+}
+
+// TestColdInstancesKeepTheirRate plays a fleet of pickers at many times the rate
+// of a cold instance.
+func TestColdInstancesKeepTheirRate(t *testing.T) {
+	const vms, limit = 9, 18.0
+	list := instances("a")
+	list["s"][0].Cold = 10 * time.Second
+	var pickers []*Picker
+	for i := range vms {
+		p := NewPicker("a", rand.New(rand.NewPCG(uint64(i), 3)))
+		p.Update(start, list, nil, map[string]float64{"s": limit / vms})
+		pickers = append(pickers, p)
+	}
+	var sent []int
+	for ms := range 5000 {
+		for _, p := range pickers {
+			if f := p.Pick(at(ms), "s", usual, nil); f != nil {
+				p.Done(f, at(ms), Answered, nil)
+				sent = append(sent, ms)
+			}
+		}
+	}
+	first := 0
+	for i, ms := range sent {
+		for sent[first] <= ms-1000 {
+			first++
+		}
+		if n := i - first + 1; float64(n) > limit {
+			t.Fatalf("%d requests within a second, want %v at most", n, limit)
+		}
+	}
+	if len(sent) < 60 {
+		t.Errorf("%d requests in 5 s; the limit allows 90", len(sent))
+	}
+}
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -99,7 +99,7 @@
 	caller := reports[0]
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.table.Knows(caller.Address)
+	known := l.table.Knows(caller)
 	l.merge(reports, caller.Address)
 	return &fleetv1.ExchangeResponse{Reports: encode(now, l.table.Answer(caller, known))}, nil
 }
@@ -178,7 +178,7 @@
 	defer l.mu.Unlock()
 	p.calling = false
 	if err != nil {
-		l.table.Failed(address)
+		l.table.Failed(boottime.Now(), address)
 		if !p.lost {
 			l.log.Info().Str("event", "peer_lost").Str("peer", address).Str("error", err.Error()).Send()
 		}
