--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -31,6 +31,11 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in := &incoming{started: time.Now(), meta: g.headers.ReadRequest(r.Header)}
+	if len(r.TransferEncoding) > 0 {
+		// The request may have had a length, too, which net/http removes. What
+		// follows it must then not be taken for a request (RFC 9112, section 6.1).
+		w.Header().Set("Connection", "close")
+	}
 	if rej := g.admit(in, w, r); rej != nil {
 		g.refuse(w, rej.reason, rej.retryAfter)
 		g.record(in, result{reason: rej.reason, status: statusOf[rej.reason]})
