--- a/internal/core/fanout/fanout.go
+++ b/internal/core/fanout/fanout.go
@@ -18,12 +18,16 @@
 const (
 	First Kind = iota
 	Retry
+	// Hedge joins an attempt that takes long, where the request can do without
+	// the shard.
 	Hedge
+	// UrgentHedge does so where the request fails or is late without it.
+	UrgentHedge
 )
 
 // String returns the name that logs carry.
 func (k Kind) String() string {
-	return [...]string{"first", "retry", "hedge"}[k]
+	return [...]string{"first", "retry", "hedge", "urgent_hedge"}[k]
 }
 
 // Sent is the result of asking for an attempt.
@@ -210,6 +214,10 @@
 	if q.outcome != Running {
 		return
 	}
+	hedge := Hedge
+	if !q.enough(q.answered) {
+		hedge = UrgentHedge
+	}
 	for i := range q.shards {
 		s := &q.shards[i]
 		if s.state != stateOpen {
@@ -220,7 +228,7 @@
 		}
 		if isDue(s.hedgeAt, now) {
 			s.hedgeAt = time.Time{}
-			q.send(now, i, Hedge)
+			q.send(now, i, hedge)
 		}
 	}
 	q.settle(now)
--- a/internal/core/fanout/fanout_test.go
+++ b/internal/core/fanout/fanout_test.go
@@ -101,11 +101,35 @@
 	expectSent(t, s, First)
 	q.Timer(at(10))
 	q.Timer(at(30))
-	expectSent(t, s, First, Hedge)
+	expectSent(t, s, First, UrgentHedge)
 	q.Result(at(31), 0, true, verdict.Ran)
 	expect(t, q, Success)
 }
 
+func TestHedgesAreUrgentOnlyWhereAShardIsNeeded(t *testing.T) {
+	s := &script{}
+	q := New(policy(10, 0.9), s)
+	q.Start(start)
+	for i := range 8 {
+		q.Result(at(5), i, true, verdict.Ran)
+	}
+	q.Timer(at(10))
+	if got := s.sent[10:]; len(got) != 2 || got[0] != UrgentHedge || got[1] != UrgentHedge {
+		t.Errorf("with two shards open the hedges are %v", got)
+	}
+
+	s = &script{}
+	q = New(policy(10, 0.9), s)
+	q.Start(start)
+	for i := range 9 {
+		q.Result(at(5), i, true, verdict.Ran)
+	}
+	q.Timer(at(10))
+	if got := s.sent[10:]; len(got) != 1 || got[0] != Hedge {
+		t.Errorf("with one shard open the hedges are %v", got)
+	}
+}
+
 func TestNoHedgeForWhatMustNotRunTwice(t *testing.T) {
 	s := &script{}
 	p := policy(1, 1)
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -15,8 +15,12 @@
 	tokens  map[string]float64
 }
 
+// initialShare is the part of the reserve that a service starts with. A fleet
+// that restarts as a whole may spend it on top of what it spent before.
+const initialShare = 0.4
+
 // New returns a budget that earns ratio for each request and holds at most
-// reserve repeats. A service starts with none.
+// reserve repeats.
 func New(ratio, reserve float64) *Budget {
 	return &Budget{ratio: ratio, reserve: max(reserve, 1), tokens: map[string]float64{}}
 }
@@ -32,18 +36,36 @@
 func (b *Budget) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.tokens[service]+b.ratio, b.reserve)
+	b.tokens[service] = min(b.left(service)+b.ratio, b.reserve)
+}
+
+func (b *Budget) left(service string) float64 {
+	if n, ok := b.tokens[service]; ok {
+		return n
+	}
+	return b.reserve * initialShare
+}
+
+// Take takes the right to one repeat after a failed attempt.
+func (b *Budget) Take(service string) bool { return b.take(service, 0) }
+
+// TakeHedge takes the right to one repeat that its request can do without. It
+// leaves a part of the reserve, of one repeat at most, for those that can't.
+func (b *Budget) TakeHedge(service string) bool {
+	b.mu.Lock()
+	keep := min(1, (b.reserve-1)/2)
+	b.mu.Unlock()
+	return b.take(service, keep)
 }
 
-// Take takes the right to one repeat. A hedge leaves keep repeats for requests
-// whose attempt has failed.
-func (b *Budget) Take(service string, keep float64) bool {
+func (b *Budget) take(service string, keep float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1+keep {
+	n := b.left(service)
+	if n < 1+keep {
 		return false
 	}
-	b.tokens[service]--
+	b.tokens[service] = n - 1
 	return true
 }
 
--- a/internal/core/retrybudget/retrybudget_test.go
+++ b/internal/core/retrybudget/retrybudget_test.go
@@ -17,7 +17,7 @@
 		var now event
 		for _, take := range rapid.SliceOfN(rapid.Bool(), 1, 400).Draw(t, "takes") {
 			if take {
-				if b.Take("s", 0) {
+				if b.Take("s") {
 					now.repeats++
 				}
 			} else {
@@ -35,23 +35,32 @@
 }
 
 func TestServicesDontShareRepeats(t *testing.T) {
-	b := New(1, 4)
+	b := New(1, 2)
 	b.Earn("a")
-	if b.Take("b", 0) {
+	if b.Take("b") {
 		t.Error("a repeat at one service was earned at another")
 	}
-	if !b.Take("a", 0) {
+	if !b.Take("a") {
 		t.Error("an earned repeat was denied")
 	}
 }
 
 func TestHedgesLeaveRepeatsForRetries(t *testing.T) {
-	b := New(1, 4)
-	b.Earn("a")
-	if b.Take("a", 1) {
+	b := New(0.4, 4)
+	if b.TakeHedge("a") {
 		t.Error("a hedge took the last repeat")
 	}
-	if !b.Take("a", 0) {
+	if !b.Take("a") {
 		t.Error("a retry was denied")
 	}
 }
+
+func TestSmallReservesAllowHedges(t *testing.T) {
+	b := New(0.17, 1.7)
+	for range 10 {
+		b.Earn("a")
+	}
+	if !b.TakeHedge("a") {
+		t.Error("a hedge was denied with a full reserve")
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,9 +9,6 @@
 	"ryecourse.example/ryecourse/internal/exchange"
 )
 
-// hedgeReserve is the number of repeats that hedges leave for failed attempts.
-const hedgeReserve = 1
-
 // Send implements fanout.Sender.
 func (q *run) Send(shard int, kind fanout.Kind) fanout.Sent {
 	now := time.Now()
@@ -23,21 +20,14 @@
 		f = q.g.picker.Pick(now, service, q.usual, nil)
 	}
 	if f == nil {
+		q.unplaced++
 		return fanout.NoUpstream
 	}
-	if kind != fanout.First {
-		keep := 0.0
-		if kind == fanout.Hedge {
-			keep = hedgeReserve
-		}
-		if !q.g.budget.Take(service, keep) {
-			q.g.picker.Done(f, now, placement.Abandoned, nil)
-			q.g.metrics.budgetEmpty.Inc()
-			return fanout.NoBudget
-		}
-		if kind == fanout.Hedge {
-			q.hedges++
-		}
+	if !q.mayRepeat(service, kind) {
+		q.g.picker.Done(f, now, placement.Abandoned, nil)
+		q.denied++
+		q.g.metrics.budgetEmpty.Inc()
+		return fanout.NoBudget
 	}
 	q.attempts++
 	q.pending++
@@ -47,6 +37,21 @@
 	return fanout.Started
 }
 
+// mayRepeat takes what an attempt of the kind costs of the budget.
+func (q *run) mayRepeat(service string, kind fanout.Kind) bool {
+	ok := true
+	switch kind {
+	case fanout.Hedge:
+		ok = q.g.budget.TakeHedge(service)
+	case fanout.Retry, fanout.UrgentHedge:
+		ok = q.g.budget.Take(service)
+	}
+	if ok && (kind == fanout.Hedge || kind == fanout.UrgentHedge) {
+		q.hedges++
+	}
+	return ok
+}
+
 // tellLate makes placement aware of attempts that a hedge or retry joins.
 func (q *run) tellLate(shard int, now time.Time) {
 	for _, f := range q.flights[shard] {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,6 +41,8 @@
 	answers  []exchange.Answer // the kept answer of each shard
 	attempts int
 	hedges   int
+	denied   int
+	unplaced int
 	lastErr  error
 	rejected bool
 }
@@ -275,19 +277,30 @@
 	}
 	body := topk.Merge(parts, q.in.route.Sharded.TopK)
 	h := w.Header()
-	missing := len(q.services) - len(receipts)
-	q.g.headers.WriteParts(h, q.in.meta.ID, receipts, missing)
+	q.g.headers.WriteParts(h, q.in.meta.ID, receipts, len(q.services)-len(receipts))
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.g.closeIfStopping(h)
 	w.WriteHeader(http.StatusOK)
 	_, err := w.Write(body)
-	return q.result(result{status: http.StatusOK, missing: missing, writeErr: err})
+	return q.result(result{status: http.StatusOK, missing: q.missing(), writeErr: err})
+}
+
+// missing returns the services that have no answer.
+func (q *run) missing() []string {
+	var out []string
+	for i := range q.answers {
+		if q.answers[i].Response == nil {
+			out = append(out, q.services[i])
+		}
+	}
+	return out
 }
 
 // result adds what the run knows to a result.
 func (q *run) result(r result) result {
 	r.attempts, r.hedges, r.err = q.attempts, q.hedges, q.lastErr
+	r.denied, r.unplaced = q.denied, q.unplaced
 	r.shards, r.answered = len(q.services), q.query.Answered()
 	return r
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -15,11 +15,13 @@
 	callerLeft bool
 	writeErr   error
 	err        error
-	missing    int
+	missing    []string // services without an answer
 	shards     int
 	answered   int
 	attempts   int
 	hedges     int
+	denied     int // repeats that the budget didn't allow
+	unplaced   int // attempts for which there was no upstream
 }
 
 // Metrics counts what the gateway does.
@@ -53,7 +55,7 @@
 		return string(r.reason)
 	case r.status >= http.StatusInternalServerError:
 		return "upstream_error"
-	case r.missing > 0:
+	case len(r.missing) > 0:
 		return "partial"
 	}
 	return "served"
@@ -67,7 +69,7 @@
 	g.metrics.set.GetOrCreateCounter(`ryecourse_gateway_requests_total{outcome="` + outcome + `"}`).Inc()
 	g.metrics.attempts.Add(r.attempts)
 	g.metrics.hedges.Add(r.hedges)
-	g.metrics.missing.Add(r.missing)
+	g.metrics.missing.Add(len(r.missing))
 	if r.callerLeft {
 		g.metrics.left.Inc()
 	}
@@ -95,13 +97,20 @@
 		e.Str("customer", in.customer.Name)
 	}
 	if r.shards > 0 {
-		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges)
+		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges).
+			Int("denied", r.denied).Int("unplaced", r.unplaced)
+	}
+	if len(r.missing) > 0 {
+		e.Strs("missing", r.missing[:min(len(r.missing), maxLoggedMissing)])
 	}
 	addErr(e, "error", r.err)
 	addErr(e, "write_error", r.writeErr)
 	e.Send()
 }
 
+// maxLoggedMissing bounds the services that one line names.
+const maxLoggedMissing = 8
+
 func addErr(e *zerolog.Event, name string, err error) {
 	if err != nil {
 		e.Str(name, err.Error())
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -57,6 +57,9 @@
 	// retryShare of the users' retry ratio is what a VM earns, so that counting
 	// windows that differ from theirs stay within it.
 	retryShare = 0.85
+	// retrySlackShare of the users' slack is what all VMs together may save up; a
+	// restart of all of them grants a part of it anew.
+	retrySlackShare = 0.7
 	// expectedVMs divides limits as long as the fleet's size isn't known.
 	expectedVMs = 16
 	// sizeSettle is the time after a start in which a VM may not have heard of all
@@ -78,7 +81,7 @@
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.picker = placement.NewPicker(s.Zone, r)
 	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
-	d.budget = retrybudget.New(s.Bounds.RetryRatio*retryShare, s.Bounds.RetrySlack/expectedVMs)
+	d.budget = retrybudget.New(s.Bounds.RetryRatio*retryShare, s.Bounds.RetrySlack*retrySlackShare/expectedVMs)
 	rates := customerrate.DefaultPolicy()
 	rates.Slack = s.Bounds.QuotaSlack
 	d.limiter = customerrate.NewLimiter(rates)
@@ -125,7 +128,7 @@
 	if int64(vms) == d.vms.Swap(int64(vms)) {
 		return
 	}
-	d.budget.SetReserve(d.settings.Bounds.RetrySlack / float64(vms+spareVMs))
+	d.budget.SetReserve(d.settings.Bounds.RetrySlack * retrySlackShare / float64(vms+spareVMs))
 	if v := d.follower.View(); v != nil {
 		d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 	}
