--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,6 +40,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			gatewayCommand(),
+			explainCommand(),
 			configcmd.New(),
 			keycmd.New(),
 			statusCommand(),
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,139 @@
+package cli
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "print what the logs tell of one request",
+		ArgsUsage: "REQUEST FILE...",
+		Description: "Reads log files of several VMs and prints the lines of the request in the\n" +
+			"order of their times, then those that changed what its VMs believed in the\n" +
+			"seconds before. A line that can't be read is counted and skipped.\n\n" +
+			"Example:\n   ryecourse explain 9c41d07be2a35f68 /var/log/ryecourse/*.log",
+		Action: explain,
+	}
+}
+
+// logLine is one line of a log. Lines may have text before their JSON part.
+type logLine struct {
+	raw     string
+	time    string
+	vm      string
+	event   string
+	request string
+}
+
+// maxLogLine bounds the length of a line that is read.
+const maxLogLine = 1 << 20
+
+func explain(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) < 2 {
+		return cli.Exit("explain: a request and at least one file are needed", ExitUsage)
+	}
+	var lines []logLine
+	broken := 0
+	for _, name := range args[1:] {
+		got, bad, err := readLog(name)
+		if err != nil {
+			return cli.Exit(err.Error(), ExitError)
+		}
+		lines, broken = append(lines, got...), broken+bad
+	}
+	out := cmd.Root().Writer
+	if broken > 0 {
+		fmt.Fprintf(out, "%d lines could not be read\n", broken)
+	}
+	if !printStory(out, lines, args[0]) {
+		return cli.Exit(fmt.Sprintf("no line names request %s: it was served in time, or its line was left out (see \"suppressed\")", args[0]), ExitError)
+	}
+	return nil
+}
+
+func readLog(name string) (lines []logLine, broken int, err error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer f.Close()
+	sc := bufio.NewScanner(f)
+	sc.Buffer(nil, maxLogLine)
+	for sc.Scan() {
+		if strings.TrimSpace(sc.Text()) == "" {
+			continue
+		}
+		if l, ok := parseLogLine(sc.Text()); ok {
+			lines = append(lines, l)
+		} else {
+			broken++
+		}
+	}
+	return lines, broken, sc.Err()
+}
+
+func parseLogLine(text string) (logLine, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return logLine{}, false
+	}
+	var fields struct {
+		Time    string `json:"time"`
+		VM      string `json:"vm"`
+		Event   string `json:"event"`
+		Request string `json:"request"`
+	}
+	if err := json.Unmarshal([]byte(text[start:]), &fields); err != nil {
+		return logLine{}, false
+	}
+	return logLine{raw: text, time: fields.Time, vm: fields.VM, event: fields.Event, request: fields.Request}, true
+}
+
+// beliefLines is the number of earlier lines that are printed of each VM.
+const beliefLines = 8
+
+// printStory prints the lines of a request and what came before. It returns
+// false if there are none.
+func printStory(out io.Writer, lines []logLine, request string) bool {
+	var story []logLine
+	for _, l := range lines {
+		if l.request == request {
+			story = append(story, l)
+		}
+	}
+	if len(story) == 0 {
+		return false
+	}
+	slices.SortStableFunc(story, func(a, b logLine) int { return cmp.Compare(a.time, b.time) })
+	fmt.Fprintf(out, "request %s:\n", request)
+	vms := map[string]string{}
+	for _, l := range story {
+		fmt.Fprintln(out, " ", l.raw)
+		vms[l.vm] = l.time
+	}
+	for vm, until := range vms {
+		fmt.Fprintf(out, "what %s had learned before:\n", vm)
+		var before []logLine
+		for _, l := range lines {
+			if l.vm == vm && l.request == "" && l.time <= until {
+				before = append(before, l)
+			}
+		}
+		for _, l := range before[max(0, len(before)-beliefLines):] {
+			fmt.Fprintln(out, " ", l.raw)
+		}
+	}
+	return true
+}
--- a/internal/core/customerrate/fleet_test.go
+++ b/internal/core/customerrate/fleet_test.go
@@ -31,7 +31,6 @@
 	offered  int
 	admitted []time.Duration
 	cut      func(a, b int) bool
-	reports  int
 }
 
 type simVM struct {
@@ -45,7 +44,6 @@
 	seq    uint64
 	last   fleet.Report
 	rate   float64 // demand a second
-	missed float64
 }
 
 func newSimFleet(t *testing.T, seed uint64, vms int, c routetable.Customer) *simFleet {
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -201,6 +201,10 @@
 		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "restarted"})
 	case e.usable && before.upstream.Draining != e.upstream.Draining:
 		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "draining_changed"})
+	case e.usable && e.upstream.Cold > before.upstream.Cold:
+		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "turned_cold"})
+	case e.usable && isMaterial(before.upstream, e.upstream):
+		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "changed"})
 	}
 	return events
 }
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -118,6 +118,20 @@
 	}
 }
 
+func TestAnUpstreamThatTurnsColdIsNews(t *testing.T) {
+	s := started(t, upstream("a", 11))
+	for i, c := range []struct {
+		cold time.Duration
+		want int
+	}{{0, 0}, {3 * time.Second, 1}, {2 * time.Second, 0}, {0, 1}, {time.Second, 1}} {
+		rev := int64(30 + i)
+		events := s.Apply(2*time.Second, Batch{Changes: []Change{upstream("a", rev, func(u *routetable.Upstream) { u.Cold = c.cold })}, Revision: rev})
+		if len(events) != c.want {
+			t.Errorf("announcement %d with %v gives events %+v, want %d", i, c.cold, events, c.want)
+		}
+	}
+}
+
 // TestFollowerEndsWithTheSameView lets a VM follow another one that reads a
 // random history, with reads of its own in between.
 func TestFollowerEndsWithTheSameView(t *testing.T) {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -235,6 +235,19 @@
 // included.
 func (t *Table) Size() int { return max(t.peaks[0], t.peaks[1], len(t.members)+1) }
 
+// Rank returns this VM's place among all VMs, in an order that follows from the
+// name and that all VMs agree on.
+func (t *Table) Rank(name string) int {
+	own := xxhash.Sum64String(name + t.self.Address)
+	rank := 0
+	for addr := range t.members {
+		if xxhash.Sum64String(name+addr) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Members returns the reports of all other VMs, also of silent ones.
 func (t *Table) Members() []Report {
 	out := make([]Report, 0, len(t.members))
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -172,3 +172,15 @@
 		t.Error("the report of a later start isn't news")
 	}
 }
+
+func TestRanksAreAPermutation(t *testing.T) {
+	n := newNetwork(t, 4, 2)
+	n.run(12)
+	seen := map[int]bool{}
+	for _, addr := range n.order {
+		seen[n.tables[addr].Rank("upstream")] = true
+	}
+	if len(seen) != len(n.order) {
+		t.Errorf("%d VMs have %d ranks", len(n.order), len(seen))
+	}
+}
--- a/internal/core/placement/cold.go
+++ b/internal/core/placement/cold.go
@@ -5,14 +5,34 @@
 // coldGate spaces the requests of this VM to a cold upstream, so that the sum
 // over all VMs stays within the upstream's limit in each second.
 type coldGate struct {
-	next time.Time
+	limited bool
+	rate    float64 // requests a second; 0 allows none
+	next    time.Time
 }
 
-// take reports whether a request may go now, at the given rate of this VM.
-func (g *coldGate) take(now time.Time, perSecond float64) bool {
-	if now.Before(g.next) {
-		return false
+func (g *coldGate) allows(now time.Time) bool {
+	return !g.limited || g.rate > 0 && !now.Before(g.next)
+}
+
+func (g *coldGate) take(now time.Time) {
+	if g.limited && g.rate > 0 {
+		g.next = now.Add(time.Duration(float64(time.Second) / g.rate))
+	}
+}
+
+// ColdShare divides the limit of a cold upstream, in requests a second over all
+// VMs, among the VMs. rank is this VM's place in an order of all VMs that each
+// upstream has of its own. Where the limit is below the number of VMs, the first
+// ones send one request a second and the others none.
+func ColdShare(limit float64, vms, rank int) float64 {
+	whole := int(limit)
+	switch {
+	case vms <= 0 || whole <= 0:
+		return 0
+	case whole >= vms:
+		return float64(whole / vms)
+	case rank < whole:
+		return 1
 	}
-	g.next = now.Add(time.Duration(float64(time.Second) / perSecond))
-	return true
+	return 0
 }
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -18,17 +18,20 @@
 	services  map[string][]*Node
 	nodes     map[string]*Node // by ID
 	evacuated map[string]bool
-	cold      map[string]float64 // a VM's rate to cold upstreams, by service
 }
 
+// ColdRate returns how many requests a second this VM may send to an upstream
+// while it is cold; limited is false if any number.
+type ColdRate func(u routetable.Upstream) (perSecond float64, limited bool)
+
 // NewPicker returns a picker for a VM of the zone.
 func NewPicker(zone string, r *rand.Rand) *Picker {
 	return &Picker{zone: zone, rand: r, services: map[string][]*Node{}, nodes: map[string]*Node{}}
 }
 
 // Update replaces the instances. What is known of those that stay is kept.
-// coldRates limits this VM's requests to each cold upstream of a service.
-func (p *Picker) Update(now time.Time, upstreams map[string][]routetable.Upstream, evacuated map[string]bool, coldRates map[string]float64) {
+// cold limits this VM's requests to cold upstreams; nil sets no limit.
+func (p *Picker) Update(now time.Time, upstreams map[string][]routetable.Upstream, evacuated map[string]bool, cold ColdRate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	services, nodes := map[string][]*Node{}, map[string]*Node{}
@@ -42,11 +45,14 @@
 				n.coldUntil = now.Add(u.Cold)
 			}
 			n.Upstream = u
+			if cold != nil && u.Cold > 0 {
+				n.cold.rate, n.cold.limited = cold(u)
+			}
 			nodes[u.ID] = n
 			services[service] = append(services[service], n)
 		}
 	}
-	p.services, p.nodes, p.evacuated, p.cold = services, nodes, evacuated, coldRates
+	p.services, p.nodes, p.evacuated = services, nodes, evacuated
 }
 
 // Known reports whether the service has an instance that may be used.
@@ -81,7 +87,7 @@
 		if best != nil && s >= bestScore {
 			continue
 		}
-		if !p.coldAllows(now, n, service) {
+		if now.Before(n.coldUntil) && !n.cold.allows(now) {
 			continue
 		}
 		best, bestScore = n, s
@@ -89,22 +95,14 @@
 	if best == nil {
 		return nil
 	}
-	p.takeCold(now, best, service)
+	if now.Before(best.coldUntil) {
+		best.cold.take(now)
+	}
 	f := &Flight{Node: best, Upstream: best.Upstream, sent: now, usual: usual}
 	best.inFlight = append(best.inFlight, f)
 	return f
 }
 
-func (p *Picker) coldAllows(now time.Time, n *Node, service string) bool {
-	return p.cold[service] <= 0 || !now.Before(n.coldUntil) || !now.Before(n.cold.next)
-}
-
-func (p *Picker) takeCold(now time.Time, n *Node, service string) {
-	if rate := p.cold[service]; rate > 0 && now.Before(n.coldUntil) {
-		n.cold.take(now, rate)
-	}
-}
-
 func contains(list []*Node, n *Node) bool {
 	for _, x := range list {
 		if x == n {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -94,6 +94,17 @@
 	}
 }
 
+func TestASilentInstanceIsAvoidedAfterItsAttemptsWereGivenUp(t *testing.T) {
+	p := picker("a", "b")
+	for i := range 3 {
+		f := pick(t, p, i)
+		p.Done(f, at(1000+i), Abandoned, nil)
+	}
+	if got := shares(t, p, 1100, 20); got["u0"] != 0 {
+		t.Errorf("picks are %v after attempts without any answer", got)
+	}
+}
+
 func TestAFailingInstanceIsAvoidedAndTriedAgain(t *testing.T) {
 	p := picker("a", "b")
 	for i := range 3 {
@@ -147,37 +158,39 @@
 	}
 }
 
-// TestColdInstancesKeepTheirRate plays a fleet of pickers at many times the rate
+// TestColdInstancesKeepTheirRate plays fleets of pickers at many times the rate
 // of a cold instance.
 func TestColdInstancesKeepTheirRate(t *testing.T) {
-	const vms, limit = 9, 18.0
-	list := instances("a")
-	list["s"][0].Cold = 10 * time.Second
-	var pickers []*Picker
-	for i := range vms {
-		p := NewPicker("a", rand.New(rand.NewPCG(uint64(i), 3)))
-		p.Update(start, list, nil, map[string]float64{"s": limit / vms})
-		pickers = append(pickers, p)
-	}
-	var sent []int
-	for ms := range 5000 {
-		for _, p := range pickers {
-			if f := p.Pick(at(ms), "s", usual, nil); f != nil {
-				p.Done(f, at(ms), Answered, nil)
-				sent = append(sent, ms)
+	for _, vms := range []int{1, 9, 69} {
+		const limit = 11.0
+		list := instances("a")
+		list["s"][0].Cold = 10 * time.Second
+		var pickers []*Picker
+		for rank := range vms {
+			p := NewPicker("a", rand.New(rand.NewPCG(uint64(rank), 3)))
+			p.Update(start, list, nil, func(routetable.Upstream) (float64, bool) { return ColdShare(limit, vms, rank), true })
+			pickers = append(pickers, p)
+		}
+		var sent []int
+		for ms := range 5000 {
+			for _, p := range pickers {
+				if f := p.Pick(at(ms), "s", usual, nil); f != nil {
+					p.Done(f, at(ms), Answered, nil)
+					sent = append(sent, ms)
+				}
 			}
 		}
-	}
-	first := 0
-	for i, ms := range sent {
-		for sent[first] <= ms-1000 {
-			first++
+		first := 0
+		for i, ms := range sent {
+			for sent[first] <= ms-1000 {
+				first++
+			}
+			if n := i - first + 1; float64(n) > limit {
+				t.Fatalf("%d VMs: %d requests within a second, want %v at most", vms, n, limit)
+			}
 		}
-		if n := i - first + 1; float64(n) > limit {
-			t.Fatalf("%d requests within a second, want %v at most", n, limit)
+		if len(sent) < 40 {
+			t.Errorf("%d VMs: %d requests in 5 s; the limit allows 55", vms, len(sent))
 		}
 	}
-	if len(sent) < 60 {
-		t.Errorf("%d requests in 5 s; the limit allows 90", len(sent))
-	}
 }
--- a/internal/fleetlink/follow.go
+++ b/internal/fleetlink/follow.go
@@ -67,7 +67,7 @@
 		reader = readers[l.table.LinkChoice()%len(readers)]
 	}
 	if reader != l.reader {
-		l.log.Info().Str("event", "reader_chosen").Str("reader", reader).Send()
+		l.log.Event("reader_chosen").Str("reader", reader).Send()
 	}
 	l.reader = reader
 }
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -7,10 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/fleet"
+	"ryecourse.example/ryecourse/internal/eventlog"
 	fleetv1 "ryecourse.example/ryecourse/internal/gen/fleet/v1"
 	"ryecourse.example/ryecourse/internal/gen/fleet/v1/fleetv1connect"
 )
@@ -38,7 +37,7 @@
 // Link exchanges reports with the other VMs.
 type Link struct {
 	usage  Usage
-	log    zerolog.Logger
+	log    *eventlog.Log
 	client *http.Client
 	sized  func(vms int)
 
@@ -63,7 +62,7 @@
 
 // New returns a link. sized is called with each tick and gets the number of
 // VMs that limits are divided by.
-func New(self fleet.Report, seeds []string, usage Usage, log zerolog.Logger, sized func(vms int)) *Link {
+func New(self fleet.Report, seeds []string, usage Usage, log *eventlog.Log, sized func(vms int)) *Link {
 	return &Link{
 		usage: usage, log: log, sized: sized, self: self.Address,
 		table: fleet.NewTable(fleet.DefaultPolicy(), self, seeds),
@@ -112,7 +111,7 @@
 		p := l.peer(r.Address)
 		if !p.seen {
 			p.seen = true
-			l.log.Info().Str("event", "vm_joined").Str("peer", r.Address).Str("peer_zone", r.Zone).Send()
+			l.log.Event("vm_joined").Str("peer", r.Address).Str("peer_zone", r.Zone).Send()
 		}
 	}
 }
@@ -140,6 +139,13 @@
 	}
 }
 
+// Rank returns this VM's place in an order of all VMs that follows from a name.
+func (l *Link) Rank(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Rank(name)
+}
+
 // Leave tells the others that this VM stops.
 func (l *Link) Leave(ctx context.Context) { l.tick(ctx, true) }
 
@@ -147,12 +153,11 @@
 	now := boottime.Now()
 	usage := l.usage.Tick(time.Now(), now)
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.table.Write(now, usage, leaving)
 	for _, addr := range l.table.Expire(now) {
 		l.usage.Forget(addr)
 		delete(l.peers, addr)
-		l.log.Info().Str("event", "vm_forgotten").Str("peer", addr).Send()
+		l.log.Event("vm_forgotten").Str("peer", addr).Send()
 	}
 	for _, target := range l.table.Targets(now) {
 		p := l.peer(target.Address)
@@ -166,10 +171,11 @@
 	n := l.table.Size()
 	if n != l.size {
 		l.size = n
-		l.log.Info().Str("event", "fleet_resized").Int("vms", n).Send()
+		l.log.Event("fleet_resized").Int("vms", n).Send()
 	}
-	l.sized(n)
 	l.chooseReader(now)
+	l.mu.Unlock()
+	l.sized(n)
 }
 
 func (l *Link) call(ctx context.Context, address string, p *peer, req *fleetv1.ExchangeRequest) {
@@ -180,13 +186,13 @@
 	if err != nil {
 		l.table.Failed(boottime.Now(), address)
 		if !p.lost {
-			l.log.Info().Str("event", "peer_lost").Str("peer", address).Str("error", err.Error()).Send()
+			l.log.Event("peer_lost").Str("peer", address).Str("error", err.Error()).Send()
 		}
 		p.lost = true
 		return
 	}
 	if p.lost {
-		l.log.Info().Str("event", "peer_regained").Str("peer", address).Send()
+		l.log.Event("peer_regained").Str("peer", address).Send()
 	}
 	p.lost = false
 	l.merge(decode(boottime.Now(), resp.Reports), address)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -302,6 +302,11 @@
 	r.attempts, r.hedges, r.err = q.attempts, q.hedges, q.lastErr
 	r.denied, r.unplaced = q.denied, q.unplaced
 	r.shards, r.answered = len(q.services), q.query.Answered()
+	if len(q.services) == 1 {
+		for _, f := range q.flights[0] {
+			r.upstreams = append(r.upstreams, f.Upstream.ID)
+		}
+	}
 	return r
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"ryecourse.example/ryecourse/internal/core/fanout"
@@ -18,6 +17,7 @@
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
 	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/eventlog"
 	"ryecourse.example/ryecourse/internal/exchange"
 )
 
@@ -90,7 +90,7 @@
 	picker    *placement.Picker
 	budget    *retrybudget.Budget
 	pools     *Pools
-	log       zerolog.Logger
+	log       *eventlog.Log
 	metrics   *Metrics
 
 	stopping  atomic.Bool
@@ -107,7 +107,7 @@
 	Picker    *placement.Picker
 	Budget    *retrybudget.Budget
 	Pools     *Pools
-	Log       zerolog.Logger
+	Log       *eventlog.Log
 	Metrics   *Metrics
 	Rand      *rand.Rand
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -20,8 +20,9 @@
 	answered   int
 	attempts   int
 	hedges     int
-	denied     int // repeats that the budget didn't allow
-	unplaced   int // attempts for which there was no upstream
+	denied     int      // repeats that the budget didn't allow
+	unplaced   int      // attempts for which there was no upstream
+	upstreams  []string // tried by a request to a single service
 }
 
 // Metrics counts what the gateway does.
@@ -85,7 +86,7 @@
 }
 
 func (g *Gateway) logRequest(in *incoming, r result, outcome string, took time.Duration, late bool) {
-	e := g.log.Info().Str("event", "request").Str("request", in.meta.ID).Str("outcome", outcome).
+	e := g.log.Outcome("request", outcome).Str("request", in.meta.ID).
 		Int("status", r.status).Dur("took_ms", took).Bool("late", late).Dur("knowledge_age_ms", in.viewAge)
 	if in.view != nil {
 		e.Int64("config_version", in.view.Table.Config.Version)
@@ -100,6 +101,9 @@
 		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges).
 			Int("denied", r.denied).Int("unplaced", r.unplaced)
 	}
+	if len(r.upstreams) > 0 {
+		e.Strs("upstreams", r.upstreams)
+	}
 	if len(r.missing) > 0 {
 		e.Strs("missing", r.missing[:min(len(r.missing), maxLoggedMissing)])
 	}
@@ -119,7 +123,7 @@
 
 // logAttempt logs an attempt that failed.
 func (g *Gateway) logAttempt(q *run, r attemptResult) {
-	e := g.log.Info().Str("event", "attempt_failed").Str("request", q.in.meta.ID).
+	e := g.log.Event("attempt_failed").Str("request", q.in.meta.ID).
 		Str("service", q.services[r.shard]).Str("upstream", r.flight.Upstream.ID).
 		Str("kind", r.kind.String()).Str("verdict", r.answer.Verdict.String())
 	if resp := r.answer.Response; resp != nil {
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -20,13 +20,14 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
 
 	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/feed"
 	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/eventlog"
 	"ryecourse.example/ryecourse/internal/fleetlink"
 	"ryecourse.example/ryecourse/internal/gateway"
 	"ryecourse.example/ryecourse/internal/knowledge"
@@ -36,7 +37,7 @@
 // Daemon is one gateway process.
 type Daemon struct {
 	settings platform.Settings
-	log      zerolog.Logger
+	log      *eventlog.Log
 	metrics  *metrics.Set
 	follower *knowledge.Follower
 	picker   *placement.Picker
@@ -59,7 +60,7 @@
 	retryShare = 0.85
 	// retrySlackShare of the users' slack is what all VMs together may save up; a
 	// restart of all of them grants a part of it anew.
-	retrySlackShare = 0.7
+	retrySlackShare = 0.85
 	// expectedVMs divides limits as long as the fleet's size isn't known.
 	expectedVMs = 16
 	// sizeSettle is the time after a start in which a VM may not have heard of all
@@ -76,7 +77,7 @@
 func New(s platform.Settings, out io.Writer) *Daemon {
 	d := &Daemon{
 		settings: s, metrics: metrics.NewSet(), started: time.Now(), stopping: make(chan struct{}),
-		log: zerolog.New(out).With().Timestamp().Str("vm", s.VM).Logger(),
+		log: eventlog.New(out, s.VM),
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.picker = placement.NewPicker(s.Zone, r)
@@ -137,10 +138,28 @@
 // apply puts a new view in force.
 func (d *Daemon) apply(v *feed.View) {
 	d.limiter.Update(time.Now(), v.Table.Config.Customers)
-	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, nil)
+	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 }
 
+// coldMargin is the part of a cold upstream's limit that the fleet uses; VMs may
+// differ in what they know of each other.
+const coldMargin = 0.8
+
+// coldRate limits this VM's requests to cold upstreams whose service tells a
+// limit.
+func (d *Daemon) coldRate(v *feed.View) placement.ColdRate {
+	b := d.settings.Bounds
+	return func(u routetable.Upstream) (float64, bool) {
+		s := v.Table.Service(u.Service)
+		if s == nil || s.WarmupPerSecond <= 0 {
+			return 0, false
+		}
+		limit := (s.WarmupPerSecond*b.WarmupOverage + b.WarmupSlack) * coldMargin
+		return placement.ColdShare(limit, int(d.vms.Load()), d.link.Rank(u.ID)), true
+	}
+}
+
 // connectionShare is the part of an upstream's connections that the fleet uses;
 // the rest is for VMs that are added or restarted.
 const connectionShare = 0.8
@@ -157,8 +176,9 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	runtime.GOMAXPROCS(max(d.settings.Cores, 1))
 	debug.SetMemoryLimit(int64(float64(d.settings.MemoryMB<<20) * memoryShare))
-	d.log.Info().Str("event", "start").Str("zone", d.settings.Zone).
+	d.log.Event("start").Str("zone", d.settings.Zone).
 		Bool("first_start", d.settings.FirstStart).Int("pid", os.Getpid()).Send()
+	defer d.closeLog()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go d.follower.Run(ctx)
@@ -168,7 +188,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(d.link.Handler())
 	peers := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	errs := make(chan error, 3)
+	errs := make(chan error, 4)
 	if err := listen(d.settings.Peers.String(), peers, errs); err != nil {
 		return err
 	}
@@ -178,9 +198,18 @@
 	if err := listen(d.settings.Callers.String(), callers, errs); err != nil {
 		return err
 	}
+	if err := listen(d.metricsAddress(), d.metricsServer(), errs); err != nil {
+		d.log.Warning("metrics_unavailable").Str("error", err.Error()).Send()
+	}
 	return d.waitForEnd(callers, errs)
 }
 
+func (d *Daemon) closeLog() {
+	if err := d.log.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, "write the last log lines:", err)
+	}
+}
+
 func listen(address string, s *http.Server, errs chan<- error) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -202,7 +231,7 @@
 	for {
 		select {
 		case err := <-errs:
-			d.log.Error().Str("event", "stop").Str("error", err.Error()).Send()
+			d.log.Failure("stop").Str("error", err.Error()).Send()
 			return err
 		case s := <-signals:
 			if s != syscall.SIGHUP {
@@ -219,9 +248,9 @@
 func (d *Daemon) reload() {
 	s, err := platform.LoadSettings()
 	if err != nil {
-		d.log.Error().Str("event", "reload").Str("error", err.Error()).Send()
+		d.log.Failure("reload").Str("error", err.Error()).Send()
 		return
 	}
 	changed := s.Callers != d.settings.Callers || s.Store != d.settings.Store
-	d.log.Info().Str("event", "reload").Bool("addresses_changed", changed).Send()
+	d.log.Event("reload").Bool("addresses_changed", changed).Send()
 }
--- a/internal/gatewaydaemon/listeners.go
+++ b/internal/gatewaydaemon/listeners.go
@@ -62,7 +62,7 @@
 // last request has its answer.
 func (d *Daemon) shutdown(callers *http.Server) {
 	began := time.Now()
-	d.log.Info().Str("event", "stop").Str("phase", "draining").Send()
+	d.log.Event("stop").Str("phase", "draining").Send()
 	d.stopOnce.Do(func() { close(d.stopping) })
 	d.gateway.Stop()
 	grace := d.settings.Bounds.Grace
@@ -71,7 +71,7 @@
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	d.link.Leave(ctx)
-	e := d.log.Info().Str("event", "stop").Str("phase", "ended").Dur("took_ms", time.Since(began))
+	e := d.log.Event("stop").Str("phase", "ended").Dur("took_ms", time.Since(began))
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- /dev/null
+++ b/internal/gatewaydaemon/metrics.go
@@ -0,0 +1,58 @@
+package gatewaydaemon
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// metricsPort is that of deploy/system.toml.
+	metricsPort = 9464
+	metricsPath = "/metrics"
+)
+
+func (d *Daemon) metricsAddress() string {
+	return net.JoinHostPort(d.settings.Callers.Addr().String(), strconv.Itoa(metricsPort))
+}
+
+// metricsServer serves counters and histograms in the Prometheus text format.
+func (d *Daemon) metricsServer() *http.Server {
+	d.registerGauges()
+	mux := http.NewServeMux()
+	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		d.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (d *Daemon) registerGauges() {
+	gauge := func(name string, f func() float64) {
+		d.metrics.NewGauge("ryecourse_gateway_"+name, f)
+	}
+	gauge("knowledge_age_seconds", func() float64 { return d.follower.Age().Seconds() })
+	gauge("config_version", func() float64 {
+		if v := d.follower.View(); v != nil {
+			return float64(v.Table.Config.Version)
+		}
+		return 0
+	})
+	gauge("fleet_vms", func() float64 { return float64(d.vms.Load()) })
+	gauge("upstream_connections", func() float64 {
+		open, _, _ := d.pools.Stats()
+		return float64(open)
+	})
+	gauge("upstream_connections_opened", func() float64 {
+		_, _, dials := d.pools.Stats()
+		return float64(dials)
+	})
+	gauge("ready", func() float64 {
+		if d.ready() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -9,10 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/eventlog"
 )
 
 // Source reads the store.
@@ -68,7 +67,7 @@
 	source  Source
 	peers   Peers
 	policy  Policy
-	log     zerolog.Logger
+	log     *eventlog.Log
 	gone    error
 	publish func(*feed.View)
 	now     func() time.Duration
@@ -83,7 +82,7 @@
 
 // NewFollower returns a follower. historyGone is the source's error for changes
 // that it no longer knows; publish is called with each new view.
-func NewFollower(s Source, peers Peers, p Policy, historyGone error, log zerolog.Logger, publish func(*feed.View)) *Follower {
+func NewFollower(s Source, peers Peers, p Policy, historyGone error, log *eventlog.Log, publish func(*feed.View)) *Follower {
 	return &Follower{
 		source: s, peers: peers, policy: p, log: log, gone: historyGone, publish: publish, now: boottime.Now,
 		state: feed.NewState(p.Outage, p.LapseHold),
@@ -184,10 +183,10 @@
 	b, err := f.peers.Follow(call, reader, f.state.Revision())
 	switch {
 	case err != nil:
-		f.log.Info().Str("event", "reader_failed").Str("reader", reader).Str("error", err.Error()).Send()
+		f.log.Event("reader_failed").Str("reader", reader).Str("error", err.Error()).Send()
 		return feed.Batch{}, false
 	case b.Age > f.policy.PeerAge:
-		f.log.Info().Str("event", "reader_behind").Str("reader", reader).Dur("age_ms", b.Age).Send()
+		f.log.Event("reader_behind").Str("reader", reader).Dur("age_ms", b.Age).Send()
 		return feed.Batch{}, false
 	}
 	return b, true
@@ -211,18 +210,18 @@
 		return
 	}
 	f.lost = true
-	f.log.Warn().Str("event", "store_lost").Str("error", err.Error()).Dur("knowledge_age_ms", f.Age()).Send()
+	f.log.Warning("store_lost").Str("error", err.Error()).Dur("knowledge_age_ms", f.Age()).Send()
 }
 
 func (f *Follower) recovered() {
 	if f.lost {
-		f.log.Info().Str("event", "store_regained").Int("failed_reads", f.failures).Send()
+		f.log.Event("store_regained").Int("failed_reads", f.failures).Send()
 	}
 	f.lost, f.failures = false, 0
 }
 
 func (f *Follower) logEvent(e feed.Event, revision int64) {
-	l := f.log.Info().Str("event", "knowledge").Stringer("subject", e.Subject).
+	l := f.log.Event("knowledge").Stringer("subject", e.Subject).
 		Str("name", e.Name).Str("change", e.What).Int64("revision", revision)
 	if e.Err != nil {
 		l.Str("error", e.Err.Error())
