--- a/internal/platform/client.go
+++ b/internal/configservice/client.go
@@ -1,6 +1,6 @@
-// Package platform reads the configuration service and the VM list of the
+// Package configservice reads the configuration service and the VM list of the
 // platform. It never writes. The protocol is in docs/PLATFORM.md.
-package platform
+package configservice
 
 import (
 	"bytes"
--- a/internal/platform/client_test.go
+++ b/internal/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"errors"
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,7 +16,7 @@
 	"ryecourse.example/ryecourse/internal/core/spread"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 	"ryecourse.example/ryecourse/internal/peer"
-	"ryecourse.example/ryecourse/internal/platform"
+	"ryecourse.example/ryecourse/internal/configservice"
 )
 
 const (
@@ -41,7 +41,7 @@
 // Deps are the parts that a Control uses.
 type Deps struct {
 	Self     Self
-	Platform *platform.Client
+	Platform *configservice.Client
 	Peers    *peer.Client
 	Spread   *spread.Spread
 	Quota    *quota.Manager
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -10,7 +10,7 @@
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/spread"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
-	"ryecourse.example/ryecourse/internal/platform"
+	"ryecourse.example/ryecourse/internal/configservice"
 )
 
 // spreadActions carries out what the spread state machine decided. Reads and
@@ -84,7 +84,7 @@
 		index, err := c.deps.Platform.Index(since(a.Since), a.Wait)
 		s := c.deps.Spread
 		switch {
-		case errors.Is(err, platform.ErrNotModified):
+		case errors.Is(err, configservice.ErrNotModified):
 			return func(now time.Time) []spread.Action { return s.OnFolderUnchanged(now, a.Seq) }
 		case err != nil:
 			return func(now time.Time) []spread.Action { return s.OnServiceError(now, a.Seq) }
@@ -102,7 +102,7 @@
 		list, err := c.deps.Platform.VMs(since(a.Since), a.Wait)
 		s := c.deps.Spread
 		switch {
-		case errors.Is(err, platform.ErrNotModified):
+		case errors.Is(err, configservice.ErrNotModified):
 			return func(now time.Time) []spread.Action { return s.OnListUnchanged(now, a.Seq) }
 		case err != nil:
 			return func(now time.Time) []spread.Action { return s.OnServiceError(now, a.Seq) }
@@ -116,7 +116,7 @@
 		file, err := c.deps.Platform.File(a.Name)
 		s := c.deps.Spread
 		if err != nil {
-			gone := errors.Is(err, platform.ErrDeleted)
+			gone := errors.Is(err, configservice.ErrDeleted)
 			return func(now time.Time) []spread.Action { return s.OnFileError(now, a.Name, gone) }
 		}
 		return func(now time.Time) []spread.Action { return s.OnFile(now, file) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,7 +22,7 @@
 	"ryecourse.example/ryecourse/internal/core/spread"
 	"ryecourse.example/ryecourse/internal/operator"
 	"ryecourse.example/ryecourse/internal/peer"
-	"ryecourse.example/ryecourse/internal/platform"
+	"ryecourse.example/ryecourse/internal/configservice"
 	"ryecourse.example/ryecourse/internal/settings"
 	"ryecourse.example/ryecourse/internal/telemetry"
 	"ryecourse.example/ryecourse/internal/upstream"
@@ -46,7 +46,7 @@
 	log      zerolog.Logger
 	trail    *audit.Trail
 	metrics  *telemetry.Metrics
-	platform *platform.Client
+	platform *configservice.Client
 	pool     *upstream.Pool
 	quota    *quota.Manager
 	router   *routing.Router
@@ -84,7 +84,7 @@
 		log:      log,
 		trail:    audit.New(log),
 		metrics:  telemetry.New(),
-		platform: platform.New(s.Platform),
+		platform: configservice.New(s.Platform),
 		leaving:  make(chan struct{}),
 	}
 	d.build()
