--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/configservice"
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
@@ -16,7 +17,6 @@
 	"ryecourse.example/ryecourse/internal/core/spread"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 	"ryecourse.example/ryecourse/internal/peer"
-	"ryecourse.example/ryecourse/internal/configservice"
 )
 
 const (
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/configservice"
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/spread"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
-	"ryecourse.example/ryecourse/internal/configservice"
 )
 
 // spreadActions carries out what the spread state machine decided. Reads and
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"ryecourse.example/ryecourse/internal/audit"
 	"ryecourse.example/ryecourse/internal/caller"
+	"ryecourse.example/ryecourse/internal/configservice"
 	"ryecourse.example/ryecourse/internal/control"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
@@ -22,7 +23,6 @@
 	"ryecourse.example/ryecourse/internal/core/spread"
 	"ryecourse.example/ryecourse/internal/operator"
 	"ryecourse.example/ryecourse/internal/peer"
-	"ryecourse.example/ryecourse/internal/configservice"
 	"ryecourse.example/ryecourse/internal/settings"
 	"ryecourse.example/ryecourse/internal/telemetry"
 	"ryecourse.example/ryecourse/internal/upstream"
--- /dev/null
+++ b/internal/fleetlink/link_test.go
@@ -0,0 +1,118 @@
+package fleetlink
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/core/fleet"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/eventlog"
+)
+
+// usage tells one customer's demand and keeps what it hears.
+type usage struct {
+	mu    sync.Mutex
+	heard map[string]fleet.Report
+}
+
+func (u *usage) Tick(time.Time, time.Duration) map[uint32]fleet.Usage {
+	return map[uint32]fleet.Usage{7: {Demand: 2.5, Admitted: 3}}
+}
+
+func (u *usage) Learn(_ time.Time, r fleet.Report) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heard[r.Address] = r
+}
+
+func (u *usage) Forget(string) {}
+
+func (u *usage) report(address string) (fleet.Report, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	r, ok := u.heard[address]
+	return r, ok
+}
+
+type known struct{}
+
+func (known) Since(after int64) (feed.Batch, bool) {
+	return feed.Batch{
+		Revision: after + 5, Age: 700 * time.Millisecond,
+		Changes: []feed.Change{
+			{Subject: feed.SubjectConfig, Revision: 1, Config: &routetable.Config{Version: 9}},
+			{Subject: feed.SubjectUpstream, Name: "u", Revision: 2, Upstream: routetable.Upstream{ID: "u", Slots: 2}},
+			{Subject: feed.SubjectUpstream, Name: "w", Revision: 3, Deleted: true},
+		},
+	}, true
+}
+
+func start(t *testing.T, zone string, seeds ...string) (*Link, *usage, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	u := &usage{heard: map[string]fleet.Report{}}
+	log := eventlog.New(&bytes.Buffer{}, address)
+	link := New(fleet.Report{Address: address, Zone: zone, Boot: 1}, seeds, u, log, func(int) {})
+	link.Serve(known{})
+	mux := http.NewServeMux()
+	mux.Handle(link.Handler())
+	srv := &http.Server{Handler: mux}
+	go srv.Serve(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	go link.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		srv.Close()
+	})
+	return link, u, address
+}
+
+func TestVMsExchangeReportsThroughASeed(t *testing.T) {
+	_, _, seed := start(t, "a")
+	_, one, addrOne := start(t, "b", seed)
+	_, two, addrTwo := start(t, "c", seed)
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		a, okA := one.report(addrTwo)
+		_, okB := two.report(addrOne)
+		if okA && okB && a.Usage[7].Admitted == 3 && a.Usage[7].Demand == 2.5 && a.Zone == "c" {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("reports are %+v %v, %v", a, okA, okB)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestFollowCarriesChangesAndTheirAge(t *testing.T) {
+	_, _, reader := start(t, "a")
+	link, _, _ := start(t, "a")
+	b, err := link.Follow(t.Context(), reader, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.Revision != 15 || b.Age != 700*time.Millisecond || len(b.Changes) != 3 {
+		t.Fatalf("batch is %+v", b)
+	}
+	if b.Changes[0].Config.Version != 9 || b.Changes[1].Upstream.Slots != 2 || !b.Changes[2].Deleted {
+		t.Errorf("changes are %+v", b.Changes)
+	}
+}
+
+func TestFollowFailsWithoutAnAnswer(t *testing.T) {
+	link, _, _ := start(t, "a")
+	if _, err := link.Follow(t.Context(), "127.0.0.1:1", 0); err == nil {
+		t.Error("a VM that isn't there answered")
+	}
+}
--- /dev/null
+++ b/internal/knowledge/knowledge_test.go
@@ -0,0 +1,168 @@
+package knowledge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/feed"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/eventlog"
+)
+
+var errGone = errors.New("history is gone")
+
+// fakeSource answers with what the test sets.
+type fakeSource struct {
+	changes feed.Batch
+	err     error
+	full    int
+	reads   int
+}
+
+func (s *fakeSource) Changes(context.Context, int64, time.Duration) (feed.Batch, error) {
+	s.reads++
+	return s.changes, s.err
+}
+
+func (s *fakeSource) Everything(context.Context) (feed.Batch, error) {
+	s.full++
+	return feed.Batch{Full: true, Revision: 10, Changes: []feed.Change{config(1, 5)}}, nil
+}
+
+// fakePeers is a VM that reads for this one.
+type fakePeers struct {
+	reader string
+	batch  feed.Batch
+	err    error
+	calls  int
+}
+
+func (p *fakePeers) Reader() string { return p.reader }
+
+func (p *fakePeers) Follow(context.Context, string, int64) (feed.Batch, error) {
+	p.calls++
+	return p.batch, p.err
+}
+
+func config(version, revision int64) feed.Change {
+	return feed.Change{Subject: feed.SubjectConfig, Revision: revision, Config: &routetable.Config{Version: version}}
+}
+
+type follower struct {
+	*Follower
+	source *fakeSource
+	peers  *fakePeers
+	clock  time.Duration
+	views  int
+}
+
+func newFollower(t *testing.T) *follower {
+	t.Helper()
+	f := &follower{source: &fakeSource{}, peers: &fakePeers{}, clock: time.Hour}
+	log := eventlog.New(&bytes.Buffer{}, "vm")
+	t.Cleanup(func() { log.Close() })
+	f.Follower = NewFollower(f.source, f.peers, DefaultPolicy(), errGone, log, func(*feed.View) { f.views++ })
+	f.now = func() time.Duration { return f.clock }
+	return f
+}
+
+func (f *follower) expectAge(t *testing.T, want time.Duration) {
+	t.Helper()
+	if got := f.Age(); got != want {
+		t.Errorf("age is %v, want %v", got, want)
+	}
+}
+
+func TestFirstReadIsOfEverything(t *testing.T) {
+	f := newFollower(t)
+	if f.View() != nil || f.Age() != neverProved {
+		t.Error("something is known before the first read")
+	}
+	if err := f.read(t.Context()); err != nil || f.source.full != 1 || f.source.reads != 0 {
+		t.Fatalf("%v after %d full reads and %d of changes", err, f.source.full, f.source.reads)
+	}
+	f.expectAge(t, 0)
+	if f.View().Table.Config.Version != 1 || f.views != 1 {
+		t.Errorf("view is %+v, published %d times", f.View(), f.views)
+	}
+}
+
+func TestAgeGrowsWhileReadsFail(t *testing.T) {
+	f := newFollower(t)
+	f.read(t.Context())
+	f.clock += 3 * time.Second
+	f.source.err = errors.New("down")
+	if f.read(t.Context()) == nil {
+		t.Error("a failed read counts")
+	}
+	f.expectAge(t, 3*time.Second)
+	f.source.err = nil
+	f.read(t.Context())
+	f.expectAge(t, 0)
+}
+
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	f := newFollower(t)
+	f.read(t.Context())
+	f.source.err = errGone
+	if err := f.read(t.Context()); err != nil || f.source.full != 2 {
+		t.Errorf("%v after %d full reads", err, f.source.full)
+	}
+}
+
+func TestAPeersKnowledgeKeepsItsAge(t *testing.T) {
+	f := newFollower(t)
+	f.peers.reader = "peer"
+	f.peers.batch = feed.Batch{Full: true, Revision: 20, Changes: []feed.Change{config(2, 15)}, Age: 1500 * time.Millisecond}
+	f.read(t.Context())
+	f.expectAge(t, 1500*time.Millisecond)
+	if f.source.full != 0 || f.View().Table.Config.Version != 2 {
+		t.Error("the store was read, or the peer's configuration isn't in force")
+	}
+}
+
+func TestAPeerThatIsBehindOrFailsIsPassedOver(t *testing.T) {
+	for name, set := range map[string]func(p *fakePeers){
+		"behind": func(p *fakePeers) { p.batch.Age = 5 * time.Second },
+		"fails":  func(p *fakePeers) { p.err = errors.New("no answer") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFollower(t)
+			f.peers.reader = "peer"
+			set(f.peers)
+			if err := f.read(t.Context()); err != nil || f.source.full != 1 {
+				t.Errorf("%v after %d full reads", err, f.source.full)
+			}
+			f.expectAge(t, 0)
+		})
+	}
+}
+
+func TestOlderEvidenceDoesNotReplaceNewer(t *testing.T) {
+	f := newFollower(t)
+	f.read(t.Context())
+	f.clock += 100 * time.Millisecond
+	f.peers.reader = "peer"
+	f.peers.batch = feed.Batch{Revision: 8, Age: time.Second}
+	f.read(t.Context())
+	f.expectAge(t, 100*time.Millisecond)
+}
+
+func TestSinceGivesWhatAVMLacks(t *testing.T) {
+	f := newFollower(t)
+	if _, ok := f.Since(0); ok {
+		t.Error("something is told before the first read")
+	}
+	f.read(t.Context())
+	f.clock += time.Second
+	b, ok := f.Since(0)
+	if !ok || !b.Full || b.Age != time.Second || len(b.Changes) != 1 {
+		t.Errorf("batch is %+v", b)
+	}
+	if b, _ = f.Since(10); len(b.Changes) != 0 {
+		t.Errorf("batch for the same revision is %+v", b)
+	}
+}
