--- a/internal/core/customerrate/fleet_test.go
+++ b/internal/core/customerrate/fleet_test.go
@@ -205,6 +205,38 @@
 	}
 }
 
+// TestRestartOfAllVMsServesUsualDemand checks what callers get in the two seconds
+// after a restart: nine tenths of what is below the rate. A small customer sends
+// some twenty requests in that time, so all seeds count together.
+func TestRestartOfAllVMsServesUsualDemand(t *testing.T) {
+	for _, c := range []routetable.Customer{large, small} {
+		offered, admitted := 0, 0
+		seeds(t, func(t *testing.T, seed uint64) {
+			f := newSimFleet(t, seed, 8, c)
+			f.run(10 * time.Second)
+			f.demand(c.RatePerSecond / 1.6)
+			f.run(4 * time.Second)
+			for _, vm := range f.vms {
+				vm.down = true
+			}
+			f.run(500 * time.Millisecond)
+			for _, vm := range f.vms {
+				f.boot(vm)
+			}
+			offeredBefore, admittedBefore := f.offered, len(f.admitted)
+			f.run(2 * time.Second)
+			offered += f.offered - offeredBefore
+			admitted += len(f.admitted) - admittedBefore
+			f.run(5 * time.Second)
+			f.checkWindows()
+		})
+		t.Logf("%s: %d of %d requests admitted after the restart", c.Name, admitted, offered)
+		if admitted*10 < offered*9 {
+			t.Errorf("%s: %d of %d requests admitted after the restart", c.Name, admitted, offered)
+		}
+	}
+}
+
 func TestPartitionKeepsToTheLimit(t *testing.T) {
 	for _, c := range []routetable.Customer{large, small} {
 		seeds(t, func(t *testing.T, seed uint64) {
--- a/internal/core/customerrate/limiter.go
+++ b/internal/core/customerrate/limiter.go
@@ -87,6 +87,8 @@
 	filledAt time.Time
 	reserve  float64
 	part     float64 // of the rate that is open to this VM
+	// granted tells that the VM has had its part of the slack after its start.
+	granted bool
 	// heard is the demand of the VMs that can be heard; silentPart is the part of
 	// the rate that is left to the others.
 	heard, silentPart float64
@@ -169,6 +171,9 @@
 func (l *Limiter) Learn(now time.Time, r fleet.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, known := l.heardAt[r.Address]; !known {
+		defer l.shareAnew(now)
+	}
 	l.heardAt[r.Address] = r.At
 	for hash, told := range r.Usage {
 		a := l.byHash[hash]
@@ -190,6 +195,17 @@
 	}
 }
 
+// shareAnew works out the parts for a new number of VMs while this one settles.
+// The caller holds mu.
+func (l *Limiter) shareAnew(now time.Time) {
+	if now.Sub(l.started) >= l.policy.Settle {
+		return
+	}
+	for _, a := range l.accounts {
+		l.share(a, now)
+	}
+}
+
 // charge takes another VM's requests from the pool, less what was assumed.
 func (a *account) charge(u *use, n float64) {
 	a.pool -= max(n-u.assumed, 0)
@@ -226,6 +242,7 @@
 		l.measure(a, dt)
 		l.divide(a, dt, bootNow)
 		l.share(a, now)
+		a.told = a.demand
 		if a.admitted > 0 || a.told > 0 {
 			out[hash] = fleet.Usage{Demand: a.told, Admitted: a.admitted}
 		}
@@ -283,6 +300,14 @@
 	// leastPart of a rate, divided by the VMs known, is open to a VM without
 	// demand, so that its first callers aren't refused.
 	leastPart = 0.1
+	// settlingShare is the multiple of an even part that a settling VM admits:
+	// demand differs between VMs, and nothing was admitted while they were down.
+	settlingShare = 1.6
+	// settlingSlack is the part of the slack that VMs have when they start, so that
+	// the first callers of small customers aren't refused.
+	settlingSlack = 0.6
+	// maxGrant bounds that of one VM, in requests.
+	maxGrant = 2
 	// localBurst is how much of its part a VM may use at once.
 	localBurst = 400 * time.Millisecond
 	// maxPartGrowth limits the growth of a part in one tick.
@@ -308,7 +333,11 @@
 	part = min(part, maxPartGrowth*a.part+1/n)
 	settling := now.Sub(l.started) < l.policy.Settle
 	if settling {
-		part = 1 / n
+		part = settlingShare / n
+	}
+	if settling && !a.granted && len(l.heardAt) > 0 {
+		a.granted = true
+		a.local.tokens += min(maxGrant, settlingSlack*l.policy.Slack/n)
 	}
 	a.part = part
 	part *= 1 - a.silentPart
@@ -318,7 +347,6 @@
 	if settling {
 		a.reserve = math.Inf(1)
 	}
-	a.told = a.demand
 }
 
 func (l *Limiter) isLarge() bool { return len(l.heardAt)+1 > l.policy.LargeFleet }
