--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -55,18 +55,6 @@
 	p.services, p.nodes, p.evacuated = services, nodes, evacuated
 }
 
-// Known reports whether the service has an instance that may be used.
-func (p *Picker) Known(service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, n := range p.services[service] {
-		if p.allowed(n) {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Picker) allowed(n *Node) bool {
 	return !n.gone && !n.Upstream.Draining && !p.evacuated[n.Upstream.Zone]
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -129,7 +129,7 @@
 			list, evacuated := instances("a"), map[string]bool{}
 			change(&list["s"][0], evacuated)
 			p.Update(start, list, evacuated, nil)
-			if p.Pick(start, "s", usual, nil) != nil || p.Known("s") {
+			if p.Pick(start, "s", usual, nil) != nil {
 				t.Error("the instance was picked")
 			}
 			p.Update(start, instances("a"), nil, nil)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -38,7 +38,6 @@
 type conn struct {
 	nc      net.Conn
 	br      *bufio.Reader
-	used    int
 	expires time.Time
 	broken  bool
 }
@@ -119,7 +118,6 @@
 	} else {
 		go func() { written <- c.writeLong(head, r.Body) }()
 	}
-	c.used++
 	if len(r.Body) <= inlineWriteBytes {
 		w := <-written
 		if w.n == 0 && w.err != nil {
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -109,14 +109,30 @@
 	return out
 }
 
+const (
+	// revokeShare of the users' bound is the age of knowledge from which keys are
+	// rejected; the rest is for the way of a request to this VM.
+	revokeShare = 0.9
+	// defaultBudget applies to requests that don't tell theirs; it is the longest
+	// of the users' routes.
+	defaultBudget = 5 * time.Second
+	// callerTransit is three ways of 3 ms between a caller and its zone, for a new
+	// connection, and the work of this VM.
+	callerTransit = 12 * time.Millisecond
+	// finalAnswer is one way to the caller and the work of this VM under load.
+	finalAnswer = 20 * time.Millisecond
+	// linger is half of the time that upstreams may go on working for a caller
+	// that has left.
+	linger = 250 * time.Millisecond
+)
+
 func gatewayPolicy(s platform.Settings) gateway.Policy {
 	return gateway.Policy{
-		// A tenth is kept for the way of a request to this VM.
-		RevokeAge:     s.Bounds.Revoke * 9 / 10,
-		DefaultBudget: 5 * time.Second,
-		CallerTransit: 12 * time.Millisecond,
-		FinalAnswer:   20 * time.Millisecond,
-		Linger:        250 * time.Millisecond,
+		RevokeAge:     time.Duration(float64(s.Bounds.Revoke) * revokeShare),
+		DefaultBudget: defaultBudget,
+		CallerTransit: callerTransit,
+		FinalAnswer:   finalAnswer,
+		Linger:        linger,
 	}
 }
 
