--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -68,14 +68,3 @@
 	b.tokens[service] = n - 1
 	return true
 }
-
-// Forget drops services that are no longer in use.
-func (b *Budget) Forget(known func(service string) bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for s := range b.tokens {
-		if !known(s) {
-			delete(b.tokens, s)
-		}
-	}
-}
