--- /dev/null
+++ b/internal/core/fleet/topology.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Target is a peer to exchange with.
+type Target struct {
+	Address string
+	Relay   Relay
+}
+
+// Targets returns the peers to call with this tick. In a small fleet each pair
+// of VMs is covered by a call of one of the two. In a large one, each zone has a
+// few links: the VMs of the zone exchange with one of them, every second tick,
+// and links with their counterparts in other zones.
+func (t *Table) Targets(now time.Duration) []Target {
+	t.ticks++
+	var out []Target
+	switch {
+	case !t.isLarge():
+		for _, addr := range t.smallTargets() {
+			out = append(out, Target{Address: addr})
+		}
+	case t.ticks%2 == 0:
+		out = t.linkTargets(now)
+	}
+	if len(t.seeds) > 0 && (len(t.members) == 0 || t.ticks <= firstSeedTicks || t.ticks%t.policy.SeedEvery == 0) {
+		seed := t.seeds[(t.ticks/t.policy.SeedEvery+t.ticks)%len(t.seeds)]
+		if seed != t.self.Address {
+			out = append(out, Target{Address: seed, Relay: RelayAll})
+		}
+	}
+	return out
+}
+
+// firstSeedTicks is the number of ticks in which a started VM calls a seed, also
+// if others have called it: those tell of themselves only.
+const firstSeedTicks = 4
+
+// Readers returns the VMs of the own zone that read the metadata store for the
+// others, or nil in a small fleet, where each VM reads it.
+func (t *Table) Readers(now time.Duration) []string {
+	if !t.isLarge() {
+		return nil
+	}
+	return t.links(t.self.Zone, now)
+}
+
+// links returns the first VMs of a zone that answer this one. Others may see it
+// differently for a while; reports then take one more step.
+func (t *Table) links(zone string, now time.Duration) []string {
+	var out []string
+	if zone == t.self.Zone {
+		out = append(out, t.self.Address)
+	}
+	for addr, m := range t.members {
+		if failed, ok := t.failedAt[addr]; ok && now-failed <= t.policy.Suspect {
+			continue
+		}
+		if m.report.Zone == zone && !m.report.Leaving {
+			out = append(out, addr)
+		}
+	}
+	slices.Sort(out)
+	return out[:min(len(out), t.policy.Links)]
+}
+
+func (t *Table) linkTargets(now time.Duration) []Target {
+	own := t.links(t.self.Zone, now)
+	rank := slices.Index(own, t.self.Address)
+	if rank < 0 {
+		if len(own) == 0 {
+			return nil
+		}
+		return []Target{{Address: own[t.LinkChoice()%len(own)], Relay: RelayAll}}
+	}
+	var out []Target
+	for i, addr := range own {
+		if i != rank { // both call, so that each notices when the other is lost
+			out = append(out, Target{Address: addr, Relay: RelayAll})
+		}
+	}
+	for _, zone := range t.zones() {
+		// One side of a pair calls, the other one too if it hears nothing: the
+		// first may not know its zone yet.
+		if zone < t.self.Zone && now-t.newest(zone) <= t.policy.ZoneSilent {
+			continue
+		}
+		if other := t.links(zone, now); len(other) > 0 {
+			out = append(out, Target{Address: other[rank%len(other)], Relay: RelayZone})
+		}
+	}
+	return out
+}
+
+// LinkChoice spreads the VMs of a zone over its links.
+func (t *Table) LinkChoice() int {
+	return int(xxhash.Sum64String(t.self.Address) % uint64(t.policy.Links))
+}
+
+// newest returns when the latest report of a zone was written.
+func (t *Table) newest(zone string) time.Duration {
+	var at time.Duration
+	for _, m := range t.members {
+		if m.report.Zone == zone {
+			at = max(at, m.report.At)
+		}
+	}
+	return at
+}
+
+// zones returns the other zones that have VMs.
+func (t *Table) zones() []string {
+	var out []string
+	for _, m := range t.members {
+		if m.report.Zone != t.self.Zone && !slices.Contains(out, m.report.Zone) {
+			out = append(out, m.report.Zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// smallTargets returns the peers of a tick in a small fleet: half of the ring,
+// and those that may not know this VM yet.
+func (t *Table) smallTargets() []string {
+	out := t.ringNeighbors()
+	for addr, m := range t.members {
+		if !m.introduced && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// ringNeighbors returns the half of the ring of VMs that follows this one.
+func (t *Table) ringNeighbors() []string {
+	ring := []string{t.self.Address}
+	for addr := range t.members {
+		ring = append(ring, addr)
+	}
+	slices.Sort(ring)
+	self, _ := slices.BinarySearch(ring, t.self.Address)
+	n := len(ring)
+	var out []string
+	for i := 1; 2*i <= n; i++ {
+		if 2*i == n && self >= n/2 { // the opposite VM calls
+			break
+		}
+		out = append(out, ring[(self+i)%n])
+	}
+	return out
+}
