Relay holds and returns of announcements along a chain of VMs

(1) An upstream that went and came back looked unchanged to a VM that missed its absence; that VM didn't tell it to one that had seen the absence only. (2) An entry kept after an outage was told as a live one, and the follower had to learn of its end by revision. (3) An item removed between two pages of a full read was recorded at the read's revision, so followers at it never heard. (4) Forgetting an old removal lowered the revision from which followers need everything. Change: the relay carries the revision of the last material change and the rest of a hold; each VM ends a hold by itself.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -43,7 +43,13 @@
 	// Name is the upstream's ID or the zone; empty for the configuration.
 	Name     string
 	Revision int64
+	// Material is the revision of an upstream's last change other than a
+	// heartbeat. Only other VMs tell it.
+	Material int64
 	Deleted  bool
+	// Hold is how long a deleted upstream is still used, because its announcement
+	// may have run out while the store was away. Only other VMs tell it.
+	Hold time.Duration
 	// Config and Upstream hold the value of their subject.
 	Config   *routetable.Config
 	Upstream routetable.Upstream
@@ -84,11 +90,13 @@
 	err      error
 	upstream routetable.Upstream
 	usable   bool
-	// lapsed is the time of removal of an entry that is kept for a while,
-	// because it may have run out while the store was away.
-	lapsed bool
+	// heldUntil is set for an entry that was deleted at revision and is kept for a
+	// while, because it may have run out while the store was away.
+	heldUntil time.Duration
 }
 
+func (e *entry) lapsed() bool { return e.heldUntil > 0 }
+
 // State is the state machine. It isn't safe for concurrent use. Times are
 // readings of a clock that goes on during suspension.
 type State struct {
@@ -133,6 +141,7 @@
 func (s *State) Apply(now time.Duration, b Batch) []Event {
 	if s.answered && now-s.lastAnswer > s.Outage {
 		s.returned = now
+		s.renewHolds(now)
 	}
 	s.answered, s.lastAnswer = true, now
 	var events []Event
@@ -141,16 +150,9 @@
 	}
 	if b.Full {
 		events = s.removeMissing(now, b, events)
-		// Items that came and went before the read were never known here, so
-		// followers from before it need everything, too.
-		s.removals.horizon = max(s.removals.horizon, b.Revision)
-	}
-	if b.Revision <= s.revision {
-		// What is dropped at a revision that followers have been told is not told
-		// to them again.
-		return events
+		s.removals.forgetBefore(b)
 	}
-	s.revision = b.Revision
+	s.revision = max(s.revision, b.Revision)
 	return s.expire(now, events)
 }
 
@@ -186,10 +188,7 @@
 		return events
 	}
 	if c.Deleted {
-		if e == nil {
-			return events
-		}
-		return s.remove(now, c.Name, e, c.Revision, events)
+		return s.applyRemoval(now, c, e, events)
 	}
 	if e == nil {
 		e = &entry{}
@@ -197,9 +196,11 @@
 	}
 	before := *e
 	*e = entry{revision: c.Revision, material: before.material, upstream: c.Upstream, usable: c.Err == nil, err: c.Err}
-	if e.usable != before.usable || before.lapsed || isMaterial(before.upstream, e.upstream) {
+	if e.usable != before.usable || before.lapsed() || isMaterial(before.upstream, e.upstream) {
 		e.material = c.Revision
 	}
+	// It may have gone and come back, which the sender has seen and this VM hasn't.
+	e.material = max(e.material, c.Material)
 	switch {
 	case c.Err != nil && (before.usable || before.revision == 0):
 		return append(events, Event{Subject: c.Subject, Name: c.Name, What: "unusable", Err: c.Err})
@@ -217,16 +218,40 @@
 	return events
 }
 
+func (s *State) applyRemoval(now time.Duration, c Change, e *entry, events []Event) []Event {
+	switch {
+	case c.Hold > 0 && c.Err == nil:
+		return s.hold(c, now+c.Hold, events)
+	case e == nil:
+		// A VM that follows this one may still have it.
+		s.drop(now, c.Name, c.Revision)
+		return events
+	}
+	return s.remove(now, c.Name, e, c.Revision, events)
+}
+
 // remove takes an entry away, or keeps it for a while after an outage.
 func (s *State) remove(now time.Duration, name string, e *entry, revision int64, events []Event) []Event {
 	if s.holding(now) && e.usable && !e.upstream.Draining {
-		e.lapsed, e.revision = true, max(e.revision, revision)
-		return append(events, Event{Subject: SubjectUpstream, Name: name, What: "lapsed"})
+		removal := Change{Subject: SubjectUpstream, Name: name, Revision: max(e.revision, revision), Upstream: e.upstream}
+		return s.hold(removal, s.returned+s.LapseHold, events)
 	}
 	s.drop(now, name, revision)
 	return append(events, Event{Subject: SubjectUpstream, Name: name, What: "removed"})
 }
 
+// hold keeps a deleted entry until a time. A hold that is running isn't extended.
+func (s *State) hold(c Change, until time.Duration, events []Event) []Event {
+	if e := s.entries[c.Name]; e != nil && e.lapsed() {
+		e.revision, e.material, e.heldUntil = c.Revision, c.Revision, min(e.heldUntil, until)
+		return events
+	}
+	s.entries[c.Name] = &entry{
+		revision: c.Revision, material: c.Revision, upstream: c.Upstream, usable: true, heldUntil: until,
+	}
+	return append(events, Event{Subject: SubjectUpstream, Name: c.Name, What: "lapsed"})
+}
+
 func (s *State) drop(now time.Duration, name string, revision int64) {
 	delete(s.entries, name)
 	s.removals.add(now, removal{subject: SubjectUpstream, name: name, revision: revision})
@@ -236,14 +261,21 @@
 	return s.returned > 0 && now-s.returned < s.LapseHold
 }
 
-// expire ends the hold of lapsed entries.
-func (s *State) expire(now time.Duration, events []Event) []Event {
-	if s.holding(now) {
-		return events
+// renewHolds starts the holds anew when the store returns once more.
+func (s *State) renewHolds(now time.Duration) {
+	for _, e := range s.entries {
+		if e.lapsed() {
+			e.heldUntil = now + s.LapseHold
+		}
 	}
+}
+
+// expire ends the holds of lapsed entries. Each VM that was told of a hold ends
+// it by itself.
+func (s *State) expire(now time.Duration, events []Event) []Event {
 	for name, e := range s.entries {
-		if e.lapsed {
-			s.drop(now, name, s.revision)
+		if e.lapsed() && now >= e.heldUntil {
+			s.drop(now, name, e.revision)
 			events = append(events, Event{Subject: SubjectUpstream, Name: name, What: "removed"})
 		}
 	}
@@ -266,11 +298,12 @@
 }
 
 func (s *State) endEvacuation(now time.Duration, zone string, revision int64, events []Event) []Event {
-	if _, known := s.evacuated[zone]; !known {
-		return events
-	}
+	_, known := s.evacuated[zone]
 	delete(s.evacuated, zone)
 	s.removals.add(now, removal{subject: SubjectEvacuation, name: zone, revision: revision})
+	if !known {
+		return events
+	}
 	return append(events, Event{Subject: SubjectEvacuation, Name: zone, What: "returned"})
 }
 
@@ -279,12 +312,16 @@
 func (s *State) removeMissing(now time.Duration, b Batch, events []Event) []Event {
 	present := map[string]bool{}
 	for _, c := range b.Changes {
-		if !c.Deleted {
+		if !c.Deleted || c.Hold > 0 {
 			present[c.Subject.String()+"/"+c.Name] = true
 		}
 	}
 	for name, e := range s.entries {
-		if !present[SubjectUpstream.String()+"/"+name] && e.revision <= b.Revision && !e.lapsed {
+		switch {
+		case present[SubjectUpstream.String()+"/"+name] || e.revision > b.Revision:
+		case e.lapsed():
+			e.revision, e.material = b.Revision, b.Revision
+		default:
 			events = s.remove(now, name, e, b.Revision, events)
 		}
 	}
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -132,46 +132,108 @@
 	}
 }
 
-// TestFollowerEndsWithTheSameView lets a VM follow another one that reads a
-// random history, with reads of its own in between.
+// follow lets a follower ask its leader once.
+func follow(now time.Duration, follower, leader *State) {
+	follower.Apply(now, leader.Since(now, follower.Revision()))
+}
+
+func TestFollowerEndsTheHoldOfALapsedEntry(t *testing.T) {
+	leader, follower := started(t, upstream("a", 11)), started(t, upstream("a", 11))
+	back := 5 * time.Second
+	leader.Apply(back, Batch{Changes: []Change{removed("a", 25)}, Revision: 25})
+	follower.Apply(back, Batch{Revision: 24, Age: 0})
+	follow(back+time.Second, follower, leader)
+	expectIDs(t, follower, "a")
+	// The follower reads the store itself, which doesn't repeat the removal, and
+	// is ahead of its leader when that drops the entry.
+	follower.Apply(back+1500*time.Millisecond, Batch{Revision: 40})
+	leader.Apply(back+lapseHold, Batch{Revision: 30})
+	expectIDs(t, leader)
+	follow(back+lapseHold+time.Second, follower, leader)
+	expectIDs(t, follower)
+}
+
+func TestRemovalDuringAFullReadReachesFollowers(t *testing.T) {
+	leader, follower := started(t, upstream("a", 11)), started(t, upstream("a", 11))
+	// The later pages of a full read of revision 30 lack what went at 31.
+	leader.Apply(2*time.Second, Batch{Changes: []Change{config(5, 10)}, Revision: 30, Full: true})
+	leader.Apply(3*time.Second, Batch{Changes: []Change{removed("a", 31)}, Revision: 32})
+	follower.Apply(3*time.Second, Batch{Revision: 30})
+	follow(4*time.Second, follower, leader)
+	expectIDs(t, follower)
+}
+
+func TestFollowerFromBeforeAFullReadIsToldEverythingForGood(t *testing.T) {
+	leader, follower := started(t, upstream("a", 11)), started(t, upstream("a", 11))
+	leader.Apply(2*time.Second, Batch{Changes: []Change{removed("a", 21)}, Revision: 22})
+	follower.Apply(3*time.Second, Batch{Changes: []Change{removed("a", 21), upstream("b", 23)}, Revision: 24})
+	leader.Apply(3*time.Second, Batch{Changes: []Change{config(5, 10), upstream("c", 28)}, Revision: 30, Full: true})
+	for at := 4 * time.Second; at <= 40*time.Second; at += 2 * time.Second {
+		leader.Apply(at, Batch{Revision: 30})
+		follower.Apply(at, Batch{Revision: 24})
+	}
+	// The removal of a is forgotten, which is older than the full read.
+	leader.Apply(40*time.Second, Batch{Changes: []Change{removed("c", 31)}, Revision: 31})
+	follow(41*time.Second, follower, leader)
+	expectIDs(t, follower)
+}
+
+func TestReturnOfAnEntryPassesThroughAVMThatMissedItsAbsence(t *testing.T) {
+	first, second, third := started(t, upstream("a", 11)), started(t, upstream("a", 11)), started(t, upstream("a", 11))
+	third.Apply(2*time.Second, Batch{Changes: []Change{removed("a", 21)}, Revision: 21})
+	expectIDs(t, third)
+	first.Apply(2*time.Second, Batch{Changes: []Change{removed("a", 21), upstream("a", 22)}, Revision: 23})
+	follow(2*time.Second, second, first)
+	follow(3*time.Second, third, second)
+	expectIDs(t, third, "a")
+}
+
+// TestFollowerEndsWithTheSameView lets VMs read a random history from the store
+// or from each other, and then each follow the one before it in a row.
 func TestFollowerEndsWithTheSameView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &history{items: map[string]Change{}}
-		leader, follower := NewState(outage, lapseHold), NewState(outage, lapseHold)
+		vms := []*State{NewState(outage, lapseHold), NewState(outage, lapseHold), NewState(outage, lapseHold)}
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
-			case 0, 1:
+			if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
 				store.write(t)
-			case 2, 3:
-				leader.Apply(now, store.since(leader.Revision(), rapid.Bool().Draw(t, "full")))
-			case 4:
-				follower.Apply(now, leader.Since(follower.Revision()))
-			case 5:
-				follower.Apply(now, store.since(follower.Revision(), rapid.Bool().Draw(t, "full")))
+				continue
+			}
+			vm := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "vm")]
+			if leader := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "leader")]; leader != vm {
+				follow(now, vm, leader)
+			} else {
+				vm.Apply(now, store.read(t, vm.Revision()))
 			}
 		}
-		// Quiet times: the leader reads once more and what had lapsed is dropped.
+		// Quiet times: the first reads the store and what had lapsed is dropped.
 		for range 8 {
 			now += time.Second
 			store.rev++ // heartbeats
-			leader.Apply(now, store.since(leader.Revision(), false))
-			follower.Apply(now, leader.Since(follower.Revision()))
+			vms[0].Apply(now, store.since(vms[0].Revision(), false))
+			follow(now, vms[1], vms[0])
+			follow(now, vms[2], vms[1])
 		}
-		a, b := leader.View(), follower.View()
-		if (a == nil) != (b == nil) {
-			t.Fatalf("views are %v and %v", a, b)
-		}
-		if a == nil {
-			return
-		}
-		if a.Table.Config.Version != b.Table.Config.Version || !reflect.DeepEqual(a.Upstreams, b.Upstreams) || !maps.Equal(a.Evacuated, b.Evacuated) {
-			t.Fatalf("leader knows %v %v, follower %v %v", a.Upstreams, a.Evacuated, b.Upstreams, b.Evacuated)
+		for _, vm := range vms[1:] {
+			expectSameView(t, vms[0].View(), vm.View())
 		}
 	})
 }
 
+func expectSameView(t *rapid.T, a, b *View) {
+	if (a == nil) != (b == nil) {
+		t.Fatalf("views are %v and %v", a, b)
+	}
+	if a == nil {
+		return
+	}
+	if a.Table.Config.Version != b.Table.Config.Version || !reflect.DeepEqual(a.Upstreams, b.Upstreams) || !maps.Equal(a.Evacuated, b.Evacuated) {
+		t.Fatalf("leader knows %v %v, follower %v %v", a.Upstreams, a.Evacuated, b.Upstreams, b.Evacuated)
+	}
+}
+
 // history is a store of a few items.
 type history struct {
 	rev    int64
@@ -208,6 +270,31 @@
 	h.events = append(h.events, c)
 }
 
+// read returns changes or everything. The pages of a full read aren't a
+// snapshot: something may be written between them.
+func (h *history) read(t *rapid.T, after int64) Batch {
+	full := rapid.Bool().Draw(t, "full") || after == 0
+	if !full || !rapid.Bool().Draw(t, "torn") {
+		return h.since(after, full)
+	}
+	first := h.since(0, true)
+	h.write(t)
+	second := h.since(0, true)
+	b := Batch{Revision: first.Revision, Full: true}
+	boundary := fmt.Sprintf("u%d", rapid.IntRange(0, 4).Draw(t, "boundary"))
+	for _, c := range first.Changes {
+		if c.Name < boundary {
+			b.Changes = append(b.Changes, c)
+		}
+	}
+	for _, c := range second.Changes {
+		if c.Name >= boundary {
+			b.Changes = append(b.Changes, c)
+		}
+	}
+	return b
+}
+
 func (h *history) since(after int64, full bool) Batch {
 	b := Batch{Revision: h.rev, Full: full || after == 0}
 	if b.Full {
--- a/internal/core/feed/since.go
+++ b/internal/core/feed/since.go
@@ -30,11 +30,21 @@
 	x.at = now
 	r.list = append(r.list, x)
 	for len(r.list) > 0 && now-r.list[0].at > removalMemory {
-		r.horizon = r.list[0].revision
+		r.horizon = max(r.horizon, r.list[0].revision)
 		r.list = r.list[1:]
 	}
 }
 
+// forgetBefore notes a full read. Items that came and went before it were never
+// known here, so followers from before it need everything, too. Its later pages
+// may be newer than its revision.
+func (r *removals) forgetBefore(full Batch) {
+	r.horizon = max(r.horizon, full.Revision)
+	for _, c := range full.Changes {
+		r.horizon = max(r.horizon, c.Revision)
+	}
+}
+
 // isMaterial reports whether an announcement says more than that its instance is
 // still there.
 func isMaterial(old, u routetable.Upstream) bool {
@@ -45,9 +55,9 @@
 	return u != old
 }
 
-// Since returns what a VM that knows the state at a revision lacks. Heartbeats
-// are left out.
-func (s *State) Since(after int64) Batch {
+// Since returns what a VM that knows the state at a revision lacks at now.
+// Heartbeats are left out.
+func (s *State) Since(now time.Duration, after int64) Batch {
 	b := Batch{Revision: s.revision, Full: after == 0 || after < s.removals.horizon}
 	if b.Full {
 		after = 0
@@ -58,9 +68,14 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
 		if e := s.entries[name]; e.material > after {
-			b.Changes = append(b.Changes, Change{
-				Subject: SubjectUpstream, Name: name, Revision: e.revision, Upstream: e.upstream, Err: e.err,
-			})
+			c := Change{
+				Subject: SubjectUpstream, Name: name, Revision: e.revision, Material: e.material,
+				Upstream: e.upstream, Err: e.err,
+			}
+			if e.lapsed() {
+				c.Deleted, c.Hold = true, max(e.heldUntil-now, time.Nanosecond)
+			}
+			b.Changes = append(b.Changes, c)
 		}
 	}
 	for _, zone := range slices.Sorted(maps.Keys(s.evacuated)) {
--- a/internal/fleetlink/follow.go
+++ b/internal/fleetlink/follow.go
@@ -25,7 +25,9 @@
 	Subject  feed.Subject         `json:"s"`
 	Name     string               `json:"n,omitempty"`
 	Revision int64                `json:"r"`
+	Material int64                `json:"m,omitempty"`
 	Deleted  bool                 `json:"d,omitempty"`
+	HoldMs   int64                `json:"h,omitempty"` // 0: not held
 	Config   *routetable.Config   `json:"c,omitempty"`
 	Upstream *routetable.Upstream `json:"u,omitempty"`
 	Error    string               `json:"e,omitempty"`
@@ -42,7 +44,11 @@
 	items := make([]item, 0, len(b.Changes))
 	for _, c := range b.Changes {
 		it := item{Subject: c.Subject, Name: c.Name, Revision: c.Revision, Deleted: c.Deleted, Config: c.Config}
-		if c.Subject == feed.SubjectUpstream && !c.Deleted {
+		it.Material = c.Material
+		if c.Hold > 0 {
+			it.HoldMs = max(c.Hold.Milliseconds(), 1)
+		}
+		if c.Subject == feed.SubjectUpstream && (!c.Deleted || c.Hold > 0) {
 			it.Upstream = &c.Upstream
 		}
 		if c.Err != nil {
@@ -95,6 +101,8 @@
 	b := feed.Batch{Revision: resp.Revision, Full: resp.Full, Age: time.Duration(resp.AgeMs) * time.Millisecond}
 	for _, it := range items {
 		c := feed.Change{Subject: it.Subject, Name: it.Name, Revision: it.Revision, Deleted: it.Deleted, Config: it.Config}
+		c.Material = it.Material
+		c.Hold = time.Duration(it.HoldMs) * time.Millisecond
 		if it.Upstream != nil {
 			c.Upstream = *it.Upstream
 		}
--- a/internal/fleetlink/link_test.go
+++ b/internal/fleetlink/link_test.go
@@ -47,8 +47,9 @@
 		Revision: after + 5, Age: 700 * time.Millisecond,
 		Changes: []feed.Change{
 			{Subject: feed.SubjectConfig, Revision: 1, Config: &routetable.Config{Version: 9}},
-			{Subject: feed.SubjectUpstream, Name: "u", Revision: 2, Upstream: routetable.Upstream{ID: "u", Slots: 2}},
+			{Subject: feed.SubjectUpstream, Name: "u", Revision: 2, Material: 1, Upstream: routetable.Upstream{ID: "u", Slots: 2}},
 			{Subject: feed.SubjectUpstream, Name: "w", Revision: 3, Deleted: true},
+			{Subject: feed.SubjectUpstream, Name: "x", Revision: 4, Deleted: true, Hold: time.Second, Upstream: routetable.Upstream{ID: "x"}},
 		},
 	}, true
 }
@@ -102,12 +103,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b.Revision != 15 || b.Age != 700*time.Millisecond || len(b.Changes) != 3 {
+	if b.Revision != 15 || b.Age != 700*time.Millisecond || len(b.Changes) != 4 {
 		t.Fatalf("batch is %+v", b)
 	}
-	if b.Changes[0].Config.Version != 9 || b.Changes[1].Upstream.Slots != 2 || !b.Changes[2].Deleted {
+	if b.Changes[0].Config.Version != 9 || b.Changes[1].Upstream.Slots != 2 || b.Changes[1].Material != 1 || !b.Changes[2].Deleted {
 		t.Errorf("changes are %+v", b.Changes)
 	}
+	if held := b.Changes[3]; !held.Deleted || held.Hold != time.Second || held.Upstream.ID != "x" || b.Changes[2].Hold != 0 {
+		t.Errorf("the held upstream is %+v", held)
+	}
 }
 
 func TestFollowFailsWithoutAnAnswer(t *testing.T) {
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -198,7 +198,7 @@
 		return feed.Batch{}, false
 	}
 	f.mu.Lock()
-	b := f.state.Since(after)
+	b := f.state.Since(f.now(), after)
 	f.mu.Unlock()
 	b.Age = f.Age()
 	return b, true
