Refuse keys of a broken file whose last right content is unknown

The earlier trace (one VM behind its peers, exchanges that compare the newest revision only) was wrong: at the failure all nine VMs hold the same states, and digests do cover them. Ruled out: lost or fruitless exchanges (same digest everywhere); a wrong check (the service is back for 4 s, the bound is 3 s). Change: an earlier content carries the version through which it is known to be the last right one; if versions before the broken content went by unseen, its keys get 503 until a VM tells more or the file is right, and a problem names the versions. The oracle test checks the keys in force against the whole history.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -85,7 +85,11 @@
 		r.service = service
 		return nil
 	}
-	customer := cat.CustomerByKeyHash(keys.Hash(key))
+	hash := keys.Hash(key)
+	if cat.KeyUnconfirmed(hash) {
+		return verdict.Refuse(verdict.CodeNotReady, unconfirmedRetryAfter, "The configuration file with this key is broken, and an earlier version that this VM doesn't know may have withdrawn the key.")
+	}
+	customer := cat.CustomerByKeyHash(hash)
 	if customer == nil {
 		return verdict.Refuse(verdict.CodeUnknownKey, 0, "The key is missing, unknown or withdrawn.")
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -28,6 +28,10 @@
 // daemon can take the request at once.
 const restartRetryAfter = time.Second
 
+// unconfirmedRetryAfter is the advice while it isn't known whether a key was
+// withdrawn. Other daemons may know, and these exchange every half second.
+const unconfirmedRetryAfter = time.Second
+
 // Config gives the newest configuration.
 type Config interface {
 	// Catalog returns the catalog in force at now, or nil when this daemon has
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -85,13 +85,13 @@
 
 func filesToWire(in []catalog.Published) []*peerv1.File {
 	return convert(in, func(f catalog.Published) *peerv1.File {
-		return &peerv1.File{Name: f.Name, Revision: f.Revision, Content: f.Content, Publisher: f.Publisher}
+		return &peerv1.File{Name: f.Name, Revision: f.Revision, Content: f.Content, Publisher: f.Publisher, Through: f.Through}
 	})
 }
 
 func filesFromWire(in []*peerv1.File) []catalog.Published {
 	return convert(in, func(f *peerv1.File) catalog.Published {
-		return catalog.Published{Name: f.GetName(), Revision: f.GetRevision(), Content: f.GetContent(), Publisher: f.GetPublisher()}
+		return catalog.Published{Name: f.GetName(), Revision: f.GetRevision(), Content: f.GetContent(), Publisher: f.GetPublisher(), Through: f.GetThrough()}
 	})
 }
 
--- a/internal/core/catalog/accept.go
+++ b/internal/core/catalog/accept.go
@@ -112,7 +112,7 @@
 		}
 		e := &entry{newest: newest}
 		if newest.fragment == nil {
-			e.before = later(a.stateBefore(id), offeredBefore(id, offered[id.Name]))
+			e.before = later(a.stateBefore(id), offeredBefore(id, offered[id.Name])).until(id.Revision)
 		}
 		entries[id.Name] = e
 	}
@@ -139,9 +139,9 @@
 	case e != nil && e.newest.published.Revision == id.Revision:
 		return e.before
 	case e != nil:
-		return e.state()
+		return e.state(a.version)
 	case a.version > 0:
-		return &earlier{asOf: a.version}
+		return &earlier{asOf: a.version, through: a.version}
 	}
 	return nil
 }
@@ -159,30 +159,31 @@
 }
 
 func offeredState(p Published) *earlier {
+	through := max(p.Through, p.Revision)
 	if len(p.Content) == 0 {
-		return &earlier{asOf: p.Revision}
+		return &earlier{asOf: p.Revision, through: through}
 	}
 	c := parseContent(p)
 	if c.fragment == nil {
 		return nil
 	}
-	return &earlier{asOf: p.Revision, content: c}
+	return &earlier{asOf: p.Revision, through: through, content: c}
 }
 
 func sameStates(a, b map[string]*entry) bool {
 	for name, e := range a {
-		if asOf(e.before) != asOf(b[name].before) {
+		if !e.before.same(b[name].before) {
 			return false
 		}
 	}
 	return true
 }
 
-func asOf(s *earlier) uint64 {
-	if s == nil {
-		return 0
+func (s *earlier) same(other *earlier) bool {
+	if s == nil || other == nil {
+		return s == other
 	}
-	return s.asOf
+	return s.asOf == other.asOf && s.through == other.through
 }
 
 func (a *Acceptor) accept(version uint64, entries map[string]*entry) Decision {
@@ -226,15 +227,21 @@
 func (a *Acceptor) merge(version uint64, entries map[string]*entry) (*Catalog, []Problem) {
 	var fragments []*fragment
 	var problems []Problem
+	unconfirmed := make(map[string]bool)
 	for _, name := range sortedKeys(entries) {
 		e := entries[name]
 		problems = append(problems, e.newest.problems...)
 		if c := e.inForce(); c != nil {
 			fragments = append(fragments, c.fragment)
+			if !e.confirmed() {
+				unconfirmed[name] = true
+				problems = append(problems, e.unconfirmedProblem())
+			}
 		}
 	}
 	a.set = a.set.refresh(fragments)
 	c, ps := mergeFragments(version, fragments, a.set)
+	c.markUnconfirmed(fragments, unconfirmed)
 	problems = append(problems, ps...)
 	sortProblems(problems)
 	return c, problems
--- a/internal/core/catalog/accept_test.go
+++ b/internal/core/catalog/accept_test.go
@@ -95,7 +95,8 @@
 }
 
 // TestAccept runs the tables. "publish" writes files (an empty one deletes),
-// "read" and "pull" offer a version to a daemon.
+// "read" and "pull" offer a version to a daemon, "key" tells whether it accepts a
+// key.
 func TestAccept(t *testing.T) {
 	datadriven.Walk(t, "testdata/accept", func(t *testing.T, path string) {
 		h := newHistory()
@@ -124,6 +125,10 @@
 					o.Files = nil
 				}
 				return renderDecision(daemons[name].Offer(o))
+			case "key":
+				hash := strings.Repeat(d.CmdArgs[1].Key, 64)
+				cat := daemons[name].Catalog()
+				return fmt.Sprintf("in force %v, unconfirmed %v\n", cat.CustomerByKeyHash(hash) != nil, cat.KeyUnconfirmed(hash))
 			case "pull":
 				from := d.CmdArgs[1].Key
 				set := daemons[from].Files()
--- a/internal/core/catalog/entry.go
+++ b/internal/core/catalog/entry.go
@@ -23,6 +23,9 @@
 // before has the smaller.
 type earlier struct {
 	asOf uint64
+	// through is the last folder version of which it is known that no right
+	// content came after this state.
+	through uint64
 	// content is nil when the file was absent.
 	content *content
 }
@@ -53,20 +56,46 @@
 	return 0
 }
 
-// state returns the state that e stands for once a newer content arrives.
-func (e *entry) state() *earlier {
-	if e.newest.fragment != nil {
-		return &earlier{asOf: e.newest.published.Revision, content: e.newest}
+// confirmed tells whether the content in force is the last right one. It may not
+// be if versions before a wrong content went by unseen: these may have held a
+// right one.
+func (e *entry) confirmed() bool {
+	return e.newest.fragment != nil || e.before != nil && e.before.through+1 >= e.newest.published.Revision
+}
+
+func (e *entry) unconfirmedProblem() Problem {
+	return heldItem(e.newest.published.Name, "customers",
+		"the keys of the earlier content are refused, since one of the versions %d to %d, which no daemon is known to have seen, may have withdrawn them",
+		e.before.through+1, e.newest.published.Revision-1)
+}
+
+// state returns the state that e stands for once a newer content arrives. The
+// version is the last one in which e was the newest.
+func (e *entry) state(version uint64) *earlier {
+	switch {
+	case e.newest.fragment != nil:
+		return &earlier{asOf: e.newest.published.Revision, through: version, content: e.newest}
+	case e.before != nil && e.confirmed():
+		return &earlier{asOf: e.before.asOf, through: version, content: e.before.content}
 	}
 	return e.before
 }
 
+// until returns s as the state before a content of the given revision: what is
+// known of later versions doesn't matter.
+func (s *earlier) until(revision uint64) *earlier {
+	if s == nil || s.through < revision {
+		return s
+	}
+	return &earlier{asOf: s.asOf, through: revision - 1, content: s.content}
+}
+
 // later returns the state that counts further on in the folder's history.
 func later(a, b *earlier) *earlier {
 	switch {
 	case a == nil:
 		return b
-	case b == nil || a.asOf >= b.asOf:
+	case b == nil || a.asOf > b.asOf || a.asOf == b.asOf && a.through >= b.through:
 		return a
 	}
 	return b
--- a/internal/core/catalog/file.go
+++ b/internal/core/catalog/file.go
@@ -13,6 +13,9 @@
 	Revision uint64
 	// Publisher names who published the content, where known.
 	Publisher string
+	// Through is set for an earlier content that a daemon keeps: the folder version
+	// through which it is known to be the last right one.
+	Through uint64
 	// Content is the file itself.
 	Content []byte
 }
--- a/internal/core/catalog/fileset.go
+++ b/internal/core/catalog/fileset.go
@@ -38,9 +38,11 @@
 
 func (s *earlier) asPublished(name string) Published {
 	if s.content != nil {
-		return s.content.published
+		p := s.content.published
+		p.Through = s.through
+		return p
 	}
-	return Published{Name: name, Revision: s.asOf}
+	return Published{Name: name, Revision: s.asOf, Through: s.through}
 }
 
 func (s *FileSet) digest() string {
@@ -51,6 +53,8 @@
 		_, _ = h.WriteString(p.Name + "\n")
 		binary.LittleEndian.PutUint64(number[:], p.Revision)
 		_, _ = h.Write(number[:])
+		binary.LittleEndian.PutUint64(number[:], p.Through)
+		_, _ = h.Write(number[:])
 	}
 	return fmt.Sprintf("%016x", h.Sum64())
 }
@@ -64,7 +68,8 @@
 	return out
 }
 
-// Lacking returns the contents that are not among have.
+// Lacking returns the contents that are not among have. Earlier contents are
+// always among them, since have doesn't say through which version they are known.
 func (s *FileSet) Lacking(have []FileRevision) []Published {
 	known := make(map[FileRevision]bool, len(have))
 	for _, id := range have {
@@ -72,7 +77,7 @@
 	}
 	var out []Published
 	for _, p := range s.Contents {
-		if !known[p.ID()] {
+		if p.Through > 0 || !known[p.ID()] {
 			out = append(out, p)
 		}
 	}
--- a/internal/core/catalog/history_test.go
+++ b/internal/core/catalog/history_test.go
@@ -146,9 +146,67 @@
 	if got := d.acceptor.Catalog(); got.Digest != want.Digest {
 		return fmt.Errorf("version %d has another content than expected: %v", got.Version, Diff(want, got))
 	}
+	return d.checkKeys(h)
+}
+
+// checkKeys compares the keys of wrong files with the whole history: a key that an
+// unseen version withdrew is unconfirmed, and one that nothing can have withdrawn
+// isn't.
+func (d *daemon) checkKeys(h *history) error {
+	cat := d.acceptor.Catalog()
+	doubtful := map[string]bool{}
+	for _, p := range d.model.inForce(h) {
+		newest := h.versions[d.model.version()].files[p.Name]
+		if newest.Revision == p.Revision {
+			continue
+		}
+		last := h.lastRight(newest)
+		for hash := range keysOf(p) {
+			if !last[hash] && !cat.KeyUnconfirmed(hash) {
+				return fmt.Errorf("key %s of %s is in force though it was withdrawn", hash[:hashPrefix], p.Name)
+			}
+			before := newest.Revision - 1
+			if content, ok := h.versions[before].files[p.Name]; !d.model.known[before] || ok && isWrong(content) {
+				doubtful[hash] = true
+			}
+		}
+	}
+	for hash := range cat.unconfirmed {
+		if !doubtful[hash] {
+			return fmt.Errorf("key %s is unconfirmed though its last version is known", hash[:hashPrefix])
+		}
+	}
 	return nil
 }
 
+// lastRight returns the keys of the last state in which a file was right or absent
+// before its wrong content.
+func (h *history) lastRight(wrong Published) map[string]bool {
+	for v := wrong.Revision - 1; v > 0; v-- {
+		if p, present := h.versions[v].files[wrong.Name]; !present || !isWrong(p) {
+			return keysOf(p)
+		}
+	}
+	return nil
+}
+
+func isWrong(p Published) bool {
+	_, problems := parseFile(p.Name, p.Content)
+	return len(problems) > 0
+}
+
+func keysOf(p Published) map[string]bool {
+	keys := map[string]bool{}
+	if f, _ := parseFile(p.Name, p.Content); f != nil {
+		for _, c := range f.customers {
+			for _, hash := range c.KeyHashes {
+				keys[hash] = true
+			}
+		}
+	}
+	return keys
+}
+
 // exercise runs one random history over three daemons and returns the first
 // difference from the oracle. Choose returns a number below n.
 func exercise(p policy, steps int, choose func(n int) int, draw func() []byte) error {
--- a/internal/core/catalog/model.go
+++ b/internal/core/catalog/model.go
@@ -23,6 +23,8 @@
 	// keyOwner maps the hash of a key to the customer's name. A hash that two
 	// customers list belongs to the customer of the first file.
 	keyOwner map[string]string
+	// unconfirmed holds hashes of keys that may have been withdrawn.
+	unconfirmed map[string]bool
 }
 
 // Customer is one tenant with its keys and its limit.
@@ -93,6 +95,26 @@
 	Out bool
 }
 
+// KeyUnconfirmed tells whether a version that this daemon doesn't know may have
+// withdrawn the key with the given hexadecimal SHA-256 digest: the file that lists
+// it is wrong, and its earlier content in force may not be the last right one.
+func (c *Catalog) KeyUnconfirmed(hash string) bool { return c.unconfirmed[hash] }
+
+// markUnconfirmed marks the keys of the named files.
+func (c *Catalog) markUnconfirmed(fragments []*fragment, files map[string]bool) {
+	c.unconfirmed = make(map[string]bool)
+	for _, f := range fragments {
+		if !files[f.file] {
+			continue
+		}
+		for _, spec := range f.customers {
+			for _, hash := range spec.KeyHashes {
+				c.unconfirmed[hash] = true
+			}
+		}
+	}
+}
+
 // CustomerByKeyHash returns the customer that owns the key with the given
 // hexadecimal SHA-256 digest, or nil.
 func (c *Catalog) CustomerByKeyHash(hash string) *Customer {
--- a/internal/soak/query.go
+++ b/internal/soak/query.go
@@ -63,7 +63,12 @@
 		q.refuse(verdict.Refuse(verdict.CodeNotReady, time.Second, "no view"))
 		return
 	}
-	customer := cat.CustomerByKeyHash(keys.Hash(q.key))
+	hash := keys.Hash(q.key)
+	if cat.KeyUnconfirmed(hash) {
+		q.refuse(verdict.Refuse(verdict.CodeNotReady, time.Second, "key unconfirmed"))
+		return
+	}
+	customer := cat.CustomerByKeyHash(hash)
 	if customer == nil {
 		q.refuse(verdict.Refuse(verdict.CodeUnknownKey, 0, "unknown key"))
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// TestSeedsThatFailed replays seeds that once violated something.
+func TestSeedsThatFailed(t *testing.T) {
+	for _, c := range []struct {
+		seed  uint64
+		steps int
+		cause string
+	}{
+		{104729, 3400, "a stale service hid a key's withdrawal until the file was broken"},
+	} {
+		if r := Run(c.seed, c.steps); r.Violations > 0 {
+			t.Errorf("seed %d (%s): %v", c.seed, c.cause, r.Reports)
+		}
+	}
+}
+
 func TestSameSeedSameLine(t *testing.T) {
 	if a, b := Run(7, 600), Run(7, 600); a.Last() != b.Last() || a.Refusals != b.Refusals {
 		t.Fatalf("two runs differ: %q and %q", a.Last(), b.Last())
