Keep a customer's rate for requests that can still be answered in time

Each repeat took a token that a first attempt could have used in time. Ruled out: slow upstreams as the cause of the lateness (p99 of first attempts is within the objective); longer Retry-After (callers wait a third of their time at most). Change: core/timeliness learns the usual time budgets of a route and tells how long the caller of an attempt has waited; while a customer's demand is above its rate, an attempt that is past its route's objective gets a token only if the pool is well filled. Routes that are gone are forgotten, also by latencies and weights.

--- /dev/null
+++ b/internal/core/customerrate/callers_test.go
@@ -0,0 +1,120 @@
+package customerrate
+
+import (
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+// callers repeat what is refused, as the users' callers do: when they are told, but
+// after a third of their time at most.
+type callers struct {
+	f *simFleet
+	// tellLate makes VMs learn which attempts are late.
+	tellLate     bool
+	waiting      []attempt
+	inTime, late int
+}
+
+// attempt is one of a request that arrived first at the given time.
+type attempt struct {
+	first, at time.Duration
+	tries     int
+}
+
+const (
+	callerBudget    = 1200 * time.Millisecond
+	callerObjective = 80 * time.Millisecond
+	callerTries     = 3
+)
+
+// run offers new requests at a rate for a while.
+func (c *callers) run(d time.Duration, perSecond float64) {
+	f := c.f
+	for end := f.now + d; f.now < end; {
+		if f.rng.Float64() < perSecond*step.Seconds() {
+			c.try(attempt{first: f.now})
+		}
+		due := c.waiting
+		c.waiting = nil
+		for _, a := range due {
+			if a.at > f.now {
+				c.waiting = append(c.waiting, a)
+				continue
+			}
+			c.try(a)
+		}
+		f.run(step)
+	}
+}
+
+func (c *callers) try(a attempt) {
+	f := c.f
+	spent := f.now - a.first
+	f.offered++
+	ok, retryAfter := f.vms[f.rng.IntN(len(f.vms))].limiter.Admit(f.time(), &f.customer, c.tellLate && spent >= callerObjective)
+	switch {
+	case !ok && a.tries+1 < callerTries:
+		c.waiting = append(c.waiting, attempt{a.first, f.now + min(retryAfter, (callerBudget-spent)/3), a.tries + 1})
+	case !ok:
+	case spent >= callerObjective:
+		f.admitted = append(f.admitted, f.now)
+		c.late++
+	default:
+		f.admitted = append(f.admitted, f.now)
+		c.inTime++
+	}
+}
+
+// TestAboveTheRateRequestsAreAnsweredInTime plays a customer at 1.3 times its rate,
+// whose callers repeat what is refused. Nearly all of the rate goes to requests that
+// are answered in time, and no less of it is used.
+func TestAboveTheRateRequestsAreAnsweredInTime(t *testing.T) {
+	for _, c := range []routetable.Customer{large, small} {
+		play := func(seed uint64, tellLate bool) *callers {
+			f := newSimFleet(t, seed, 9, c)
+			f.run(10 * time.Second)
+			out := &callers{f: f, tellLate: tellLate}
+			out.run(30*time.Second, c.RatePerSecond*1.3)
+			f.checkWindows()
+			return out
+		}
+		var told, untold callers
+		for seed := range uint64(8) {
+			a, b := play(seed, true), play(seed, false)
+			told.inTime, told.late = told.inTime+a.inTime, told.late+a.late
+			untold.inTime, untold.late = untold.inTime+b.inTime, untold.late+b.late
+		}
+		t.Logf("%s: in time %d, late %d; without the order %d, %d", c.Name, told.inTime, told.late, untold.inTime, untold.late)
+		if told.late*20 > told.inTime {
+			t.Errorf("%s: %d of the admitted requests are late, %d in time", c.Name, told.late, told.inTime)
+		}
+		if all, before := told.inTime+told.late, untold.inTime+untold.late; all*100 < before*97 {
+			t.Errorf("%s: %d requests admitted, %d without the order", c.Name, all, before)
+		}
+	}
+}
+
+// TestBelowTheRateLateRequestsAreAdmitted plays customers, one of them with nearly no
+// burst, whose demand was above their rate for two seconds and is half of it again.
+func TestBelowTheRateLateRequestsAreAdmitted(t *testing.T) {
+	flat := routetable.Customer{Name: "flat", RatePerSecond: 122, Burst: 4}
+	for _, customer := range []routetable.Customer{large, small, flat} {
+		f := newSimFleet(t, 1, 9, customer)
+		f.run(10 * time.Second)
+		c := &callers{f: f, tellLate: true}
+		c.run(2*time.Second, customer.RatePerSecond*3)
+		c.run(3*time.Second, customer.RatePerSecond/2)
+		offered, admitted := 0, 0
+		for range 100 {
+			f.offered, f.admitted = 0, nil
+			c.try(attempt{first: f.now - time.Second, tries: callerTries})
+			offered, admitted = offered+f.offered, admitted+len(f.admitted)
+			c.run(500*time.Millisecond, customer.RatePerSecond/2)
+		}
+		if admitted < 95 {
+			t.Errorf("%s: %d of %d late requests admitted below the rate", customer.Name, admitted, offered)
+		}
+	}
+}
--- a/internal/core/customerrate/fleet_test.go
+++ b/internal/core/customerrate/fleet_test.go
@@ -118,7 +118,7 @@
 		return
 	}
 	f.offered++
-	if ok, _ := vm.limiter.Admit(f.time(), &f.customer); ok {
+	if ok, _ := vm.limiter.Admit(f.time(), &f.customer, false); ok {
 		f.admitted = append(f.admitted, f.now)
 	}
 }
--- a/internal/core/customerrate/limiter.go
+++ b/internal/core/customerrate/limiter.go
@@ -147,26 +147,6 @@
 	}
 }
 
-// Admit implements gateway.Limiter.
-func (l *Limiter) Admit(now time.Time, c *routetable.Customer) (bool, time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := l.accounts[c.Name]
-	if a == nil || a.rate <= 0 {
-		return true, 0
-	}
-	a.offered++
-	l.fill(a, now)
-	if a.pool-a.reserve < 1 {
-		if ok, retryAfter := a.local.take(now); !ok {
-			return false, retryAfter
-		}
-	}
-	a.pool--
-	a.admitted++
-	return true, 0
-}
-
 // Learn takes in a report of another VM.
 func (l *Limiter) Learn(now time.Time, r fleet.Report) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/core/timeliness/timeliness.go
@@ -0,0 +1,118 @@
+// Package timeliness tells new requests from repeats of callers that have waited
+// for a while already. A caller tells how long it still waits; first attempts of a
+// route tell the same few figures over and over, repeats tell any lower one.
+//
+// It answers the load of a customer above its rate: what its callers repeat is late
+// in any case, and each token that a repeat gets is missing for a request that could
+// still be answered in time. The package has no I/O.
+package timeliness
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// binsPerOctave makes bins 2.2% wide, which is less than a latency objective
+	// for time budgets of up to twenty times the objective.
+	binsPerOctave = 32
+	// usualShare is the part of a route's requests from which a bin holds a usual
+	// budget. Repeats spread over many bins.
+	usualShare = 0.125
+	// fewRequests is the number below which nothing is known of a route.
+	fewRequests = 16
+	// memory is the number of requests after which counts are halved.
+	memory = 512
+)
+
+// Tracker learns the usual time budgets of routes. It is safe for concurrent use.
+type Tracker struct {
+	mu     sync.Mutex
+	routes map[string]*budgets
+}
+
+// budgets counts the time budgets of one route.
+type budgets struct {
+	total float64
+	bins  map[int]*bin
+}
+
+type bin struct {
+	count   float64
+	longest time.Duration
+}
+
+// NewTracker returns a tracker that knows no route.
+func NewTracker() *Tracker { return &Tracker{routes: map[string]*budgets{}} }
+
+// Keep forgets the routes for which known returns false.
+func (t *Tracker) Keep(known func(route string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for route := range t.routes {
+		if !known(route) {
+			delete(t.routes, route)
+		}
+	}
+}
+
+// Spent counts a request whose caller still waits for left, and returns how long
+// the caller has waited before: 0 for a first attempt, and while too little is known
+// of the route.
+func (t *Tracker) Spent(route string, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.routes[route]
+	if b == nil {
+		b = &budgets{bins: map[int]*bin{}}
+		t.routes[route] = b
+	}
+	own := b.count(left)
+	if b.total < fewRequests || b.isUsual(own) {
+		return 0
+	}
+	usual := time.Duration(math.MaxInt64)
+	for _, other := range b.bins {
+		if other.longest >= left && other.longest < usual && b.isUsual(other) {
+			usual = other.longest
+		}
+	}
+	if usual == math.MaxInt64 {
+		return 0
+	}
+	return usual - left
+}
+
+func (b *budgets) count(left time.Duration) *bin {
+	if b.total >= memory {
+		b.halve()
+	}
+	key := int(math.Floor(math.Log2(left.Seconds()) * binsPerOctave))
+	own := b.bins[key]
+	if own == nil {
+		own = &bin{}
+		b.bins[key] = own
+	}
+	own.count++
+	own.longest = max(own.longest, left)
+	b.total++
+	return own
+}
+
+func (b *budgets) halve() {
+	b.total = 0
+	for key, x := range b.bins {
+		x.count /= 2
+		if x.count < 1 {
+			delete(b.bins, key)
+			continue
+		}
+		b.total += x.count
+	}
+}
+
+func (b *budgets) isUsual(x *bin) bool { return x.count >= usualShare*b.total }
--- /dev/null
+++ b/internal/core/timeliness/timeliness_test.go
@@ -0,0 +1,72 @@
+package timeliness
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// learn plays first attempts with the given budgets, less some milliseconds for new
+// connections, and repeats of a part of them.
+func learn(t *Tracker, rng *rand.Rand, requests int, repeats float64, first ...time.Duration) {
+	for range requests {
+		budget := first[rng.IntN(len(first))]
+		t.Spent("r", budget-time.Duration(rng.IntN(3))*4*ms)
+		if rng.Float64() < repeats {
+			t.Spent("r", time.Duration(float64(budget)*(0.5+0.4*rng.Float64())))
+		}
+	}
+}
+
+func TestRepeatsHaveSpentTime(t *testing.T) {
+	for _, repeats := range []float64{0, 0.3, 1} {
+		tr := NewTracker()
+		learn(tr, rand.New(rand.NewPCG(1, 1)), 400, repeats, 1200*ms)
+		for left, want := range map[time.Duration]time.Duration{1200 * ms: 0, 1192 * ms: 0, 900 * ms: 300 * ms, 400 * ms: 800 * ms} {
+			if got := tr.Spent("r", left); got < want-10*ms || got > want+10*ms {
+				t.Errorf("with %v of the requests repeated, %v left: %v spent, want %v", repeats, left, got, want)
+			}
+		}
+	}
+}
+
+func TestShorterBudgetsOfOtherCallersAreNotRepeats(t *testing.T) {
+	tr := NewTracker()
+	learn(tr, rand.New(rand.NewPCG(1, 1)), 400, 0.3, 1200*ms, 600*ms, 5*time.Second)
+	for _, left := range []time.Duration{1200 * ms, 596 * ms, 5 * time.Second} {
+		if got := tr.Spent("r", left); got > 10*ms {
+			t.Errorf("%v left: %v spent, want none", left, got)
+		}
+	}
+	if got := tr.Spent("r", 500*ms); got < 90*ms || got > 110*ms {
+		t.Errorf("500 ms left: %v spent, want 100 ms", got)
+	}
+}
+
+func TestNothingIsSpentBeforeMuchIsKnown(t *testing.T) {
+	tr := NewTracker()
+	for range fewRequests - 2 {
+		tr.Spent("r", 1200*ms)
+	}
+	if got := tr.Spent("r", 500*ms); got != 0 {
+		t.Errorf("%v spent, want none", got)
+	}
+	if got := tr.Spent("other", 500*ms); got != 0 {
+		t.Errorf("%v spent on a new route, want none", got)
+	}
+}
+
+func TestChangedBudgetsBecomeUsual(t *testing.T) {
+	tr, rng := NewTracker(), rand.New(rand.NewPCG(1, 1))
+	learn(tr, rng, 600, 0, 1200*ms)
+	learn(tr, rng, 200, 0, 600*ms)
+	if got := tr.Spent("r", 600*ms); got != 0 {
+		t.Errorf("%v spent, want none", got)
+	}
+	tr.Keep(func(string) bool { return false })
+	if got := tr.Spent("r", 300*ms); got != 0 || len(tr.routes) != 1 {
+		t.Errorf("%v spent on a forgotten route, %d routes", got, len(tr.routes))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
 	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/core/timeliness"
 	"ryecourse.example/ryecourse/internal/eventlog"
 	"ryecourse.example/ryecourse/internal/exchange"
 )
@@ -51,8 +52,9 @@
 
 // Limiter admits customers' requests within their rates.
 type Limiter interface {
-	// Admit takes a token. If there is none, it returns when to come back.
-	Admit(now time.Time, c *routetable.Customer) (ok bool, retryAfter time.Duration)
+	// Admit takes a token. If there is none, it returns when to come back. Late
+	// requests can't be answered in time any more.
+	Admit(now time.Time, c *routetable.Customer, late bool) (ok bool, retryAfter time.Duration)
 }
 
 // Knowledge is what the VM knows from the metadata store.
@@ -95,7 +97,9 @@
 
 	stopping  atomic.Bool
 	latencies sync.Map // route name to *fanout.Latency
+	spent     *timeliness.Tracker
 	weights   weighted
+	table     *routetable.Table // of the last Update
 }
 
 // Parts are what a Gateway is built of.
@@ -117,6 +121,7 @@
 	return &Gateway{
 		policy: p.Policy, headers: p.Headers, knowledge: p.Knowledge, limiter: p.Limiter,
 		picker: p.Picker, budget: p.Budget, pools: p.Pools, log: p.Log, metrics: p.Metrics,
+		spent:   timeliness.NewTracker(),
 		weights: weighted{rand: p.Rand, credit: map[string][]float64{}},
 	}
 }
@@ -124,6 +129,28 @@
 // Stop makes further answers ask callers to close their connections.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// Update forgets what it knows of routes that a new configuration doesn't have. It
+// isn't safe for concurrent use with itself.
+func (g *Gateway) Update(t *routetable.Table) {
+	if t == g.table {
+		return
+	}
+	g.table = t
+	known := map[string]bool{}
+	for i := range t.Config.Routes {
+		known[t.Config.Routes[i].Name] = true
+	}
+	keep := func(route string) bool { return known[route] }
+	g.spent.Keep(keep)
+	g.weights.keep(keep)
+	g.latencies.Range(func(route, _ any) bool {
+		if !keep(route.(string)) {
+			g.latencies.Delete(route)
+		}
+		return true
+	})
+}
+
 // latencyOf returns the estimate of the route's attempts.
 func (g *Gateway) latencyOf(route string) *fanout.Latency {
 	if l, ok := g.latencies.Load(route); ok {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -19,7 +19,9 @@
 	viewAge  time.Duration
 	route    *routetable.Route
 	customer *routetable.Customer
-	body     []byte
+	// spent is how long the caller has waited before this attempt.
+	spent time.Duration
+	body  []byte
 }
 
 // rejection ends a request before it is forwarded.
@@ -59,6 +61,7 @@
 		}
 		return &rejection{reason: ReasonNoRoute}
 	}
+	in.spent = g.spent.Spent(in.route.Name, in.meta.Budget)
 	if rej := g.authenticate(in, stale); rej != nil {
 		return rej
 	}
@@ -66,13 +69,19 @@
 		return rej
 	}
 	if in.customer != nil {
-		if ok, retryAfter := g.limiter.Admit(in.started, in.customer); !ok {
+		if ok, retryAfter := g.limiter.Admit(in.started, in.customer, in.isLate()); !ok {
 			return &rejection{ReasonRate, retryAfter}
 		}
 	}
 	return nil
 }
 
+// isLate reports whether the caller has waited for longer than its route's latency
+// objective.
+func (in *incoming) isLate() bool {
+	return in.route.Objective > 0 && in.spent >= in.route.Objective
+}
+
 func (g *Gateway) authenticate(in *incoming, stale bool) *rejection {
 	if in.route.Public {
 		return nil
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -97,6 +97,9 @@
 	if in.customer != nil {
 		e.Str("customer", in.customer.Name)
 	}
+	if in.spent > 0 {
+		e.Dur("waited_before_ms", in.spent)
+	}
 	if r.shards > 0 {
 		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges).
 			Int("denied", r.denied).Int("unplaced", r.unplaced)
--- a/internal/gateway/weighted.go
+++ b/internal/gateway/weighted.go
@@ -16,6 +16,17 @@
 	credit map[string][]float64 // by route
 }
 
+// keep forgets the routes for which known returns false.
+func (w *weighted) keep(known func(route string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for route := range w.credit {
+		if !known(route) {
+			delete(w.credit, route)
+		}
+	}
+}
+
 func (w *weighted) next(r *routetable.Route) string {
 	if len(r.Targets) == 1 {
 		return r.Targets[0].Service
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -154,6 +154,7 @@
 // apply puts a new view in force.
 func (d *Daemon) apply(v *feed.View) {
 	d.limiter.Update(time.Now(), v.Table.Config.Customers)
+	d.gateway.Update(v.Table)
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 }
