Weigh rejections of idle upstreams by how many repeats are left

Change: an instance that rejects though it told a free slot gets a penalty that counts more the fewer repeats are left, and is bounded.

--- /dev/null
+++ b/internal/core/placement/load_test.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/retrybudget"
+)
+
+// The load: a shard with one sound instance and two that reject two in five of
+// their requests, at two thirds of what the sound one can do. VMs may repeat one in
+// six requests.
+const (
+	loadVMs       = 8
+	loadSlots     = 3
+	loadWork      = 15 * time.Millisecond
+	loadPerSecond = 130
+	loadObjective = 60 * time.Millisecond
+	loadRequests  = 8000
+	rejectShare   = 0.4
+)
+
+type shardEvent struct {
+	at time.Duration
+	do func()
+}
+
+type shardEvents []shardEvent
+
+func (h shardEvents) Len() int           { return len(h) }
+func (h shardEvents) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h shardEvents) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *shardEvents) Push(x any)        { *h = append(*h, x.(shardEvent)) }
+func (h *shardEvents) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// shardWorld plays the requests of several VMs to one shard.
+type shardWorld struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   shardEvents
+	pickers  []*Picker
+	budgets  []*retrybudget.Budget
+	free     map[string][]time.Duration // when each slot of an instance is free
+	scarcity func(b *retrybudget.Budget) float64
+	// silent instances tell no load when they reject, so that they count as full.
+	silent bool
+
+	inTime, late, failed int
+}
+
+func newShardWorld(scarcity func(b *retrybudget.Budget) float64) *shardWorld {
+	w := &shardWorld{rng: rand.New(rand.NewPCG(5, 6)), free: map[string][]time.Duration{}, scarcity: scarcity}
+	all := instances("a", "a", "a")
+	for i := range all["s"] {
+		all["s"][i].Slots = loadSlots
+		w.free[all["s"][i].ID] = make([]time.Duration, loadSlots)
+	}
+	for range loadVMs {
+		p := NewPicker("a", rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
+		p.Update(start, all, nil, nil)
+		w.pickers = append(w.pickers, p)
+		w.budgets = append(w.budgets, retrybudget.New(0.17, 4))
+	}
+	return w
+}
+
+func (w *shardWorld) clock() time.Time { return start.Add(w.now) }
+
+func (w *shardWorld) after(d time.Duration, do func()) {
+	heap.Push(&w.events, shardEvent{w.now + d, do})
+}
+
+func (w *shardWorld) run() {
+	var at time.Duration
+	for range loadRequests {
+		at += time.Duration(w.rng.ExpFloat64() * float64(time.Second) / loadPerSecond)
+		heap.Push(&w.events, shardEvent{at, w.arrive})
+	}
+	for w.events.Len() > 0 {
+		e := heap.Pop(&w.events).(shardEvent)
+		w.now = e.at
+		e.do()
+	}
+}
+
+func (w *shardWorld) arrive() {
+	vm := w.rng.IntN(loadVMs)
+	w.budgets[vm].Earn("s")
+	w.attempt(vm, w.now, nil)
+}
+
+func (w *shardWorld) attempt(vm int, began time.Duration, tried []*Node) {
+	p := w.pickers[vm]
+	f := p.Pick(w.clock(), Request{Service: "s", Usual: loadWork, Tried: tried, Scarcity: w.scarcity(w.budgets[vm])})
+	if f == nil {
+		w.failed++
+		return
+	}
+	load := w.loadOf(f.Upstream.ID)
+	if f.Upstream.ID != "u0" && w.rng.Float64() < rejectShare {
+		w.after(time.Millisecond, func() {
+			if w.silent {
+				load = nil
+			}
+			p.Done(f, w.clock(), Shed, load)
+			if !w.budgets[vm].Take("s") {
+				w.failed++
+				return
+			}
+			w.attempt(vm, began, append(tried, f.Node))
+		})
+		return
+	}
+	w.after(w.serve(f.Upstream.ID), func() {
+		p.Done(f, w.clock(), Answered, w.loadOf(f.Upstream.ID))
+		if w.now-began <= loadObjective {
+			w.inTime++
+		} else {
+			w.late++
+		}
+	})
+}
+
+// serve takes the slot that is free first and returns when the answer comes.
+func (w *shardWorld) serve(id string) time.Duration {
+	slots := w.free[id]
+	first := 0
+	for i, at := range slots {
+		if at < slots[first] {
+			first = i
+		}
+	}
+	work := time.Duration(float64(loadWork) * (0.5 + w.rng.ExpFloat64()/2))
+	slots[first] = max(slots[first], w.now) + work
+	return slots[first] - w.now
+}
+
+func (w *shardWorld) loadOf(id string) *Load {
+	l := &Load{Slots: loadSlots}
+	for _, at := range w.free[id] {
+		if at > w.now {
+			l.Running++
+		}
+	}
+	return l
+}
+
+// TestShardWithRejectingInstances compares the penalty by scarcity with none, with one
+// that ignores how many repeats are left, and with the decision before, for which each
+// rejection was a sign of a full instance.
+func TestShardWithRejectingInstances(t *testing.T) {
+	play := func(silent bool, scarcity func(*retrybudget.Budget) float64) *shardWorld {
+		w := newShardWorld(scarcity)
+		w.silent = silent
+		w.run()
+		return w
+	}
+	byScarcity := play(false, func(b *retrybudget.Budget) float64 { return b.Scarcity("s") })
+	never := play(false, func(*retrybudget.Budget) float64 { return 0 })
+	always := play(false, func(*retrybudget.Budget) float64 { return 1 })
+	before := play(true, func(*retrybudget.Budget) float64 { return 1 })
+	for name, w := range map[string]*shardWorld{"by scarcity": byScarcity, "no penalty": never, "always": always, "before": before} {
+		t.Logf("%s: in time %d, late %d, failed %d", name, w.inTime, w.late, w.failed)
+	}
+	if byScarcity.inTime*100 < loadRequests*95 {
+		t.Errorf("%d of %d requests are answered in time, want 95 in 100", byScarcity.inTime, loadRequests)
+	}
+	if before.inTime >= byScarcity.inTime {
+		t.Errorf("%d requests in time, %d when rejections mean full", byScarcity.inTime, before.inTime)
+	}
+	if byScarcity.inTime <= never.inTime || byScarcity.inTime < always.inTime {
+		t.Errorf("%d requests in time, %d without a penalty, %d with the full one", byScarcity.inTime, never.inTime, always.inTime)
+	}
+}
--- a/internal/core/placement/node.go
+++ b/internal/core/placement/node.go
@@ -34,6 +34,14 @@
 	overduePenalty = 8
 	// loadMemory is how long a told load counts.
 	loadMemory = 300 * time.Millisecond
+	// rejectPenalty is added to the score of an instance that rejects requests
+	// though it has room, while no repeats are left; it is what a shard that fails
+	// costs its query. maxRejectPenalty bounds the sum, so that the last sound
+	// instance of a shard isn't overloaded.
+	rejectPenalty    = 6
+	maxRejectPenalty = 20
+	// shedPenalty is added to the score of an instance that was full.
+	shedPenalty = 1
 	// shedPause is how long an instance that was full is avoided.
 	shedPause = 100 * time.Millisecond
 	// jitter spreads instances with the same score.
@@ -45,6 +53,7 @@
 	Upstream routetable.Upstream
 
 	slowness  float64 // moving average of latency over the usual; 1 is usual
+	rejects   float64 // sum of penalties for rejections while it had room
 	penalty   float64
 	updatedAt time.Time
 
@@ -99,6 +108,7 @@
 	f := math.Exp2(-dt.Seconds() / slownessMemory.Seconds())
 	n.slowness = 1 + (n.slowness-1)*f
 	n.penalty *= f
+	n.rejects *= f
 	n.updatedAt = now
 }
 
@@ -112,6 +122,18 @@
 	n.penalty = min(n.penalty+penalty, maxPenalty)
 }
 
+// reject notes that the instance refused a request. One that is full will soon have
+// room again; one that refuses while it has room is faulty.
+func (n *Node) reject(now time.Time, l *Load) {
+	if l.hasRoom() {
+		n.decay(now)
+		n.rejects = min(n.rejects+rejectPenalty, maxRejectPenalty)
+		return
+	}
+	n.fail(now, shedPenalty)
+	n.avoidUntil = now.Add(shedPause)
+}
+
 // overdue reports whether an attempt has been out for far longer than usual.
 func (n *Node) overdue(now time.Time) bool {
 	for _, f := range n.inFlight {
@@ -130,14 +152,14 @@
 )
 
 // score is the expected latency in multiples of the usual, with penalties.
-func (n *Node) score(now time.Time, zone string, spread float64) float64 {
+func (n *Node) score(now time.Time, zone string, spread, scarcity float64) float64 {
 	n.decay(now)
 	slots := float64(max(n.Upstream.Slots, 1))
 	busy := float64(len(n.inFlight)) / slots
 	if now.Sub(n.loadAt) < loadMemory {
 		busy = max(busy, n.load)
 	}
-	s := n.slowness*(1+busy) + n.penalty + spread*jitter
+	s := n.slowness*(1+busy) + n.penalty + n.rejects*scarcity + spread*jitter
 	if n.Upstream.Zone != zone {
 		s += remotePenalty
 	}
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -59,19 +59,29 @@
 	return !n.gone && !n.Upstream.Draining && !p.evacuated[n.Upstream.Zone]
 }
 
-// Pick returns a flight to the instance with the best score, without the
-// excluded ones, or nil if there is none. usual is the latency that is usual for
-// the request; 0 if it isn't known yet.
-func (p *Picker) Pick(now time.Time, service string, usual time.Duration, exclude []*Node) *Flight {
+// Request is what an instance is looked for.
+type Request struct {
+	Service string
+	// Usual is the latency that is usual for the request; 0 if it isn't known yet.
+	Usual time.Duration
+	// Tried holds the instances that have had the request.
+	Tried []*Node
+	// Scarcity is 1 if no repeat could follow a rejection, and near 0 if many could.
+	Scarcity float64
+}
+
+// Pick returns a flight to the instance with the best score that wasn't tried, or
+// nil if there is none.
+func (p *Picker) Pick(now time.Time, r Request) *Flight {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *Node
 	var bestScore float64
-	for _, n := range p.services[service] {
-		if !p.allowed(n) || contains(exclude, n) {
+	for _, n := range p.services[r.Service] {
+		if !p.allowed(n) || contains(r.Tried, n) {
 			continue
 		}
-		s := n.score(now, p.zone, p.rand.Float64())
+		s := n.score(now, p.zone, p.rand.Float64(), r.Scarcity)
 		if best != nil && s >= bestScore {
 			continue
 		}
@@ -86,7 +96,7 @@
 	if now.Before(best.coldUntil) {
 		best.cold.take(now)
 	}
-	f := &Flight{Node: best, Upstream: best.Upstream, sent: now, usual: usual}
+	f := &Flight{Node: best, Upstream: best.Upstream, sent: now, usual: r.Usual}
 	best.inFlight = append(best.inFlight, f)
 	return f
 }
@@ -122,6 +132,9 @@
 	Running, Waiting, Slots int
 }
 
+// hasRoom reports whether the upstream told that it has a free slot.
+func (l *Load) hasRoom() bool { return l != nil && l.Running+l.Waiting < l.Slots }
+
 // Done ends a flight. load is nil if the upstream didn't tell any.
 func (p *Picker) Done(f *Flight, now time.Time, o Outcome, load *Load) {
 	p.mu.Lock()
@@ -144,8 +157,7 @@
 		n.fail(now, failurePenalty)
 		n.avoidUntil = now.Add(shedPause)
 	case Shed:
-		n.fail(now, 1)
-		n.avoidUntil = now.Add(shedPause)
+		n.reject(now, load)
 	case Gone:
 		n.gone = true
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -34,7 +34,7 @@
 
 func pick(t *testing.T, p *Picker, ms int) *Flight {
 	t.Helper()
-	f := p.Pick(at(ms), "s", usual, nil)
+	f := p.Pick(at(ms), Request{Service: "s", Usual: usual, Scarcity: 1})
 	if f == nil {
 		t.Fatal("no instance was picked")
 	}
@@ -68,6 +68,41 @@
 	}
 }
 
+// TestAnInstanceThatRejectsThoughItIsIdleIsAvoided plays an instance of the own zone
+// that rejects two in five of its requests and tells that it has free slots. Before,
+// rejections counted as a sign of a full instance only, and 15 in 100 requests met one.
+func TestAnInstanceThatRejectsThoughItIsIdleIsAvoided(t *testing.T) {
+	p := picker("a", "b", "c")
+	rng := rand.New(rand.NewPCG(3, 4))
+	rejected := 0
+	const requests, spacing = 600, 100 // ms
+	for i := range requests {
+		f := pick(t, p, i*spacing)
+		idle := &Load{Running: 0, Slots: 2}
+		if f.Upstream.ID == "u0" && rng.Float64() < 0.4 {
+			rejected++
+			p.Done(f, at(i*spacing+1), Shed, idle)
+			continue
+		}
+		p.Done(f, at(i*spacing).Add(usual), Answered, idle)
+	}
+	t.Logf("%d of %d requests rejected", rejected, requests)
+	if rejected*50 > requests {
+		t.Errorf("%d of %d requests went to the instance and were rejected", rejected, requests)
+	}
+}
+
+func TestAFullInstanceIsAvoidedOnlyForAMoment(t *testing.T) {
+	p := picker("a", "b")
+	p.Done(pick(t, p, 0), at(1), Shed, &Load{Running: 2, Waiting: 3, Slots: 2})
+	if f := pick(t, p, 50); f.Upstream.ID != "u1" {
+		t.Error("the full instance was picked at once")
+	}
+	if got := shares(t, p, 2500, 20); got["u0"] == 0 {
+		t.Errorf("picks are %v long after the instance was full", got)
+	}
+}
+
 func TestAPausedInstanceIsAvoidedUntilItAnswers(t *testing.T) {
 	p := picker("a", "b")
 	stuck := pick(t, p, 0)
@@ -86,7 +121,7 @@
 func TestASlowInstanceGetsLess(t *testing.T) {
 	p := picker("a", "b")
 	for i := range 6 {
-		f := p.Pick(at(i), "s", usual, []*Node{p.nodes["u1"]})
+		f := p.Pick(at(i), Request{Service: "s", Usual: usual, Tried: []*Node{p.nodes["u1"]}, Scarcity: 1})
 		p.Done(f, at(i).Add(8*usual), Answered, nil)
 	}
 	if got := shares(t, p, 60, 20); got["u0"] > 2 {
@@ -108,7 +143,7 @@
 func TestAFailingInstanceIsAvoidedAndTriedAgain(t *testing.T) {
 	p := picker("a", "b")
 	for i := range 3 {
-		f := p.Pick(at(i), "s", usual, []*Node{p.nodes["u1"]})
+		f := p.Pick(at(i), Request{Service: "s", Usual: usual, Tried: []*Node{p.nodes["u1"]}, Scarcity: 1})
 		p.Done(f, at(i), Failed, nil)
 	}
 	if got := shares(t, p, 10, 20); got["u0"] != 0 {
@@ -129,11 +164,11 @@
 			list, evacuated := instances("a"), map[string]bool{}
 			change(&list["s"][0], evacuated)
 			p.Update(start, list, evacuated, nil)
-			if p.Pick(start, "s", usual, nil) != nil {
+			if p.Pick(start, Request{Service: "s", Usual: usual, Scarcity: 1}) != nil {
 				t.Error("the instance was picked")
 			}
 			p.Update(start, instances("a"), nil, nil)
-			if p.Pick(start, "s", usual, nil) == nil {
+			if p.Pick(start, Request{Service: "s", Usual: usual, Scarcity: 1}) == nil {
 				t.Error("the instance isn't picked after its return")
 			}
 		})
@@ -143,17 +178,17 @@
 func TestAnInstanceThatIsAnotherOneIsGoneUntilItsNextStart(t *testing.T) {
 	p := picker("a")
 	p.Done(pick(t, p, 0), at(0), Gone, nil)
-	if p.Pick(at(1), "s", usual, nil) != nil {
+	if p.Pick(at(1), Request{Service: "s", Usual: usual, Scarcity: 1}) != nil {
 		t.Error("the instance was picked")
 	}
 	p.Update(at(2), instances("a"), nil, nil)
-	if p.Pick(at(2), "s", usual, nil) != nil {
+	if p.Pick(at(2), Request{Service: "s", Usual: usual, Scarcity: 1}) != nil {
 		t.Error("the instance was picked after a heartbeat")
 	}
 	again := instances("a")
 	again["s"][0].Born = 2
 	p.Update(at(3), again, nil, nil)
-	if p.Pick(at(3), "s", usual, nil) == nil {
+	if p.Pick(at(3), Request{Service: "s", Usual: usual, Scarcity: 1}) == nil {
 		t.Error("the instance isn't picked after its next start")
 	}
 }
@@ -174,7 +209,7 @@
 		var sent []int
 		for ms := range 5000 {
 			for _, p := range pickers {
-				if f := p.Pick(at(ms), "s", usual, nil); f != nil {
+				if f := p.Pick(at(ms), Request{Service: "s", Usual: usual, Scarcity: 1}); f != nil {
 					p.Done(f, at(ms), Answered, nil)
 					sent = append(sent, ms)
 				}
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -49,6 +49,18 @@
 // Take takes the right to one repeat after a failed attempt.
 func (b *Budget) Take(service string) bool { return b.take(service, 0) }
 
+// leastScarcity is the scarcity while the reserve is full: a repeat costs the
+// upstreams an attempt in any case.
+const leastScarcity = 0.15
+
+// Scarcity tells how much a request should avoid to need a repeat: 1 if there is
+// none left.
+func (b *Budget) Scarcity(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(1-b.left(service)/b.reserve, leastScarcity)
+}
+
 // TakeHedge takes the right to one repeat that its request can do without. It
 // leaves a part of the reserve, of one repeat at most, for those that can't.
 func (b *Budget) TakeHedge(service string) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,10 +14,14 @@
 	now := time.Now()
 	service := q.services[shard]
 	q.tellLate(shard, now)
-	f := q.g.picker.Pick(now, service, q.usual, q.nodes[shard])
+	wanted := placement.Request{
+		Service: service, Usual: q.usual, Tried: q.nodes[shard], Scarcity: q.g.budget.Scarcity(service),
+	}
+	f := q.g.picker.Pick(now, wanted)
 	if f == nil && kind == fanout.Retry {
 		// All instances were tried; a second try at one is better than none.
-		f = q.g.picker.Pick(now, service, q.usual, nil)
+		wanted.Tried = nil
+		f = q.g.picker.Pick(now, wanted)
 	}
 	if f == nil {
 		q.unplaced++
