Ask another VM when the store fails this one

Ruled out: longer validity of old knowledge (withdrawn keys); more readers. Change: after a failed read a VM asks another one, a different one each time, and takes an answer that is younger than its knowledge. Followers ask all readers of their zone before the store, and keep to one read a second. The age of an answer counts for telling an outage of the store, so that old answers don't hide one.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -139,11 +139,13 @@
 
 // Apply takes in a batch that was answered at now.
 func (s *State) Apply(now time.Duration, b Batch) []Event {
-	if s.answered && now-s.lastAnswer > s.Outage {
+	current := now - b.Age // the source is known to have answered then
+	if s.answered && current-s.lastAnswer > s.Outage {
 		s.returned = now
 		s.renewHolds(now)
 	}
-	s.answered, s.lastAnswer = true, now
+	s.lastAnswer = max(s.lastAnswer, current)
+	s.answered = true
 	var events []Event
 	for _, c := range b.Changes {
 		events = s.applyChange(now, c, events)
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -132,6 +132,17 @@
 	}
 }
 
+func TestOldAnswersOfOthersDoNotHideAnOutage(t *testing.T) {
+	s := started(t, upstream("a", 11))
+	for at := 2 * time.Second; at <= 6*time.Second; at += time.Second {
+		s.Apply(at, Batch{Revision: 20, Age: at - 1500*time.Millisecond})
+	}
+	s.Apply(6500*time.Millisecond, Batch{Changes: []Change{removed("a", 21)}, Revision: 21})
+	expectIDs(t, s, "a")
+	s.Apply(6500*time.Millisecond+lapseHold, Batch{Revision: 22})
+	expectIDs(t, s)
+}
+
 // follow lets a follower ask its leader once.
 func follow(now time.Duration, follower, leader *State) {
 	follower.Apply(now, leader.Since(now, follower.Revision()))
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -86,6 +86,7 @@
 	version uint64
 	sent    map[string]uint64 // version up to which a peer has had reports
 	ticks   int
+	helped  int // calls of Helper, from a start that differs between VMs
 	// failedAt holds the latest call without an answer to each peer.
 	failedAt map[string]time.Duration
 	// peak is the largest size in the last two periods of peakPeriod.
@@ -96,11 +97,15 @@
 // peakPeriod is how long a VM that has left still counts for shares of limits.
 const peakPeriod = 15 * time.Second
 
+// helperStarts is a number of VMs that no zone reaches.
+const helperStarts = 1 << 16
+
 // NewTable returns the table of a VM that knows only seeds.
 func NewTable(p Policy, self Report, seeds []string) *Table {
 	return &Table{
 		policy: p, self: self, seeds: seeds, members: map[string]*member{},
 		sent: map[string]uint64{}, failedAt: map[string]time.Duration{},
+		helped: int(xxhash.Sum64String(self.Address) % helperStarts),
 	}
 }
 
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -125,6 +125,24 @@
 	}
 }
 
+func TestHelpersGoRoundThoseThatAnswer(t *testing.T) {
+	table := NewTable(DefaultPolicy(), Report{Address: "a", Zone: "z", Boot: 1}, nil)
+	if got := table.Helper(0); got != "" {
+		t.Errorf("helper of a lone VM is %q", got)
+	}
+	for _, addr := range []string{"b", "c", "d", "e"} {
+		table.Merge([]Report{{Address: addr, Zone: "z", Boot: 1, Sequence: 1, Leaving: addr == "e"}}, addr)
+	}
+	table.Failed(time.Second, "c")
+	seen := map[string]int{}
+	for range 6 {
+		seen[table.Helper(time.Second)]++
+	}
+	if len(seen) != 2 || seen["b"] != 3 || seen["d"] != 3 {
+		t.Errorf("helpers are %v, want b and d by turns", seen)
+	}
+}
+
 func TestRestartedVMIsKnownAgain(t *testing.T) {
 	n := newNetwork(t, 4, 2)
 	n.run(12)
--- a/internal/core/fleet/topology.go
+++ b/internal/core/fleet/topology.go
@@ -58,7 +58,7 @@
 		out = append(out, t.self.Address)
 	}
 	for addr, m := range t.members {
-		if failed, ok := t.failedAt[addr]; ok && now-failed <= t.policy.Suspect {
+		if t.suspect(addr, now) {
 			continue
 		}
 		if m.report.Zone == zone && !m.report.Leaving {
@@ -69,6 +69,29 @@
 	return out[:min(len(out), t.policy.Links)]
 }
 
+// Helper returns a VM that answers, the next one in a round with each call, or "" if
+// there is none.
+func (t *Table) Helper(now time.Duration) string {
+	var out []string
+	for addr, m := range t.members {
+		if !m.report.Leaving && !t.suspect(addr, now) {
+			out = append(out, addr)
+		}
+	}
+	if len(out) == 0 {
+		return ""
+	}
+	slices.Sort(out)
+	t.helped++
+	return out[t.helped%len(out)]
+}
+
+// suspect reports whether the latest call to a VM got no answer a short time ago.
+func (t *Table) suspect(addr string, now time.Duration) bool {
+	failed, ok := t.failedAt[addr]
+	return ok && now-failed <= t.policy.Suspect
+}
+
 func (t *Table) linkTargets(now time.Duration) []Target {
 	own := t.links(t.self.Zone, now)
 	rank := slices.Index(own, t.self.Address)
--- a/internal/fleetlink/follow.go
+++ b/internal/fleetlink/follow.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/feed"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	fleetv1 "ryecourse.example/ryecourse/internal/gen/fleet/v1"
@@ -65,24 +66,35 @@
 	}, nil
 }
 
-// chooseReader picks the VM that this one follows, if any. The caller holds mu.
-func (l *Link) chooseReader(now time.Duration) {
+// chooseReaders orders the VMs that this one follows, if any. The caller holds mu.
+func (l *Link) chooseReaders(now time.Duration) {
 	readers := l.table.Readers(now)
-	reader := ""
-	if len(readers) > 0 && !slices.Contains(readers, l.self) {
-		reader = readers[l.table.LinkChoice()%len(readers)]
+	if slices.Contains(readers, l.self) {
+		readers = nil
 	}
-	if reader != l.reader {
-		l.log.Event("reader_chosen").Str("reader", reader).Send()
+	if n := len(readers); n > 0 { // VMs spread over the readers
+		first := l.table.LinkChoice() % n
+		readers = append(slices.Clone(readers[first:]), readers[:first]...)
 	}
-	l.reader = reader
+	if !slices.Equal(readers, l.readers) {
+		l.log.Event("reader_chosen").Strs("readers", readers).Send()
+	}
+	l.readers = readers
+}
+
+// Readers returns the VMs that read the metadata store for this one, in the order in
+// which to ask them.
+func (l *Link) Readers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readers
 }
 
-// Reader returns the VM that reads the metadata store for this one, or "".
-func (l *Link) Reader() string {
+// Helper returns another VM that answers, a different one with each call, or "".
+func (l *Link) Helper() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reader
+	return l.table.Helper(boottime.Now())
 }
 
 // Follow asks another VM for what it has learned since the revision.
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -46,10 +46,10 @@
 	peers map[string]*peer
 	size  int
 	self  string
-	// reader is the VM that reads the metadata store for this one; empty if this
+	// readers are the VMs that read the metadata store for this one; none if this
 	// VM reads it itself.
-	reader string
-	known  Knowledge
+	readers []string
+	known   Knowledge
 }
 
 // peer is another VM as this one calls it.
@@ -173,7 +173,7 @@
 		l.size = n
 		l.log.Event("fleet_resized").Int("vms", n).Send()
 	}
-	l.chooseReader(now)
+	l.chooseReaders(now)
 	l.mu.Unlock()
 	l.sized(n)
 }
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -23,10 +23,14 @@
 	Everything(ctx context.Context) (feed.Batch, error)
 }
 
-// Peers gives access to VMs that read the source for others.
+// Peers gives access to other VMs that know the source.
 type Peers interface {
-	// Reader returns the VM to ask, or "" if this VM is to read the source itself.
-	Reader() string
+	// Readers returns the VMs to ask in place of the source, in order; none if this
+	// VM is to read the source itself.
+	Readers() []string
+	// Helper returns a VM to ask after the source has failed, another one with each
+	// call; "" if there is none.
+	Helper() string
 	// Follow returns what the VM has learned since the revision. The batch has an
 	// age.
 	Follow(ctx context.Context, reader string, after int64) (feed.Batch, error)
@@ -36,7 +40,8 @@
 type Policy struct {
 	// Interval is the time between two reads.
 	Interval time.Duration
-	// RetryInterval is the time between two reads while the source fails.
+	// RetryInterval is the time between two reads while the source fails. VMs for
+	// which others read keep to Interval, as they are many.
 	RetryInterval time.Duration
 	// CallTimeout bounds one read of changes, FullTimeout one of everything.
 	CallTimeout, FullTimeout time.Duration
@@ -109,7 +114,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		pause := f.policy.Interval
-		if err := f.read(ctx); err != nil {
+		if err := f.read(ctx); err != nil && len(f.peers.Readers()) == 0 {
 			pause = f.policy.RetryInterval
 		}
 		sleep(ctx, pause-time.Since(began))
@@ -128,20 +133,36 @@
 	}
 }
 
-// read makes one read of the source and applies it.
+// read makes one read of the source, or of a VM that knows more if the source
+// fails, and applies it.
 func (f *Follower) read(ctx context.Context) error {
 	asked := f.now()
 	batch, err := f.fetch(ctx)
-	if err != nil {
-		f.failed(err)
+	if err == nil {
+		f.recovered()
+		f.apply(asked, batch)
+		return nil
+	}
+	f.failed(err)
+	helper := f.peers.Helper()
+	if helper == "" {
 		return err
 	}
+	asked = f.now()
+	batch, helped := f.fetchFromPeer(ctx, helper, f.Age())
+	if !helped {
+		return err
+	}
+	f.apply(asked, batch)
+	return nil
+}
+
+func (f *Follower) apply(asked time.Duration, batch feed.Batch) {
 	now := f.now()
 	f.mu.Lock()
 	events := f.state.Apply(now, batch)
 	f.mu.Unlock()
 	f.evidence.Store(max(f.evidence.Load(), int64(asked-batch.Age)))
-	f.recovered()
 	for _, e := range events {
 		f.logEvent(e, batch.Revision)
 	}
@@ -151,12 +172,13 @@
 			f.publish(v)
 		}
 	}
-	return nil
 }
 
 func (f *Follower) fetch(ctx context.Context) (feed.Batch, error) {
-	if b, ok := f.fetchFromPeer(ctx); ok {
-		return b, nil
+	for _, reader := range f.peers.Readers() {
+		if b, ok := f.fetchFromPeer(ctx, reader, f.policy.PeerAge); ok {
+			return b, nil
+		}
 	}
 	if rev := f.state.Revision(); rev > 0 {
 		call, cancel := context.WithTimeout(ctx, f.policy.CallTimeout)
@@ -171,13 +193,9 @@
 	return f.source.Everything(call)
 }
 
-// fetchFromPeer asks the VM that reads for this one. It returns false if there
-// is none, or it has nothing recent.
-func (f *Follower) fetchFromPeer(ctx context.Context) (feed.Batch, bool) {
-	reader := f.peers.Reader()
-	if reader == "" {
-		return feed.Batch{}, false
-	}
+// fetchFromPeer asks another VM. It returns false if that doesn't answer, or what it
+// knows isn't younger than an age.
+func (f *Follower) fetchFromPeer(ctx context.Context, reader string, age time.Duration) (feed.Batch, bool) {
 	call, cancel := context.WithTimeout(ctx, f.policy.PeerTimeout)
 	defer cancel()
 	b, err := f.peers.Follow(call, reader, f.state.Revision())
@@ -185,7 +203,7 @@
 	case err != nil:
 		f.log.Event("reader_failed").Str("reader", reader).Str("error", err.Error()).Send()
 		return feed.Batch{}, false
-	case b.Age > f.policy.PeerAge:
+	case b.Age >= age:
 		f.log.Event("reader_behind").Str("reader", reader).Dur("age_ms", b.Age).Send()
 		return feed.Batch{}, false
 	}
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,18 +33,25 @@
 	return feed.Batch{Full: true, Revision: 10, Changes: []feed.Change{config(1, 5)}}, nil
 }
 
-// fakePeers is a VM that reads for this one.
+// fakePeers are VMs that know the source. Those in failing don't answer.
 type fakePeers struct {
-	reader string
-	batch  feed.Batch
-	err    error
-	calls  int
+	readers []string
+	helper  string
+	failing map[string]bool
+	batch   feed.Batch
+	err     error
+	asked   []string
 }
 
-func (p *fakePeers) Reader() string { return p.reader }
+func (p *fakePeers) Readers() []string { return p.readers }
+
+func (p *fakePeers) Helper() string { return p.helper }
 
-func (p *fakePeers) Follow(context.Context, string, int64) (feed.Batch, error) {
-	p.calls++
+func (p *fakePeers) Follow(_ context.Context, vm string, _ int64) (feed.Batch, error) {
+	p.asked = append(p.asked, vm)
+	if p.failing[vm] {
+		return feed.Batch{}, errors.New("no answer")
+	}
 	return p.batch, p.err
 }
 
@@ -115,7 +123,7 @@
 
 func TestAPeersKnowledgeKeepsItsAge(t *testing.T) {
 	f := newFollower(t)
-	f.peers.reader = "peer"
+	f.peers.readers = []string{"peer"}
 	f.peers.batch = feed.Batch{Full: true, Revision: 20, Changes: []feed.Change{config(2, 15)}, Age: 1500 * time.Millisecond}
 	f.read(t.Context())
 	f.expectAge(t, 1500*time.Millisecond)
@@ -131,7 +139,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFollower(t)
-			f.peers.reader = "peer"
+			f.peers.readers = []string{"peer"}
 			set(f.peers)
 			if err := f.read(t.Context()); err != nil || f.source.full != 1 {
 				t.Errorf("%v after %d full reads", err, f.source.full)
@@ -141,11 +149,51 @@
 	}
 }
 
+func TestTheSecondReaderIsAskedBeforeTheSource(t *testing.T) {
+	f := newFollower(t)
+	f.peers.readers = []string{"first", "second"}
+	f.peers.failing = map[string]bool{"first": true}
+	f.peers.batch = feed.Batch{Full: true, Revision: 20, Changes: []feed.Change{config(2, 15)}}
+	f.read(t.Context())
+	if f.source.full != 0 || !slices.Equal(f.peers.asked, []string{"first", "second"}) {
+		t.Errorf("%d full reads after asking %v", f.source.full, f.peers.asked)
+	}
+}
+
+func TestAHelperAnswersForASourceThatRejectsThisVM(t *testing.T) {
+	f := newFollower(t)
+	f.read(t.Context())
+	f.source.err, f.peers.helper = errors.New("status 503"), "helper"
+	for i := range 5 {
+		f.clock += 2 * time.Second
+		f.peers.batch = feed.Batch{Revision: int64(20 + i), Changes: []feed.Change{config(int64(2+i), int64(20+i))}, Age: time.Second}
+		if err := f.read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.expectAge(t, time.Second)
+	}
+	if v := f.View().Table.Config.Version; v != 6 || !f.lost {
+		t.Errorf("version %d is in force, the store is lost: %v", v, f.lost)
+	}
+}
+
+func TestAHelperThatKnowsNoMoreIsNotUsed(t *testing.T) {
+	f := newFollower(t)
+	f.read(t.Context())
+	f.clock += 2 * time.Second
+	f.source.err, f.peers.helper = errors.New("status 503"), "helper"
+	f.peers.batch = feed.Batch{Revision: 9, Age: 2 * time.Second}
+	if f.read(t.Context()) == nil {
+		t.Error("an answer that is as old as what is known counts")
+	}
+	f.expectAge(t, 2*time.Second)
+}
+
 func TestOlderEvidenceDoesNotReplaceNewer(t *testing.T) {
 	f := newFollower(t)
 	f.read(t.Context())
 	f.clock += 100 * time.Millisecond
-	f.peers.reader = "peer"
+	f.peers.readers = []string{"peer"}
 	f.peers.batch = feed.Batch{Revision: 8, Age: time.Second}
 	f.read(t.Context())
 	f.expectAge(t, 100*time.Millisecond)
