Don't take late answers of a reader for an outage of the store

A follower whose reader is behind gets answers up to two seconds old; its next read of the store, a second later, then looked like the end of an outage of 2.9 s, and it held what had left for 2.2 s more (front-naestved-12: read at 24.08 s, removal at 27.07 s; the line of the hold was among the suppressed ones). Ruled out: the reader's revision (1,447, the newest of all); the relay of holds. Measured: TestAnswersOfAReaderThatIsBehindAreNoOutage holds the entry before and drops it after.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -67,6 +67,9 @@
 	// Age is how long before the answer the source was known to be current; 0 for
 	// the store itself.
 	Age time.Duration
+	// FromHelper tells that the sender doesn't read the store for this VM, so that
+	// its answer says that the store answered as long ago as its age.
+	FromHelper bool
 }
 
 // View is what the VM knows. It is immutable.
@@ -139,7 +142,10 @@
 
 // Apply takes in a batch that was answered at now.
 func (s *State) Apply(now time.Duration, b Batch) []Event {
-	current := now - b.Age // the source is known to have answered then
+	current := now
+	if b.FromHelper {
+		current -= b.Age
+	}
 	if s.answered && current-s.lastAnswer > s.Outage {
 		s.returned = now
 		s.renewHolds(now)
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -135,7 +135,7 @@
 func TestOldAnswersOfOthersDoNotHideAnOutage(t *testing.T) {
 	s := started(t, upstream("a", 11))
 	for at := 2 * time.Second; at <= 6*time.Second; at += time.Second {
-		s.Apply(at, Batch{Revision: 20, Age: at - 1500*time.Millisecond})
+		s.Apply(at, Batch{Revision: 20, Age: at - 1500*time.Millisecond, FromHelper: true})
 	}
 	s.Apply(6500*time.Millisecond, Batch{Changes: []Change{removed("a", 21)}, Revision: 21})
 	expectIDs(t, s, "a")
@@ -143,6 +143,17 @@
 	expectIDs(t, s)
 }
 
+// TestAnswersOfAReaderThatIsBehindAreNoOutage lets a VM read the store by itself after
+// answers of its reader that were two seconds old.
+func TestAnswersOfAReaderThatIsBehindAreNoOutage(t *testing.T) {
+	s := started(t, upstream("a", 11), upstream("b", 12))
+	for at := 2 * time.Second; at <= 4*time.Second; at += time.Second {
+		s.Apply(at, Batch{Revision: 20, Age: 1990 * time.Millisecond})
+	}
+	s.Apply(5*time.Second, Batch{Changes: []Change{removed("a", 21)}, Revision: 21})
+	expectIDs(t, s, "b")
+}
+
 // follow lets a follower ask its leader once.
 func follow(now time.Duration, follower, leader *State) {
 	follower.Apply(now, leader.Since(now, follower.Revision()))
--- a/internal/knowledge/knowledge.go
+++ b/internal/knowledge/knowledge.go
@@ -153,6 +153,7 @@
 	if !helped {
 		return err
 	}
+	batch.FromHelper = true
 	f.apply(asked, batch)
 	return nil
 }
