Listen for callers before telling that the VM is ready

Cause: TestVMThatCantKnowRefusesKeysOnly failed once: connection refused right after readiness was 200. The address for readiness was served before the one for callers, and a VM whose first read is quick was ready in between. Ruled out: a port taken by another process (the VM served later in the same run of the other tests; the order in Run explains it). Change: readiness is served last. Conclusion: mended.

--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -209,10 +209,11 @@
 	if err := listen(d.settings.Peers.String(), peers, errs); err != nil {
 		return err
 	}
-	if err := listen(d.settings.Readiness.String(), ready, errs); err != nil {
+	if err := listen(d.settings.Callers.String(), callers, errs); err != nil {
 		return err
 	}
-	if err := listen(d.settings.Callers.String(), callers, errs); err != nil {
+	// Last, as it may say at once that this VM takes callers.
+	if err := listen(d.settings.Readiness.String(), ready, errs); err != nil {
 		return err
 	}
 	if err := listen(d.metricsAddress(), d.metricsServer(), errs); err != nil {
