Report unconfirmed keys for files that list keys only

Cause: a broken file without keys whose earlier versions went by unseen was reported as one whose keys are refused. Ruled out: an effect on requests; no key was refused wrongly. Change: the problem is reported if the content in force lists keys.

--- a/internal/core/catalog/accept.go
+++ b/internal/core/catalog/accept.go
@@ -233,7 +233,7 @@
 		problems = append(problems, e.newest.problems...)
 		if c := e.inForce(); c != nil {
 			fragments = append(fragments, c.fragment)
-			if !e.confirmed() {
+			if !e.confirmed() && c.fragment.listsKeys() {
 				unconfirmed[name] = true
 				problems = append(problems, e.unconfirmedProblem())
 			}
--- a/internal/core/catalog/fragment.go
+++ b/internal/core/catalog/fragment.go
@@ -12,6 +12,15 @@
 	built map[string]*Service
 }
 
+func (f *fragment) listsKeys() bool {
+	for _, c := range f.customers {
+		if len(c.KeyHashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // customerSpec is a customer as written in a file. Rate, burst and services
 // are its definition, which one file gives; any file may add key hashes.
 type customerSpec struct {
