upstreamlimit: log and report the limits that upstreams state

Change: VMs read the limit from responses, report the newest statement of each upstream and their demand for it to each other, log each change (upstream_limit) and serve gauges. No attempt is sent or held back because of it.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -25,6 +25,30 @@
 	Admitted uint32
 }
 
+// UpstreamLimit is what one VM reports of an instance of an upstream that states a limit
+// on the requests of all VMs.
+type UpstreamLimit struct {
+	Instance string
+	// Stated reports whether the VM has lately received a statement of the instance, at
+	// StatedAt on this VM's clock: that it is limited to PerSecond requests per second,
+	// or that it no longer is.
+	Stated, Limited bool
+	PerSecond       float64
+	StatedAt        time.Duration
+	// Demand is the rate of the VM's attempts for which the instance is the first
+	// choice.
+	Demand float64
+}
+
+// State is the part of a VM's report that changes.
+type State struct {
+	Leaving bool
+	// Usage is keyed by the hash of the customer's name.
+	Usage map[uint32]Usage
+	// Limits is sorted by instance.
+	Limits []UpstreamLimit
+}
+
 // Report is one VM's report about itself.
 type Report struct {
 	Address string
@@ -39,8 +63,9 @@
 	CPUShare float64
 	// At is when the VM wrote the report, converted to this VM's clock.
 	At time.Duration
-	// Usage is keyed by the hash of the customer's name.
-	Usage map[uint32]Usage
+	// Usage and Limits are as in State.
+	Usage  map[uint32]Usage
+	Limits []UpstreamLimit
 }
 
 // Policy holds the sizes and time limits of a Table.
@@ -122,9 +147,9 @@
 }
 
 // UpdateSelf replaces the VM's own report.
-func (t *Table) UpdateSelf(now time.Duration, usage map[uint32]Usage, leaving bool) {
+func (t *Table) UpdateSelf(now time.Duration, s State) {
 	t.self.Sequence++
-	t.self.At, t.self.Usage, t.self.Leaving = now, usage, leaving
+	t.self.At, t.self.Usage, t.self.Limits, t.self.Leaving = now, s.Usage, s.Limits, s.Leaving
 }
 
 // SetDraining marks the VM's own reports as those of a VM that drains.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -54,7 +54,7 @@
 }
 
 func (n *network) tick(addr string, t *Table) {
-	t.UpdateSelf(n.now, nil, false)
+	t.UpdateSelf(n.now, State{})
 	t.Expire(n.now)
 	for _, target := range t.Targets(n.now) {
 		n.calls++
@@ -141,7 +141,7 @@
 		n.now += 250 * time.Millisecond
 		for _, addr := range n.order {
 			table := n.tables[addr]
-			table.UpdateSelf(n.now, nil, false)
+			table.UpdateSelf(n.now, State{})
 			for _, target := range table.Targets(n.now) {
 				if target.Address == seed {
 					calls++
--- a/internal/core/placement/load_test.go
+++ b/internal/core/placement/load_test.go
@@ -45,7 +45,7 @@
 		sim.free[all["s"][i].ID] = make([]time.Duration, loadSlots)
 	}
 	for range loadVMs {
-		p := NewPicker("a", rand.New(rand.NewPCG(sim.rng.Uint64(), 1)))
+		p := NewPicker("a", rand.New(rand.NewPCG(sim.rng.Uint64(), 1)), nil)
 		p.Update(start, all, nil, nil)
 		sim.pickers = append(sim.pickers, p)
 		sim.budgets = append(sim.budgets, retrybudget.New(sim.clock.Now, 0.17, retrybudget.Limit{Burst: 4}))
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -11,8 +11,9 @@
 // Picker chooses among the instances of all services. It is safe for concurrent
 // use.
 type Picker struct {
-	zone string
-	rand *rand.Rand
+	zone   string
+	rand   *rand.Rand
+	limits Limits
 
 	mu        sync.Mutex
 	services  map[string][]*Instance
@@ -24,9 +25,15 @@
 // upstream. If limited is false, there is no limit.
 type ColdRate func(u routetable.Upstream) (perSecond float64, limited bool)
 
-// NewPicker returns a picker for a VM of the zone.
-func NewPicker(zone string, r *rand.Rand) *Picker {
-	return &Picker{zone: zone, rand: r, services: map[string][]*Instance{}, instances: map[string]*Instance{}}
+// Limits tracks the limits that instances state on the requests of all VMs.
+type Limits interface {
+	// Offer counts an attempt for which an instance is the first choice.
+	Offer(instance string)
+}
+
+// NewPicker returns a picker for a VM of the zone. limits may be nil.
+func NewPicker(zone string, r *rand.Rand, limits Limits) *Picker {
+	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}}
 }
 
 // Update replaces the instances. Observations of instances that remain are
@@ -104,6 +111,9 @@
 	if now.Before(best.coldUntil) {
 		best.cold.recordSend(now)
 	}
+	if p.limits != nil {
+		p.limits.Offer(best.Announcement.ID)
+	}
 	a := &Attempt{Instance: best, Upstream: best.Announcement, sentAt: now, typicalLatency: r.TypicalLatency}
 	best.inFlight = append(best.inFlight, a)
 	return a
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -17,7 +17,7 @@
 
 // picker returns a picker in zone "a" with one instance in each of the zones.
 func picker(zones ...string) *Picker {
-	p := NewPicker("a", rand.New(rand.NewPCG(1, 2)))
+	p := NewPicker("a", rand.New(rand.NewPCG(1, 2)), nil)
 	p.Update(start, instances(zones...), nil, nil)
 	return p
 }
@@ -204,7 +204,7 @@
 		list["s"][0].Cold = 10 * time.Second
 		var pickers []*Picker
 		for rank := range vms {
-			p := NewPicker("a", rand.New(rand.NewPCG(uint64(rank), 3)))
+			p := NewPicker("a", rand.New(rand.NewPCG(uint64(rank), 3)), nil)
 			p.Update(start, list, nil, func(routetable.Upstream) (float64, bool) { return ColdShare(limit, vms, rank), true })
 			pickers = append(pickers, p)
 		}
--- /dev/null
+++ b/internal/core/upstreamlimit/tracker.go
@@ -0,0 +1,293 @@
+// Package upstreamlimit keeps the VMs of a fleet together within the request rates
+// that upstreams state in their responses. It is used by `ryecourse gateway`.
+//
+// An upstream states its limit to the VMs that it answers; the limit holds for the
+// requests of all VMs. VMs report to each other the newest statement that they have
+// received from each upstream, and their demand: the rate of the attempts for which the
+// upstream is their first choice, whether or not the limit admits them. Each VM admits
+// the same fraction of its demand, so that the sum stays within the limit wherever the
+// demand arises, also where each VM has little of it.
+//
+// The package has no I/O. Times are readings of a clock that keeps running while the VM
+// is suspended.
+package upstreamlimit
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/fleet"
+)
+
+// Policy holds the settings of a Tracker.
+type Policy struct {
+	// DemandHalfLife is the half-life of the measured demand.
+	DemandHalfLife time.Duration
+	// Retention is the age up to which a VM reports a statement that it has received,
+	// and for which a lifted limit is remembered. It exceeds the time that reports take
+	// over relays.
+	Retention time.Duration
+	// MaxTickGap is the time between two ticks above which the VM is taken to have been
+	// suspended, and its measured demand is discarded.
+	MaxTickGap time.Duration
+}
+
+// DefaultPolicy suits a report interval of a quarter of a second.
+func DefaultPolicy() Policy {
+	return Policy{DemandHalfLife: 500 * time.Millisecond, Retention: 5 * time.Second, MaxTickGap: time.Second}
+}
+
+// Change is a change of what a VM knows of an upstream's limit.
+type Change struct {
+	Instance string
+	// Limited is false if the upstream no longer states a limit.
+	Limited bool
+	// PerSecond is the limit in requests per second.
+	PerSecond float64
+	// Age is that of the statement; Peer is the VM that reported it, or empty.
+	Age  time.Duration
+	Peer string
+}
+
+// statement is what an upstream stated about its limit at a time.
+type statement struct {
+	limited   bool
+	perSecond float64
+	at        time.Duration
+}
+
+// limit is the state of one instance that states a limit, or did until lately.
+type limit struct {
+	newest statement // received by any VM
+	own    statement // received by this VM; zero time if none
+
+	offered int // attempts since the last tick
+	demand  movingAverage
+	// published is the demand as last reported; peers holds that of other VMs.
+	published float64
+	peers     map[string]float64
+}
+
+// Tracker is one VM's knowledge of upstreams' limits. It is safe for concurrent use.
+type Tracker struct {
+	policy   Policy
+	rand     *rand.Rand
+	onChange func(Change)
+
+	mu     sync.Mutex
+	limits map[string]*limit // by instance ID
+	// count is len(limits), for callers without mu: most VMs know no limit.
+	count atomic.Int64
+	// reported holds the instances in each VM's last report.
+	reported map[string][]string
+	lastTick time.Duration
+}
+
+// NewTracker returns a tracker without limits. onChange is called with each change; it
+// must not block or call the tracker.
+func NewTracker(p Policy, r *rand.Rand, onChange func(Change)) *Tracker {
+	return &Tracker{policy: p, rand: r, onChange: onChange, limits: map[string]*limit{}, reported: map[string][]string{}}
+}
+
+// Observe records what a response of an instance states: limited is false if it states
+// no limit.
+func (t *Tracker) Observe(now time.Duration, instance string, perSecond float64, limited bool) {
+	if !limited && t.count.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.limits[instance]
+	if l == nil {
+		if !limited {
+			return
+		}
+		l = t.add(instance)
+	}
+	l.own = statement{limited: limited, perSecond: perSecond, at: now}
+	t.update(now, instance, l, l.own, "")
+}
+
+func (t *Tracker) add(instance string) *limit {
+	l := &limit{peers: map[string]float64{}}
+	t.limits[instance] = l
+	t.count.Store(int64(len(t.limits)))
+	return l
+}
+
+func (t *Tracker) remove(instance string) {
+	delete(t.limits, instance)
+	t.count.Store(int64(len(t.limits)))
+}
+
+// update applies a statement if it is newer than the known one. The caller holds mu.
+func (t *Tracker) update(now time.Duration, instance string, l *limit, s statement, peer string) {
+	if s.at < l.newest.at {
+		return
+	}
+	old := l.newest
+	l.newest = s
+	if old.limited != s.limited || s.limited && old.perSecond != s.perSecond {
+		t.onChange(Change{Instance: instance, Limited: s.limited, PerSecond: s.perSecond, Age: now - s.at, Peer: peer})
+	}
+}
+
+// Offer counts an attempt for which an instance is the first choice.
+func (t *Tracker) Offer(instance string) {
+	if t.count.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.limits[instance]; l != nil {
+		l.offered++
+	}
+}
+
+// Tick measures the demand since the last tick and returns what to report to the other
+// VMs.
+func (t *Tracker) Tick(now time.Duration) []fleet.UpstreamLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	dt := now - t.lastTick
+	t.lastTick = now
+	var out []fleet.UpstreamLimit
+	for instance, l := range t.limits {
+		l.measure(dt, &t.policy)
+		if !l.newest.limited && now-l.newest.at > t.policy.Retention {
+			t.remove(instance)
+			continue
+		}
+		if r, ok := l.report(now, t.policy.Retention); ok {
+			r.Instance = instance
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.UpstreamLimit) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
+
+// minDemand is the demand, in attempts per second, below which a VM reports none.
+const minDemand = 0.05
+
+func (l *limit) measure(dt time.Duration, p *Policy) {
+	if dt <= 0 || dt > p.MaxTickGap {
+		l.offered, l.demand = 0, movingAverage{}
+		return
+	}
+	l.demand.add(float64(l.offered)/dt.Seconds(), dt, p.DemandHalfLife)
+	l.offered = 0
+	l.published = l.demand.value()
+	if l.published < minDemand {
+		l.published = 0
+	}
+}
+
+// report returns false if the VM has nothing to report of the instance. A statement that
+// a newer one of another VM contradicts isn't reported.
+func (l *limit) report(now, retention time.Duration) (fleet.UpstreamLimit, bool) {
+	r := fleet.UpstreamLimit{Demand: l.published}
+	if l.own.at > 0 && l.own.limited == l.newest.limited && now-l.own.at <= retention {
+		r.Stated, r.Limited, r.PerSecond, r.StatedAt = true, l.own.limited, l.own.perSecond, l.own.at
+	}
+	return r, r.Stated || r.Demand > 0
+}
+
+// ApplyReport applies what another VM reports.
+func (t *Tracker) ApplyReport(now time.Duration, r fleet.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, instance := range t.reported[r.Address] {
+		if l := t.limits[instance]; l != nil {
+			delete(l.peers, r.Address)
+		}
+	}
+	delete(t.reported, r.Address)
+	if len(r.Limits) == 0 {
+		return
+	}
+	names := make([]string, 0, len(r.Limits))
+	for _, u := range r.Limits {
+		l := t.limits[u.Instance]
+		if l == nil {
+			if !u.Stated || !u.Limited || now-u.StatedAt > t.policy.Retention {
+				continue
+			}
+			l = t.add(u.Instance)
+		}
+		if u.Stated {
+			t.update(now, u.Instance, l, statement{limited: u.Limited, perSecond: u.PerSecond, at: u.StatedAt}, r.Address)
+		}
+		l.peers[r.Address] = u.Demand
+		names = append(names, u.Instance)
+	}
+	t.reported[r.Address] = names
+}
+
+// RemoveVM removes the demand of a VM that has left the fleet.
+func (t *Tracker) RemoveVM(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, instance := range t.reported[address] {
+		if l := t.limits[instance]; l != nil {
+			delete(l.peers, address)
+		}
+	}
+	delete(t.reported, address)
+}
+
+// Retain drops the instances that aren't known.
+func (t *Tracker) Retain(known map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for instance := range t.limits {
+		if !known[instance] {
+			t.remove(instance)
+		}
+	}
+}
+
+// Totals are sums over the instances that state a limit.
+type Totals struct {
+	Instances int
+	// PerSecond is the sum of the limits, Demand that of this VM's demand, in requests
+	// per second.
+	PerSecond, Demand float64
+}
+
+// Totals returns the sums over the instances that state a limit.
+func (t *Tracker) Totals() Totals {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out Totals
+	for _, l := range t.limits {
+		if l.newest.limited {
+			out.Instances++
+			out.PerSecond += l.newest.perSecond
+			out.Demand += l.published
+		}
+	}
+	return out
+}
+
+// movingAverage is an exponential moving average that is unbiased from its first sample
+// on.
+type movingAverage struct{ sum, weight float64 }
+
+func (m *movingAverage) add(sample float64, dt, halfLife time.Duration) {
+	retained := math.Exp2(-dt.Seconds() / halfLife.Seconds())
+	m.sum = m.sum*retained + sample*(1-retained)
+	m.weight = m.weight*retained + 1 - retained
+}
+
+func (m *movingAverage) value() float64 {
+	if m.weight == 0 {
+		return 0
+	}
+	return m.sum / m.weight
+}
--- a/internal/fleetrpc/exchanger.go
+++ b/internal/fleetrpc/exchanger.go
@@ -32,6 +32,17 @@
 	RemoveVM(address string)
 }
 
+// LimitTracker tracks the limits that upstreams state, see upstreamlimit.Tracker. Times
+// are on the clock of the reports.
+type LimitTracker interface {
+	// Tick returns what this VM reports of upstreams' limits.
+	Tick(now time.Duration) []fleet.UpstreamLimit
+	// ApplyReport applies a report of another VM.
+	ApplyReport(now time.Duration, r fleet.Report)
+	// RemoveVM removes a VM that has left.
+	RemoveVM(address string)
+}
+
 const (
 	// ReportInterval is the time between two ticks, in which a VM updates its
 	// report and calls other VMs. VMs adapt to a change in a customer's demand on
@@ -51,6 +62,7 @@
 // Exchanger exchanges reports with the other VMs.
 type Exchanger struct {
 	usage  UsageTracker
+	limits LimitTracker
 	log    *eventlog.Log
 	client *http.Client
 	onTick func(Size)
@@ -92,11 +104,11 @@
 }
 
 // New returns an exchanger. onTick is called in each tick.
-func New(self fleet.Report, seeds []string, usage UsageTracker, log *eventlog.Log, onTick func(Size)) *Exchanger {
+func New(self fleet.Report, seeds []string, usage UsageTracker, limits LimitTracker, log *eventlog.Log, onTick func(Size)) *Exchanger {
 	turn := int(xxhash.Sum64String(self.Address) % maxFirstTurn)
 	return &Exchanger{
 		queryClient: executeClient(), executors: executor.NewDirectory(self.Address, self.Zone, turn),
-		usage: usage, log: log, onTick: onTick, selfAddress: self.Address,
+		usage: usage, limits: limits, log: log, onTick: onTick, selfAddress: self.Address,
 		members: fleet.NewTable(fleet.DefaultPolicy(), self, seeds),
 		peers:   map[string]*peer{},
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
@@ -145,6 +157,7 @@
 	now := time.Now()
 	for _, r := range e.members.Merge(reports, sender) {
 		e.usage.ApplyReport(now, r)
+		e.limits.ApplyReport(boottime.Now(), r)
 		p := e.peer(r.Address)
 		if !p.discovered {
 			p.discovered = true
@@ -190,11 +203,12 @@
 
 func (e *Exchanger) tick(ctx context.Context, leaving bool) {
 	now := boottime.Now()
-	usage := e.usage.Tick(time.Now(), now)
+	state := fleet.State{Leaving: leaving, Usage: e.usage.Tick(time.Now(), now), Limits: e.limits.Tick(now)}
 	e.mu.Lock()
-	e.members.UpdateSelf(now, usage, leaving)
+	e.members.UpdateSelf(now, state)
 	for _, addr := range e.members.Expire(now) {
 		e.usage.RemoveVM(addr)
+		e.limits.RemoveVM(addr)
 		delete(e.peers, addr)
 		e.log.Event("vm_forgotten").Str("peer", addr).Send()
 	}
--- a/internal/fleetrpc/exchanger_test.go
+++ b/internal/fleetrpc/exchanger_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +42,21 @@
 	return r, ok
 }
 
+// fakeLimits reports one limited instance and one limit that was lifted.
+type fakeLimits struct{}
+
+func (fakeLimits) Tick(now time.Duration) []fleet.UpstreamLimit {
+	return []fleet.UpstreamLimit{
+		{Instance: "i", Stated: true, Limited: true, PerSecond: 33.1, StatedAt: now - 2*time.Second, Demand: 4},
+		{Instance: "lifted", Stated: true, StatedAt: now},
+		{Instance: "unstated", Demand: 0.5},
+	}
+}
+
+func (fakeLimits) ApplyReport(time.Duration, fleet.Report) {}
+
+func (fakeLimits) RemoveVM(string) {}
+
 type fakeChangeSource struct{}
 
 func (fakeChangeSource) ChangesSince(after int64) (metadata.Batch, bool) {
@@ -64,7 +80,7 @@
 	address := l.Addr().String()
 	u := &fakeUsage{received: map[string]fleet.Report{}}
 	log := eventlog.New(&bytes.Buffer{}, address)
-	exchanger := New(fleet.Report{Address: address, Zone: zone, Incarnation: 1}, seeds, u, log, func(Size) {})
+	exchanger := New(fleet.Report{Address: address, Zone: zone, Incarnation: 1}, seeds, u, fakeLimits{}, log, func(Size) {})
 	exchanger.SetChangeSource(fakeChangeSource{})
 	mux := http.NewServeMux()
 	mux.Handle(exchanger.Handler())
@@ -97,6 +113,19 @@
 	}
 }
 
+// TestReportsCarryLimits checks that the age of a statement, and that a limit was lifted,
+// survive the encoding.
+func TestReportsCarryLimits(t *testing.T) {
+	now := 100 * time.Second
+	sent := fleet.Report{Address: "a:1", At: now, Limits: fakeLimits{}.Tick(now)}
+	later := now + time.Second // the receiver has another clock
+	got := decodeReports(later, encodeReports(now, []fleet.Report{sent}))[0]
+	want := fakeLimits{}.Tick(later)
+	if !slices.Equal(got.Limits, want) {
+		t.Errorf("limits are %+v, want %+v", got.Limits, want)
+	}
+}
+
 func TestFollowCarriesChangesAndTheirAge(t *testing.T) {
 	_, _, reader := start(t, "a")
 	exchanger, _, _ := start(t, "a")
--- a/internal/fleetrpc/wire.go
+++ b/internal/fleetrpc/wire.go
@@ -31,11 +31,38 @@
 		for customer, u := range r.Usage {
 			m.Usage = append(m.Usage, &fleetv1.Usage{Customer: customer, Demand: float32(u.Demand), Admitted: u.Admitted})
 		}
+		m.Limits = encodeLimits(now, r.Limits)
 		out = append(out, m)
 	}
 	return out
 }
 
+func encodeLimits(now time.Duration, limits []fleet.UpstreamLimit) []*fleetv1.UpstreamLimit {
+	var out []*fleetv1.UpstreamLimit
+	for _, l := range limits {
+		m := &fleetv1.UpstreamLimit{Instance: l.Instance, Demand: float32(l.Demand)}
+		if l.Stated {
+			m.StatedAgeMs = 1 + uint32(max(now-l.StatedAt, 0).Milliseconds())
+			m.Limited, m.PerSecond = l.Limited, l.PerSecond
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func decodeLimits(now time.Duration, limits []*fleetv1.UpstreamLimit) []fleet.UpstreamLimit {
+	var out []fleet.UpstreamLimit
+	for _, m := range limits {
+		l := fleet.UpstreamLimit{Instance: m.Instance, Demand: float64(m.Demand)}
+		if m.StatedAgeMs > 0 {
+			l.Stated, l.Limited, l.PerSecond = true, m.Limited, m.PerSecond
+			l.StatedAt = now - time.Duration(m.StatedAgeMs-1)*time.Millisecond
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
 func decodeReports(now time.Duration, reports []*fleetv1.Report) []fleet.Report {
 	out := make([]fleet.Report, 0, len(reports))
 	for _, m := range reports {
@@ -48,6 +75,7 @@
 		for _, u := range m.Usage {
 			r.Usage[u.Customer] = fleet.Usage{Demand: float64(u.Demand), Admitted: u.Admitted}
 		}
+		r.Limits = decodeLimits(now, m.Limits)
 		out = append(out, r)
 	}
 	return out
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/upstreamhttp"
@@ -85,5 +86,8 @@
 		req.MaxBodyBytes = maxShardBodyBytes
 	}
 	a := q.g.pools.Get(u).Do(q.ctx, req, func() { q.g.picker.MarkSent(picked, time.Now()) })
+	if a.Response != nil && !a.Info.WrongInstance {
+		q.g.limits.Observe(boottime.Now(), u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
+	}
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,13 @@
 	Admit(now time.Time, c *routetable.Customer, late bool) (ok bool, retryAfter time.Duration)
 }
 
+// LimitObserver receives the limits that upstreams state in their responses.
+type LimitObserver interface {
+	// Observe records what a response of an instance states: limited is false if it
+	// states no limit. now is on the clock that keeps running while the VM is suspended.
+	Observe(now time.Duration, instance string, perSecond float64, limited bool)
+}
+
 // Metadata is this VM's copy of the metadata store.
 type Metadata interface {
 	// View returns nil while there is no configuration.
@@ -102,6 +109,7 @@
 	headers     Headers
 	metadata    Metadata
 	limiter     Limiter
+	limits      LimitObserver
 	picker      *placement.Picker
 	retryBudget *retrybudget.Budget
 	pools       *Pools
@@ -123,6 +131,7 @@
 	Headers  Headers
 	Metadata Metadata
 	Limiter  Limiter
+	Limits   LimitObserver
 	Picker   *placement.Picker
 	Budget   *retrybudget.Budget
 	Pools    *Pools
@@ -136,7 +145,7 @@
 // New returns a gateway.
 func New(deps Dependencies) *Gateway {
 	return &Gateway{
-		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter,
+		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits,
 		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -28,6 +28,7 @@
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
 	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/core/upstreamlimit"
 	"ryecourse.example/ryecourse/internal/eventlog"
 	"ryecourse.example/ryecourse/internal/fleetrpc"
 	"ryecourse.example/ryecourse/internal/gateway"
@@ -46,6 +47,7 @@
 	budget    *retrybudget.Budget
 	gateway   *gateway.Gateway
 	limiter   *customerrate.Limiter
+	limits    *upstreamlimit.Tracker
 	exchanger *fleetrpc.Exchanger
 	size      atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
 	started   time.Time
@@ -93,7 +95,8 @@
 		log: eventlog.New(out, s.VM),
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	d.picker = placement.NewPicker(s.Zone, r)
+	d.limits = upstreamlimit.NewTracker(upstreamlimit.DefaultPolicy(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), d.logLimit)
+	d.picker = placement.NewPicker(s.Zone, r, d.limits)
 	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
 	rates := customerrate.DefaultPolicy()
@@ -102,7 +105,7 @@
 	d.size.Store(&fleetrpc.Size{VMs: expectedVMs})
 	d.exchanger = fleetrpc.New(fleet.Report{
 		Address: s.PeerAddr.String(), Zone: s.Zone, Incarnation: rand.Uint64(), CPUShare: s.CPUShare,
-	}, seedAddresses(s), d.limiter, d.log, d.resize)
+	}, seedAddresses(s), d.limiter, d.limits, d.log, d.resize)
 	store := platform.NewStore(s.StoreAddr.String(), storeClient())
 	syncPolicy := metadatasync.DefaultPolicy()
 	if s.FirstStart {
@@ -112,7 +115,7 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Executors: d.exchanger, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Executors: d.exchanger, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
@@ -191,6 +194,30 @@
 	d.gateway.Update(v.Table)
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
+	d.limits.Retain(instances(v))
+}
+
+// instances returns the IDs of all instances of a view.
+func instances(v *metadata.View) map[string]bool {
+	out := map[string]bool{}
+	for _, list := range v.Upstreams {
+		for _, u := range list {
+			out[u.ID] = true
+		}
+	}
+	return out
+}
+
+// logLimit logs a change of what this VM knows of an upstream's limit.
+func (d *Daemon) logLimit(c upstreamlimit.Change) {
+	e := d.log.Event("upstream_limit").Str("upstream", c.Instance).Bool("limited", c.Limited).Dur("age_ms", c.Age)
+	if c.Limited {
+		e.Float64("per_second", c.PerSecond)
+	}
+	if c.Peer != "" {
+		e.Str("peer", c.Peer)
+	}
+	e.Send()
 }
 
 // coldLimitFraction is the fraction of a cold upstream's limit that the fleet
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -41,6 +41,9 @@
 		return 0
 	})
 	gauge("fleet_vms", func() float64 { return float64(d.size.Load().VMs) })
+	gauge("limited_upstreams", func() float64 { return float64(d.limits.Totals().Instances) })
+	gauge("limited_upstreams_per_second", func() float64 { return d.limits.Totals().PerSecond })
+	gauge("limited_upstreams_demand", func() float64 { return d.limits.Totals().Demand })
 	gauge("upstream_connections", func() float64 {
 		open, _, _ := d.pools.Stats()
 		return float64(open)
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -63,6 +63,10 @@
 	// Load is valid if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// LimitPerSecond is the limit on the requests of all VMs together that the upstream
+	// states; valid if HasLimit is set.
+	LimitPerSecond float64
+	HasLimit       bool
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
 	// it doesn't report it.
 	IdleTimeout time.Duration
