--- /dev/null
+++ b/internal/gateway/respond.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"ryecourse.example/ryecourse/internal/core/fanout"
+	"ryecourse.example/ryecourse/internal/core/topk"
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// respond sends the caller the upstream's response, the merged responses or an
+// error. The last response of an unsharded route is passed on even after a failure
+// if its upstream ran the request.
+func (q *proxyRequest) respond(w http.ResponseWriter) requestResult {
+	switch q.query.Outcome() {
+	case fanout.Success:
+		if q.in.route.Sharded != nil {
+			return q.writeMerged(w)
+		}
+		return q.writeUpstream(w)
+	case fanout.TimedOut:
+		return q.fail(w, ReasonTimedOut)
+	default:
+		if q.shardResults[0].Response != nil && len(q.services) == 1 && q.in.route.Sharded == nil &&
+			q.shardResults[0].Verdict == verdict.Ran {
+			return q.writeUpstream(w)
+		}
+		return q.fail(w, ReasonUpstreamsFailed)
+	}
+}
+
+// fail responds without an upstream's response. If no attempt may have run the
+// request and none is pending, the response guarantees that it hasn't run; only such
+// responses carry a Retry-After.
+func (q *proxyRequest) fail(w http.ResponseWriter, reason Reason) requestResult {
+	reason = q.refineReason(reason)
+	q.g.refuse(w, reason, otherVMRetryAfter)
+	return q.completeResult(requestResult{reason: reason, status: statusOf[reason]})
+}
+
+// refineReason replaces the reason of a request that no attempt may have run and that
+// has none pending.
+func (q *proxyRequest) refineReason(reason Reason) Reason {
+	switch {
+	case q.query.Verdict() != verdict.NotRun || q.attemptsInFlight > 0:
+		return reason
+	case q.rejectedByUpstream:
+		return ReasonRejectedByUpstreams
+	}
+	return ReasonNoUpstream
+}
+
+// impliesNotRun reports whether a status guarantees the caller that its request
+// hasn't run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (q *proxyRequest) writeUpstream(w http.ResponseWriter) requestResult {
+	resp := q.shardResults[0].Response
+	if impliesNotRun(resp.StatusCode()) { // the upstream didn't send it as a guarantee
+		return q.fail(w, ReasonUpstreamsFailed)
+	}
+	h := w.Header()
+	q.g.headers.CopyResponseHeaders(h, &resp.Header)
+	body := resp.Body()
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.g.closeIfStopping(h)
+	w.WriteHeader(resp.StatusCode())
+	_, err := w.Write(body)
+	return q.completeResult(requestResult{status: resp.StatusCode(), writeErr: err})
+}
+
+// merge returns the merged body and the signatures of the responses in it.
+func (q *proxyRequest) merge() (body []byte, signatures []string) {
+	var parts [][]byte
+	for i := range q.shardResults {
+		if a := &q.shardResults[i]; a.Response != nil {
+			parts = append(parts, a.Response.Body())
+			signatures = append(signatures, a.Info.Signature)
+		}
+	}
+	return topk.Merge(parts, q.in.route.Sharded.TopK), signatures
+}
+
+func (q *proxyRequest) writeMerged(w http.ResponseWriter) requestResult {
+	body, signatures := q.merge()
+	err := q.g.writeMergedBody(w, q.in.info.ID, body, signatures, len(q.services)-len(signatures))
+	return q.completeResult(requestResult{status: http.StatusOK, missing: q.missingServices(), writeErr: err})
+}
+
+// writeMergedBody sends a response that was merged from shards.
+func (g *Gateway) writeMergedBody(w http.ResponseWriter, id string, body []byte, signatures []string, missing int) error {
+	h := w.Header()
+	g.headers.WriteMergedHeaders(h, id, signatures, missing)
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	g.closeIfStopping(h)
+	w.WriteHeader(http.StatusOK)
+	_, err := w.Write(body)
+	return err
+}
+
+// missingServices returns the services of the shards without a response.
+func (q *proxyRequest) missingServices() []string {
+	var out []string
+	for i := range q.shardResults {
+		if q.shardResults[i].Response == nil {
+			out = append(out, q.services[i])
+		}
+	}
+	return out
+}
