Keep the fleet within the limits that upstreams state

Cause: no VM acted on Server-Limit, and a VM that had kept to it alone would have changed nothing: it is a bound on the sum over all VMs, each of which sees a part.

What callers saw: nothing.

Change: a VM admits the fraction of its attempts at an instance that the limit is of the fleet's demand. Statements, with their age, and demand are in the reports of VMs. The rest goes to other instances or is rejected at once (upstreams_at_limit, Retry-After by excess).

Why it works: the fraction is the same on all VMs, so that the sum is the limit wherever the demand arises, also where a VM has a request in seconds; new VMs get limit and demand with their first report; silent VMs count with their last demand.

--- a/internal/core/executor/executor.go
+++ b/internal/core/executor/executor.go
@@ -40,12 +40,15 @@
 	Failure string
 	// NotRun is set if no upstream may have run the request.
 	NotRun bool
-	Body   []byte
+	// RetryAfter is how long the caller of a failed query that hasn't run should wait
+	// before it retries.
+	RetryAfter time.Duration
+	Body       []byte
 	// Signatures are those of the upstreams whose responses were merged; Missing names
 	// the services without a response.
 	Signatures, Missing []string
 
-	Answered, Attempts, Hedges, DeniedByBudget, WithoutUpstream int
+	Answered, Attempts, Hedges, DeniedByBudget, WithoutUpstream, AtLimit int
 	// LastError is the last error of an attempt, or empty.
 	LastError string
 }
--- a/internal/core/fanout/fanout.go
+++ b/internal/core/fanout/fanout.go
@@ -43,6 +43,8 @@
 	NoUpstream
 	// NoBudget means that the retry budget is exhausted.
 	NoBudget
+	// AtLimit means that the upstreams' own limits don't admit the attempt.
+	AtLimit
 )
 
 // Sender starts attempts.
@@ -160,7 +162,7 @@
 			return
 		}
 		q.fail(i)
-	case NoBudget:
+	case NoBudget, AtLimit:
 		s.hedgeAt = time.Time{}
 		if s.inFlight == 0 {
 			q.fail(i)
--- a/internal/core/fanout/fanout_test.go
+++ b/internal/core/fanout/fanout_test.go
@@ -223,3 +223,26 @@
 		t.Error("a second answer was accepted")
 	}
 }
+
+// TestShardAtItsLimitFailsAtOnce checks that a shard whose upstreams are at their limits
+// neither waits nor is tried again.
+func TestShardAtItsLimitFailsAtOnce(t *testing.T) {
+	s := &scriptedSender{next: map[int][]SendResult{0: {AtLimit}, 1: {Started, AtLimit}}}
+	q := New(policy(2, 0.5), s)
+	q.Start(start)
+	if next := q.NextTimer(start); next.Before(at(10)) {
+		t.Errorf("the timer is due after %v, before that of the hedge", next.Sub(start))
+	}
+	q.OnTimer(at(10)) // the hedge of shard 1 isn't admitted
+	expectOutcome(t, q, Running)
+	q.OnResult(at(12), 1, true, verdict.Ran)
+	expectOutcome(t, q, Success)
+	expectSent(t, s, First)
+
+	q = New(policy(1, 1), &scriptedSender{next: map[int][]SendResult{0: {AtLimit}}})
+	q.Start(start)
+	expectOutcome(t, q, Unanswerable)
+	if q.Verdict() != verdict.NotRun {
+		t.Errorf("the verdict is %v", q.Verdict())
+	}
+}
--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -85,6 +85,7 @@
 	// Upstream is the instance's announcement at the time of the pick.
 	Upstream routetable.Upstream
 	sentAt   time.Time
+	sent     bool // MarkSent was called
 	// typicalLatency is the typical latency of such requests; 0 if unknown.
 	typicalLatency time.Duration
 }
--- a/internal/core/placement/load_test.go
+++ b/internal/core/placement/load_test.go
@@ -73,7 +73,7 @@
 
 func (sim *simulation) attempt(vm int, startedAt time.Duration, tried []*Instance) {
 	p := sim.pickers[vm]
-	a := p.Pick(sim.clock.Now(), Request{Service: "s", TypicalLatency: loadWork, Tried: tried, ExtraAttemptScarcity: sim.scarcity(sim.budgets[vm])})
+	a, _ := p.Pick(sim.clock.Now(), Request{Service: "s", TypicalLatency: loadWork, Tried: tried, ExtraAttemptScarcity: sim.scarcity(sim.budgets[vm])})
 	if a == nil {
 		sim.failed++
 		return
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,10 +26,14 @@
 // upstream. If limited is false, there is no limit.
 type ColdRate func(u routetable.Upstream) (perSecond float64, limited bool)
 
-// Limits tracks the limits that instances state on the requests of all VMs.
+// Limits keeps attempts within the limits that instances state on the requests of all
+// VMs.
 type Limits interface {
-	// Offer counts an attempt for which an instance is the first choice.
-	Offer(instance string)
+	// Admit reports whether the VM may send an attempt to an instance that is its first
+	// choice. fraction is the fraction of such attempts that it may send now.
+	Admit(instance string) (ok bool, fraction float64)
+	// Cancel returns an admission whose attempt wasn't sent.
+	Cancel(instance string)
 }
 
 // NewPicker returns a picker for a VM of the zone. limits may be nil.
@@ -76,24 +81,58 @@
 	Service string
 	// TypicalLatency is the median latency of such requests; 0 if unknown.
 	TypicalLatency time.Duration
-	// Tried holds the instances that have already been sent the request.
-	Tried []*Instance
+	// Tried holds the instances that have already been sent the request. They are
+	// skipped, or come last if RetryTried is set.
+	Tried      []*Instance
+	RetryTried bool
 	// ExtraAttemptScarcity is how scarce the extra attempts are that could follow a
 	// rejection, by the retry budget: 1 if none is left, near 0 if many are. It
 	// scales the penalty of instances that reject requests without being full.
 	ExtraAttemptScarcity float64
 }
 
+// Shortage is why no instance was picked.
+type Shortage struct {
+	// AtLimit is set if an instance wasn't picked because of the limit that it states.
+	AtLimit bool
+	// AdmittedFraction is the largest fraction of attempts that such an instance
+	// admits now.
+	AdmittedFraction float64
+}
+
 // Pick starts an attempt at the instance with the lowest score. It skips those in
-// Tried, draining or replaced ones, those in evacuated zones, and cold ones to
-// which this VM may not send at now. It returns nil if none is left.
-func (p *Picker) Pick(now time.Time, r Request) *Attempt {
+// Tried, draining or replaced ones, those in evacuated zones, cold ones to which this
+// VM may not send at now, and those whose limit doesn't admit the attempt. It returns
+// nil if none is left.
+func (p *Picker) Pick(now time.Time, r Request) (*Attempt, Shortage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var shortage Shortage
+	skipped := r.Tried
+	for {
+		best := p.best(now, r, skipped)
+		if best == nil && r.RetryTried {
+			r.RetryTried, skipped = false, skipped[len(r.Tried):]
+			continue
+		}
+		if best == nil {
+			return nil, shortage
+		}
+		ok, fraction := p.admit(best)
+		if ok {
+			return p.start(now, best, r.TypicalLatency), Shortage{}
+		}
+		shortage.AtLimit, shortage.AdmittedFraction = true, max(shortage.AdmittedFraction, fraction)
+		skipped = append(slices.Clip(skipped), best)
+	}
+}
+
+// best returns the instance with the lowest score, or nil. The caller holds mu.
+func (p *Picker) best(now time.Time, r Request, skipped []*Instance) *Instance {
 	var best *Instance
 	var bestScore float64
 	for _, inst := range p.services[r.Service] {
-		if !p.allowed(inst) || contains(r.Tried, inst) {
+		if !p.allowed(inst) || slices.Contains(skipped, inst) {
 			continue
 		}
 		s := inst.score(now, p.zone, p.rand.Float64(), r.ExtraAttemptScarcity)
@@ -105,27 +144,23 @@
 		}
 		best, bestScore = inst, s
 	}
-	if best == nil {
-		return nil
-	}
-	if now.Before(best.coldUntil) {
-		best.cold.recordSend(now)
-	}
-	if p.limits != nil {
-		p.limits.Offer(best.Announcement.ID)
+	return best
+}
+
+func (p *Picker) admit(inst *Instance) (ok bool, fraction float64) {
+	if p.limits == nil {
+		return true, 1
 	}
-	a := &Attempt{Instance: best, Upstream: best.Announcement, sentAt: now, typicalLatency: r.TypicalLatency}
-	best.inFlight = append(best.inFlight, a)
-	return a
+	return p.limits.Admit(inst.Announcement.ID)
 }
 
-func contains(list []*Instance, inst *Instance) bool {
-	for _, x := range list {
-		if x == inst {
-			return true
-		}
+func (p *Picker) start(now time.Time, inst *Instance, typicalLatency time.Duration) *Attempt {
+	if now.Before(inst.coldUntil) {
+		inst.cold.recordSend(now)
 	}
-	return false
+	a := &Attempt{Instance: inst, Upstream: inst.Announcement, sentAt: now, typicalLatency: typicalLatency}
+	inst.inFlight = append(inst.inFlight, a)
+	return a
 }
 
 // MarkSent sets the start of the attempt to now. It is called just before the
@@ -133,7 +168,7 @@
 func (p *Picker) MarkSent(a *Attempt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a.sentAt = now
+	a.sentAt, a.sent = now, true
 }
 
 // MarkSlow records the time that an attempt has taken so far, so that later picks
@@ -161,6 +196,9 @@
 	defer p.mu.Unlock()
 	inst := a.Instance
 	inst.remove(a)
+	if !a.sent && p.limits != nil {
+		p.limits.Cancel(inst.Announcement.ID)
+	}
 	took := now.Sub(a.sentAt)
 	switch o {
 	case Answered:
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 
 func pick(t *testing.T, p *Picker, ms int) *Attempt {
 	t.Helper()
-	a := p.Pick(at(ms), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1})
+	a, _ := p.Pick(at(ms), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1})
 	if a == nil {
 		t.Fatal("no instance was picked")
 	}
@@ -123,7 +124,7 @@
 func TestSlowInstanceGetsFewerPicks(t *testing.T) {
 	p := picker("a", "b")
 	for i := range 6 {
-		a := p.Pick(at(i), Request{Service: "s", TypicalLatency: typicalLatency, Tried: []*Instance{p.instances["u1"]}, ExtraAttemptScarcity: 1})
+		a, _ := p.Pick(at(i), Request{Service: "s", TypicalLatency: typicalLatency, Tried: []*Instance{p.instances["u1"]}, ExtraAttemptScarcity: 1})
 		p.Done(a, at(i).Add(8*typicalLatency), Answered, nil)
 	}
 	if got := pickCounts(t, p, 60, 20); got["u0"] > 2 {
@@ -145,7 +146,7 @@
 func TestAFailingInstanceIsAvoidedAndTriedAgain(t *testing.T) {
 	p := picker("a", "b")
 	for i := range 3 {
-		a := p.Pick(at(i), Request{Service: "s", TypicalLatency: typicalLatency, Tried: []*Instance{p.instances["u1"]}, ExtraAttemptScarcity: 1})
+		a, _ := p.Pick(at(i), Request{Service: "s", TypicalLatency: typicalLatency, Tried: []*Instance{p.instances["u1"]}, ExtraAttemptScarcity: 1})
 		p.Done(a, at(i), Failed, nil)
 	}
 	if got := pickCounts(t, p, 10, 20); got["u0"] != 0 {
@@ -166,11 +167,11 @@
 			list, evacuated := instances("a"), map[string]bool{}
 			change(&list["s"][0], evacuated)
 			p.Update(start, list, evacuated, nil)
-			if p.Pick(start, Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}) != nil {
+			if a, _ := p.Pick(start, Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a != nil {
 				t.Error("the instance was picked")
 			}
 			p.Update(start, instances("a"), nil, nil)
-			if p.Pick(start, Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}) == nil {
+			if a, _ := p.Pick(start, Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a == nil {
 				t.Error("the instance isn't picked after its return")
 			}
 		})
@@ -180,17 +181,17 @@
 func TestReplacedInstanceIsNotPickedUntilItsNextStart(t *testing.T) {
 	p := picker("a")
 	p.Done(pick(t, p, 0), at(0), WrongInstance, nil)
-	if p.Pick(at(1), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}) != nil {
+	if a, _ := p.Pick(at(1), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a != nil {
 		t.Error("the instance was picked")
 	}
 	p.Update(at(2), instances("a"), nil, nil)
-	if p.Pick(at(2), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}) != nil {
+	if a, _ := p.Pick(at(2), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a != nil {
 		t.Error("the instance was picked after a heartbeat")
 	}
 	again := instances("a")
 	again["s"][0].Born = 2
 	p.Update(at(3), again, nil, nil)
-	if p.Pick(at(3), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}) == nil {
+	if a, _ := p.Pick(at(3), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a == nil {
 		t.Error("the instance isn't picked after its next start")
 	}
 }
@@ -211,7 +212,7 @@
 		var sent []int
 		for ms := range 5000 {
 			for _, p := range pickers {
-				if a := p.Pick(at(ms), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a != nil {
+				if a, _ := p.Pick(at(ms), Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}); a != nil {
 					p.Done(a, at(ms), Answered, nil)
 					sent = append(sent, ms)
 				}
@@ -231,3 +232,62 @@
 		}
 	}
 }
+
+// fakeLimits admits attempts at the instances that it holds true for.
+type fakeLimits struct {
+	admits   map[string]bool
+	offered  []string
+	canceled []string
+}
+
+func (l *fakeLimits) Admit(instance string) (bool, float64) {
+	l.offered = append(l.offered, instance)
+	if l.admits[instance] {
+		return true, 1
+	}
+	return false, 0.25
+}
+
+func (l *fakeLimits) Cancel(instance string) { l.canceled = append(l.canceled, instance) }
+
+// TestInstanceAtItsLimitIsPassedOver checks the order of choices, and that each instance
+// is offered an attempt once.
+func TestInstanceAtItsLimitIsPassedOver(t *testing.T) {
+	limits := &fakeLimits{admits: map[string]bool{"u1": true, "u2": true}}
+	p := NewPicker("a", rand.New(rand.NewPCG(1, 2)), limits)
+	p.Update(start, instances("a", "b"), nil, nil)
+	r := Request{Service: "s", TypicalLatency: typicalLatency, ExtraAttemptScarcity: 1}
+	a, _ := p.Pick(start, r)
+	if a == nil || a.Upstream.ID != "u1" {
+		t.Fatalf("the pick is %+v, want the instance that isn't at its limit", a)
+	}
+	r.Tried, r.RetryTried = []*Instance{a.Instance}, true
+	if again, _ := p.Pick(start, r); again != a.Instance.inFlight[1] {
+		t.Error("the instance that was tried wasn't picked, though the other is at its limit")
+	}
+	r.RetryTried = false
+	if _, shortage := p.Pick(start, r); shortage != (Shortage{AtLimit: true, AdmittedFraction: 0.25}) {
+		t.Errorf("the shortage is %+v", shortage)
+	}
+	if want := []string{"u0", "u1", "u0", "u1", "u0"}; !slices.Equal(limits.offered, want) {
+		t.Errorf("offers are %v, want %v", limits.offered, want)
+	}
+}
+
+// TestAdmissionOfAnAttemptThatWasNotSentIsReturned guards against limits that are used up
+// by attempts that no connection took.
+func TestAdmissionOfAnAttemptThatWasNotSentIsReturned(t *testing.T) {
+	limits := &fakeLimits{admits: map[string]bool{"u0": true}}
+	p := NewPicker("a", rand.New(rand.NewPCG(1, 2)), limits)
+	p.Update(start, instances("a"), nil, nil)
+	sent, unsent := pick(t, p, 0), pick(t, p, 0)
+	p.MarkSent(sent, at(1))
+	p.Done(sent, at(2), Failed, nil)
+	if len(limits.canceled) != 0 {
+		t.Error("the admission of an attempt that was sent was returned")
+	}
+	p.Done(unsent, at(2), Unreachable, nil)
+	if len(limits.canceled) != 1 {
+		t.Error("the admission of an attempt that wasn't sent was kept")
+	}
+}
--- a/internal/core/upstreamlimit/load_test.go
+++ b/internal/core/upstreamlimit/load_test.go
@@ -208,13 +208,14 @@
 
 func (w *world) request(v *vm) {
 	w.requests++
-	a := v.picker.Pick(w.time(), placement.Request{Service: "s", TypicalLatency: work, ExtraAttemptScarcity: 1})
+	a, _ := v.picker.Pick(w.time(), placement.Request{Service: "s", TypicalLatency: work, ExtraAttemptScarcity: 1})
 	if a == nil {
 		w.rejected++
 		return
 	}
 	since, known := v.knownSince[a.Upstream.ID]
 	w.sent[a.Upstream.ID] = append(w.sent[a.Upstream.ID], sent{at: w.now, counted: known && w.now-since >= toldTime})
+	v.picker.MarkSent(a, w.time())
 	v.running = append(v.running, running{attempt: a, until: w.now + work})
 }
 
@@ -311,3 +312,46 @@
 		w.checkLimits()
 	})
 }
+
+// TestLimitIsUsedAndTheRestGoesElsewhere checks what callers get: the limits are used, an
+// instance without a limit takes the requests that they leave, and nothing is rejected
+// that fits.
+func TestLimitIsUsedAndTheRestGoesElsewhere(t *testing.T) {
+	forEachLoad(t, func(w *world) {
+		w.run(10 * time.Second)
+		from := w.now
+		requestsBefore, rejectedBefore := w.requests, w.rejected
+		w.run(30 * time.Second)
+		requests, rejected := w.requests-requestsBefore, w.rejected-rejectedBefore
+		var allowed float64
+		used := 0
+		for id, limit := range w.load.limits {
+			n := w.sentSince(id, from)
+			allowed += limit * 30
+			used += n
+			t.Logf("%s: %d of %.0f", id, n, limit*30)
+		}
+		t.Logf("%d of %d requests rejected", rejected, requests)
+		demand := w.load.demand * 30
+		if len(w.load.limits) < len(zones) {
+			if rejected > 0 {
+				t.Errorf("%d of %d requests were rejected, with an instance that has no limit", rejected, requests)
+			}
+			demand /= float64(len(zones)) // that of the zone of the limited instance
+		}
+		if want := min(allowed, demand); float64(used) < 0.8*want {
+			t.Errorf("%d requests were sent to the limited instances, want %.0f", used, want)
+		}
+	})
+}
+
+// sentSince returns the number of requests that an instance received since a time.
+func (w *world) sentSince(id string, from time.Duration) int {
+	n := 0
+	for _, s := range w.sent[id] {
+		if s.at >= from {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/upstreamlimit/tracker.go
+++ b/internal/core/upstreamlimit/tracker.go
@@ -35,14 +35,26 @@
 	// MaxTickGap is the time between two ticks above which the VM is taken to have been
 	// suspended, and its measured demand is discarded.
 	MaxTickGap time.Duration
+	// Utilization is the fraction of a limit that the fleet uses; the rest is for demand
+	// that isn't reported yet.
+	Utilization float64
+	// MinPerSecond is the least rate that the fleet sends to an upstream, so that it
+	// notices when a lower limit is lifted.
+	MinPerSecond float64
+	// IsolatedVMs is the assumed number of VMs while no other VM is known.
+	IsolatedVMs int
 }
 
 // DefaultPolicy suits a report interval of a quarter of a second.
 func DefaultPolicy() Policy {
-	return Policy{DemandHalfLife: 500 * time.Millisecond, Retention: 5 * time.Second, MaxTickGap: time.Second}
+	return Policy{
+		DemandHalfLife: 500 * time.Millisecond, Retention: 5 * time.Second, MaxTickGap: time.Second,
+		Utilization: 0.9, MinPerSecond: 0.5, IsolatedVMs: 16,
+	}
 }
 
-// Change is a change of what a VM knows of an upstream's limit.
+// Change is a change of an upstream's limit as a VM knows it, or of the fraction of
+// attempts that the VM admits.
 type Change struct {
 	Instance string
 	// Limited is false if the upstream no longer states a limit.
@@ -52,6 +64,9 @@
 	// Age is that of the statement; Peer is the VM that reported it, or empty.
 	Age  time.Duration
 	Peer string
+	// Demand and FleetDemand are this VM's and the fleet's demand, in attempts per
+	// second; Fraction is the admitted fraction, from 0 to 1.
+	Demand, FleetDemand, Fraction float64
 }
 
 // statement is what an upstream stated about its limit at a time.
@@ -69,8 +84,14 @@
 	offered int // attempts since the last tick
 	demand  movingAverage
 	// published is the demand as last reported; peers holds that of other VMs.
-	published float64
-	peers     map[string]float64
+	published   float64
+	peers       map[string]float64
+	peersDemand float64 // sum of peers
+	// credit accumulates the admitted fraction of each attempt. An attempt is admitted
+	// for each whole one.
+	credit float64
+	// notified is the fraction in the last Change.
+	notified float64
 }
 
 // Tracker is one VM's knowledge of upstreams' limits. It is safe for concurrent use.
@@ -85,13 +106,14 @@
 	count atomic.Int64
 	// reported holds the instances in each VM's last report.
 	reported map[string][]string
+	vms      map[string]bool // other VMs, by address
 	lastTick time.Duration
 }
 
 // NewTracker returns a tracker without limits. onChange is called with each change; it
 // must not block or call the tracker.
 func NewTracker(p Policy, r *rand.Rand, onChange func(Change)) *Tracker {
-	return &Tracker{policy: p, rand: r, onChange: onChange, limits: map[string]*limit{}, reported: map[string][]string{}}
+	return &Tracker{policy: p, rand: r, onChange: onChange, limits: map[string]*limit{}, reported: map[string][]string{}, vms: map[string]bool{}}
 }
 
 // Observe records what a response of an instance states: limited is false if it states
@@ -114,7 +136,8 @@
 }
 
 func (t *Tracker) add(instance string) *limit {
-	l := &limit{peers: map[string]float64{}}
+	// The random credit spreads the admitted attempts of VMs with few attempts each.
+	l := &limit{peers: map[string]float64{}, credit: t.rand.Float64()}
 	t.limits[instance] = l
 	t.count.Store(int64(len(t.limits)))
 	return l
@@ -133,19 +156,70 @@
 	old := l.newest
 	l.newest = s
 	if old.limited != s.limited || s.limited && old.perSecond != s.perSecond {
-		t.onChange(Change{Instance: instance, Limited: s.limited, PerSecond: s.perSecond, Age: now - s.at, Peer: peer})
+		t.notify(now, instance, l, peer)
+	}
+}
+
+func (t *Tracker) notify(now time.Duration, instance string, l *limit, peer string) {
+	l.notified = t.fraction(l)
+	t.onChange(Change{
+		Instance: instance, Limited: l.newest.limited, PerSecond: l.newest.perSecond, Age: now - l.newest.at, Peer: peer,
+		Demand: l.published, FleetDemand: t.fleetDemand(l), Fraction: l.notified,
+	})
+}
+
+// fleetDemand returns the demand of all VMs. Those that are silent count with their last
+// report, since they may be cut off from this VM only.
+func (t *Tracker) fleetDemand(l *limit) float64 {
+	if len(t.vms) == 0 {
+		return l.published * float64(t.policy.IsolatedVMs)
+	}
+	return l.published + l.peersDemand
+}
+
+// fraction returns the fraction of attempts that are admitted.
+func (t *Tracker) fraction(l *limit) float64 {
+	allowed := max(l.newest.perSecond*t.policy.Utilization, t.policy.MinPerSecond)
+	demand := t.fleetDemand(l)
+	if !l.newest.limited || demand <= allowed {
+		return 1
+	}
+	return allowed / demand
+}
+
+// Admit counts an attempt for which an instance is the first choice, and reports whether
+// this VM may send it. fraction is the fraction of such attempts that it may send now.
+func (t *Tracker) Admit(instance string) (ok bool, fraction float64) {
+	if t.count.Load() == 0 {
+		return true, 1
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.limits[instance]
+	if l == nil {
+		return true, 1
+	}
+	l.offered++
+	fraction = t.fraction(l)
+	if fraction >= 1 {
+		return true, 1
+	}
+	if l.credit += fraction; l.credit < 1 {
+		return false, fraction
 	}
+	l.credit--
+	return true, fraction
 }
 
-// Offer counts an attempt for which an instance is the first choice.
-func (t *Tracker) Offer(instance string) {
+// Cancel returns an admission whose attempt wasn't sent.
+func (t *Tracker) Cancel(instance string) {
 	if t.count.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l := t.limits[instance]; l != nil {
-		l.offered++
+	if l := t.limits[instance]; l != nil && l.credit < 1 {
+		l.credit++
 	}
 }
 
@@ -163,6 +237,10 @@
 			t.remove(instance)
 			continue
 		}
+		l.sumPeers()
+		if f := t.fraction(l); f > l.notified*notifyFactor || f < l.notified/notifyFactor {
+			t.notify(now, instance, l, "")
+		}
 		if r, ok := l.report(now, t.policy.Retention); ok {
 			r.Instance = instance
 			out = append(out, r)
@@ -172,6 +250,28 @@
 	return out
 }
 
+// notifyFactor is the factor by which the admitted fraction changes before it is
+// notified again.
+const notifyFactor = 2
+
+// sumPeers recomputes peersDemand, without the rounding errors of its updates.
+func (l *limit) sumPeers() {
+	l.peersDemand = 0
+	for _, d := range l.peers {
+		l.peersDemand += d
+	}
+}
+
+func (l *limit) setPeer(address string, demand float64) {
+	l.peersDemand += demand - l.peers[address]
+	l.peers[address] = demand
+}
+
+func (l *limit) removePeer(address string) {
+	l.peersDemand -= l.peers[address]
+	delete(l.peers, address)
+}
+
 // minDemand is the demand, in attempts per second, below which a VM reports none.
 const minDemand = 0.05
 
@@ -202,12 +302,8 @@
 func (t *Tracker) ApplyReport(now time.Duration, r fleet.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, instance := range t.reported[r.Address] {
-		if l := t.limits[instance]; l != nil {
-			delete(l.peers, r.Address)
-		}
-	}
-	delete(t.reported, r.Address)
+	t.removeDemand(r.Address)
+	t.vms[r.Address] = true
 	if len(r.Limits) == 0 {
 		return
 	}
@@ -220,10 +316,10 @@
 			}
 			l = t.add(u.Instance)
 		}
+		l.setPeer(r.Address, u.Demand)
 		if u.Stated {
 			t.update(now, u.Instance, l, statement{limited: u.Limited, perSecond: u.PerSecond, at: u.StatedAt}, r.Address)
 		}
-		l.peers[r.Address] = u.Demand
 		names = append(names, u.Instance)
 	}
 	t.reported[r.Address] = names
@@ -233,9 +329,15 @@
 func (t *Tracker) RemoveVM(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.removeDemand(address)
+	delete(t.vms, address)
+}
+
+// removeDemand removes what a VM last reported. The caller holds mu.
+func (t *Tracker) removeDemand(address string) {
 	for _, instance := range t.reported[address] {
 		if l := t.limits[instance]; l != nil {
-			delete(l.peers, address)
+			l.removePeer(address)
 		}
 	}
 	delete(t.reported, address)
--- a/internal/core/upstreamlimit/tracker_test.go
+++ b/internal/core/upstreamlimit/tracker_test.go
@@ -42,6 +42,9 @@
 		{Instance: "i", Limited: true, PerSecond: 10, Age: 500 * time.Millisecond, Peer: "vm"},
 		{Instance: "i"},
 	}
+	for i := range changes {
+		changes[i].Fraction = 0 // see load_test.go
+	}
 	if !slices.Equal(changes, want) {
 		t.Errorf("changes are %+v, want %+v", changes, want)
 	}
@@ -75,9 +78,9 @@
 	tracker.Observe(at(0), "i", 20, true)
 	for i := range 8 {
 		for range 5 {
-			tracker.Offer("i")
+			tracker.Admit("i")
 		}
-		tracker.Offer("unlimited")
+		tracker.Admit("unlimited")
 		got := tracker.Tick(at(time.Duration(i+1) * tick))
 		if len(got) != 1 || got[0].Instance != "i" || got[0].Demand < 19.9 || got[0].Demand > 20.1 {
 			t.Fatalf("report %d is %+v, want a demand of 20 a second", i, got)
--- a/internal/fleetrpc/execute.go
+++ b/internal/fleetrpc/execute.go
@@ -88,7 +88,8 @@
 	return &fleetv1.ExecuteResult{
 		Failure: r.Failure, NotRun: r.NotRun, Body: r.Body, Signatures: r.Signatures, Missing: r.Missing,
 		Answered: uint32(r.Answered), Attempts: uint32(r.Attempts), Hedges: uint32(r.Hedges),
-		DeniedByBudget: uint32(r.DeniedByBudget), WithoutUpstream: uint32(r.WithoutUpstream), Error: r.LastError,
+		DeniedByBudget: uint32(r.DeniedByBudget), WithoutUpstream: uint32(r.WithoutUpstream), AtLimit: uint32(r.AtLimit),
+		Error: r.LastError, RetryAfterUs: r.RetryAfter.Microseconds(),
 	}
 }
 
@@ -96,7 +97,8 @@
 	return executor.Result{
 		Failure: m.Failure, NotRun: m.NotRun, Body: m.Body, Signatures: m.Signatures, Missing: m.Missing,
 		Answered: int(m.Answered), Attempts: int(m.Attempts), Hedges: int(m.Hedges),
-		DeniedByBudget: int(m.DeniedByBudget), WithoutUpstream: int(m.WithoutUpstream), LastError: m.Error,
+		DeniedByBudget: int(m.DeniedByBudget), WithoutUpstream: int(m.WithoutUpstream), AtLimit: int(m.AtLimit),
+		LastError: m.Error, RetryAfter: time.Duration(m.RetryAfterUs) * time.Microsecond,
 	}
 }
 
--- a/internal/fleetrpc/execute_test.go
+++ b/internal/fleetrpc/execute_test.go
@@ -73,7 +73,8 @@
 func TestExecuteReturnsTheResult(t *testing.T) {
 	want := executor.Result{
 		Body: []byte("records"), Signatures: []string{"s1", "s2"}, Missing: []string{"m"},
-		Answered: 2, Attempts: 4, Hedges: 1, DeniedByBudget: 3, WithoutUpstream: 5, LastError: "e",
+		Answered: 2, Attempts: 4, Hedges: 1, DeniedByBudget: 3, WithoutUpstream: 5, AtLimit: 6, LastError: "e",
+		RetryAfter: 70 * time.Millisecond,
 	}
 	addr, _ := startExecutor(t, runnerFunc(func(_ context.Context, r *executor.Request) (executor.Result, error) {
 		if !reflect.DeepEqual(*r, sampleQuery) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,16 +15,18 @@
 	now := time.Now()
 	service := q.services[shard]
 	q.markSlow(shard, now)
-	placementRequest := placement.Request{
-		Service: service, TypicalLatency: q.typicalLatency, Tried: q.triedInstances[shard], ExtraAttemptScarcity: q.g.retryBudget.Scarcity(service),
-	}
-	picked := q.g.picker.Pick(now, placementRequest)
-	if picked == nil && kind == fanout.Retry {
-		// All instances have been tried; a second attempt at one is better than none.
-		placementRequest.Tried = nil
-		picked = q.g.picker.Pick(now, placementRequest)
-	}
-	if picked == nil {
+	picked, shortage := q.g.picker.Pick(now, placement.Request{
+		Service: service, TypicalLatency: q.typicalLatency, Tried: q.triedInstances[shard],
+		// If all instances have been tried, a second attempt at one is better than none.
+		RetryTried:           kind == fanout.Retry,
+		ExtraAttemptScarcity: q.g.retryBudget.Scarcity(service),
+	})
+	switch {
+	case picked != nil:
+	case shortage.AtLimit:
+		q.refusedByLimit(shortage)
+		return fanout.AtLimit
+	default:
 		q.withoutUpstream++
 		return fanout.NoUpstream
 	}
@@ -42,6 +44,24 @@
 	return fanout.Started
 }
 
+const (
+	// limitRetryAfter is the Retry-After at limits that admit nearly all attempts; it
+	// grows as they admit less, so that callers' retries don't add to the demand, up to
+	// maxLimitRetryAfter.
+	limitRetryAfter    = 100 * time.Millisecond
+	maxLimitRetryAfter = time.Second
+)
+
+// refusedByLimit records an attempt that the upstreams' limits don't admit.
+func (q *proxyRequest) refusedByLimit(s placement.Shortage) {
+	q.atLimit++
+	wait := maxLimitRetryAfter
+	if s.AdmittedFraction > 0 {
+		wait = min(time.Duration(float64(limitRetryAfter)/s.AdmittedFraction), maxLimitRetryAfter)
+	}
+	q.retryAfter = max(q.retryAfter, wait)
+}
+
 // takeBudget takes the cost of an attempt of that kind from the retry budget
 // and returns false if there isn't enough. First attempts are free.
 func (q *proxyRequest) takeBudget(service string, kind fanout.Kind) bool {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -104,10 +104,11 @@
 	if result.reason != "" {
 		result.status = statusOf[result.reason]
 		out.Failure, out.NotRun = string(result.reason), impliesNotRun(result.status)
+		out.RetryAfter = q.refusalRetryAfter(result.reason)
 	}
 	result = q.completeResult(result)
 	out.Answered, out.Attempts, out.Hedges = result.answered, result.attempts, result.hedges
-	out.DeniedByBudget, out.WithoutUpstream = result.deniedByBudget, result.withoutUpstream
+	out.DeniedByBudget, out.WithoutUpstream, out.AtLimit = result.deniedByBudget, result.withoutUpstream, result.atLimit
 	if result.err != nil {
 		out.LastError = result.err.Error()
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -42,8 +42,10 @@
 	shardResults       []upstreamhttp.Result   // by shard; Response is nil if the shard has none
 	attempts           int
 	hedges             int
-	deniedByBudget     int // extra attempts that the retry budget didn't allow
-	withoutUpstream    int // attempts without an available upstream
+	deniedByBudget     int           // extra attempts that the retry budget didn't allow
+	withoutUpstream    int           // attempts without an available upstream
+	atLimit            int           // attempts that the upstreams' limits didn't admit
+	retryAfter         time.Duration // of a refusal because of limits
 	lastErr            error
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
 }
@@ -237,7 +239,7 @@
 // a single shard, it also fills in the upstreams of its attempts.
 func (q *proxyRequest) completeResult(r requestResult) requestResult {
 	r.attempts, r.hedges, r.err = q.attempts, q.hedges, q.lastErr
-	r.deniedByBudget, r.withoutUpstream = q.deniedByBudget, q.withoutUpstream
+	r.deniedByBudget, r.withoutUpstream, r.atLimit = q.deniedByBudget, q.withoutUpstream, q.atLimit
 	r.shards, r.answered = len(q.services), q.query.Answered()
 	if len(q.services) == 1 {
 		for _, picked := range q.shardAttempts[0] {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -22,6 +22,7 @@
 	hedges             int
 	deniedByBudget     int      // extra attempts that the retry budget didn't allow
 	withoutUpstream    int      // attempts without an available upstream
+	atLimit            int      // attempts that the upstreams' limits didn't admit
 	upstreams          []string // tried by a request to a single service
 	executor           string   // VM that ran the query, if it wasn't this one
 }
@@ -32,6 +33,7 @@
 	extraAttemptsDenied *metrics.Counter
 	attempts            *metrics.Counter
 	hedges              *metrics.Counter
+	atLimit             *metrics.Counter
 	missing             *metrics.Counter
 	callersDisconnected *metrics.Counter
 }
@@ -43,6 +45,7 @@
 		extraAttemptsDenied: set.NewCounter("ryecourse_gateway_repeats_denied_total"),
 		attempts:            set.NewCounter("ryecourse_gateway_attempts_total"),
 		hedges:              set.NewCounter("ryecourse_gateway_hedges_total"),
+		atLimit:             set.NewCounter("ryecourse_gateway_attempts_at_limit_total"),
 		missing:             set.NewCounter("ryecourse_gateway_missing_shards_total"),
 		callersDisconnected: set.NewCounter("ryecourse_gateway_callers_left_total"),
 	}
@@ -89,6 +92,7 @@
 func (g *Gateway) countAttempts(r requestResult) {
 	g.metrics.attempts.Add(r.attempts)
 	g.metrics.hedges.Add(r.hedges)
+	g.metrics.atLimit.Add(r.atLimit)
 	g.metrics.missing.Add(len(r.missing))
 }
 
@@ -122,7 +126,7 @@
 	}
 	if r.shards > 0 {
 		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges).
-			Int("denied", r.deniedByBudget).Int("unplaced", r.withoutUpstream)
+			Int("denied", r.deniedByBudget).Int("unplaced", r.withoutUpstream).Int("at_limit", r.atLimit)
 	}
 	if r.executor != "" {
 		e.Str("executor", r.executor)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -22,8 +22,11 @@
 	ReasonBadRequest          Reason = "bad_request"
 	ReasonNoUpstream          Reason = "no_upstream"
 	ReasonRejectedByUpstreams Reason = "rejected_by_upstreams"
-	ReasonUpstreamsFailed     Reason = "upstreams_failed"
-	ReasonTimedOut            Reason = "timed_out"
+	// ReasonUpstreamsAtLimit means that the limits that the upstreams state on the
+	// requests of all VMs didn't admit the request.
+	ReasonUpstreamsAtLimit Reason = "upstreams_at_limit"
+	ReasonUpstreamsFailed  Reason = "upstreams_failed"
+	ReasonTimedOut         Reason = "timed_out"
 	// ReasonExecutorLost means that the VM that ran the query was lost.
 	ReasonExecutorLost Reason = "executor_lost"
 )
@@ -38,6 +41,7 @@
 	ReasonBadRequest:          http.StatusBadRequest,
 	ReasonNoUpstream:          http.StatusServiceUnavailable,
 	ReasonRejectedByUpstreams: http.StatusServiceUnavailable,
+	ReasonUpstreamsAtLimit:    http.StatusServiceUnavailable,
 	ReasonUpstreamsFailed:     http.StatusBadGateway,
 	ReasonTimedOut:            http.StatusGatewayTimeout,
 	ReasonExecutorLost:        http.StatusBadGateway,
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -127,7 +127,7 @@
 func (g *Gateway) respondRemote(in *incoming, w http.ResponseWriter, addr string, res executor.Result) requestResult {
 	result := requestResult{
 		executor: addr, missing: res.Missing, shards: len(in.route.Sharded.Shards), answered: res.Answered,
-		attempts: res.Attempts, hedges: res.Hedges, deniedByBudget: res.DeniedByBudget, withoutUpstream: res.WithoutUpstream,
+		attempts: res.Attempts, hedges: res.Hedges, deniedByBudget: res.DeniedByBudget, withoutUpstream: res.WithoutUpstream, atLimit: res.AtLimit,
 	}
 	if res.LastError != "" {
 		result.err = errors.New(res.LastError)
@@ -143,7 +143,7 @@
 		result.reason = ReasonUpstreamsFailed
 	}
 	result.status = statusOf[result.reason]
-	g.refuse(w, result.reason, otherVMRetryAfter)
+	g.refuse(w, result.reason, max(res.RetryAfter, otherVMRetryAfter))
 	return result
 }
 
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/topk"
@@ -35,10 +36,18 @@
 // responses carry a Retry-After.
 func (q *proxyRequest) fail(w http.ResponseWriter, reason Reason) requestResult {
 	reason = q.refineReason(reason)
-	q.g.refuse(w, reason, otherVMRetryAfter)
+	q.g.refuse(w, reason, q.refusalRetryAfter(reason))
 	return q.completeResult(requestResult{reason: reason, status: statusOf[reason]})
 }
 
+// refusalRetryAfter returns the Retry-After of a refusal.
+func (q *proxyRequest) refusalRetryAfter(reason Reason) time.Duration {
+	if reason == ReasonUpstreamsAtLimit {
+		return q.retryAfter
+	}
+	return otherVMRetryAfter
+}
+
 // refineReason replaces the reason of a request that no attempt may have run and that
 // has none pending.
 func (q *proxyRequest) refineReason(reason Reason) Reason {
@@ -47,6 +56,8 @@
 		return reason
 	case q.rejectedByUpstream:
 		return ReasonRejectedByUpstreams
+	case q.atLimit > 0:
+		return ReasonUpstreamsAtLimit
 	}
 	return ReasonNoUpstream
 }
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -208,11 +208,12 @@
 	return out
 }
 
-// logLimit logs a change of what this VM knows of an upstream's limit.
+// logLimit logs a change of an upstream's limit or of the admitted fraction.
 func (d *Daemon) logLimit(c upstreamlimit.Change) {
 	e := d.log.Event("upstream_limit").Str("upstream", c.Instance).Bool("limited", c.Limited).Dur("age_ms", c.Age)
 	if c.Limited {
-		e.Float64("per_second", c.PerSecond)
+		e.Float64("per_second", c.PerSecond).Float64("demand", c.Demand).
+			Float64("fleet_demand", c.FleetDemand).Float64("admitted_fraction", c.Fraction)
 	}
 	if c.Peer != "" {
 		e.Str("peer", c.Peer)
