gateway: log whether an upstream that closed a connection has ended, and of which request

Change: a fingerprint of each request in its lines; after a lost connection a check of its instance by an idle connection or a new one, which is kept; the event upstream_lost. No request is treated differently.

--- a/internal/core/executor/executor.go
+++ b/internal/core/executor/executor.go
@@ -29,6 +29,8 @@
 	Method           string
 	// Head is the request line and the headers that all attempts share.
 	Head, Body []byte
+	// Fingerprint identifies requests that are the same to an upstream.
+	Fingerprint uint64
 	// SoftTimeout is the time after which a sufficient partial result is returned;
 	// Timeout is the time after which the query is given up.
 	SoftTimeout, Timeout time.Duration
--- a/internal/fleetrpc/execute.go
+++ b/internal/fleetrpc/execute.go
@@ -70,7 +70,7 @@
 func decodeQuery(m *fleetv1.ExecuteRequest) *executor.Request {
 	return &executor.Request{
 		ID: m.RequestId, Route: m.Route, RouteFingerprint: m.RouteFingerprint, Customer: m.Customer,
-		Method: m.Method, Head: m.Head, Body: m.Body,
+		Method: m.Method, Head: m.Head, Body: m.Body, Fingerprint: m.Fingerprint,
 		SoftTimeout: time.Duration(m.SoftTimeoutUs) * time.Microsecond,
 		Timeout:     time.Duration(m.TimeoutUs) * time.Microsecond,
 	}
@@ -79,7 +79,7 @@
 func encodeQuery(r *executor.Request) *fleetv1.ExecuteRequest {
 	return &fleetv1.ExecuteRequest{
 		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, Customer: r.Customer,
-		Method: r.Method, Head: r.Head, Body: r.Body,
+		Method: r.Method, Head: r.Head, Body: r.Body, Fingerprint: r.Fingerprint,
 		SoftTimeoutUs: r.SoftTimeout.Microseconds(), TimeoutUs: r.Timeout.Microseconds(),
 	}
 }
--- a/internal/fleetrpc/execute_test.go
+++ b/internal/fleetrpc/execute_test.go
@@ -65,7 +65,7 @@
 
 var sampleQuery = executor.Request{
 	ID: "id-1", Route: "r", RouteFingerprint: 1 << 60, Customer: "shop", Method: "GET", Head: []byte("GET /x HTTP/1.1\r\n"),
-	Body: []byte("b"), SoftTimeout: 100 * time.Millisecond, Timeout: 5 * time.Second,
+	Body: []byte("b"), Fingerprint: 1 << 50, SoftTimeout: 100 * time.Millisecond, Timeout: 5 * time.Second,
 }
 
 const testAcceptTimeout = 2 * time.Second
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,5 +109,8 @@
 	if a.Response != nil && !a.Info.WrongInstance {
 		q.g.limits.Observe(boottime.Now(), u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
 	}
+	if a.ConnectionLost() {
+		q.g.onConnectionLost(q.in, u, &a)
+	}
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -57,6 +57,7 @@
 		started: time.Now(), view: g.metadata.View(), viewAge: g.metadata.Age(), body: r.Body,
 		info:        RequestInfo{ID: r.ID, Timeout: r.Timeout, HasTimeout: true},
 		softTimeout: r.SoftTimeout,
+		fingerprint: Fingerprint(r.Fingerprint),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	retryBudget *retrybudget.Budget
 	pools       *Pools
 	executors   Executors
+	losses      *lossChecker
 	log         *eventlog.Log
 	metrics     *Metrics
 
@@ -148,6 +149,7 @@
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits,
 		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
+		losses:        &lossChecker{pools: deps.Pools, waiting: map[string][]func(upstreamhttp.Liveness){}},
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -23,6 +23,7 @@
 	// request.
 	waitedBefore time.Duration
 	body         []byte
+	fingerprint  Fingerprint
 	// softTimeout replaces that of the route unless it is 0: another VM has used a part
 	// of it.
 	softTimeout time.Duration
@@ -74,6 +75,7 @@
 	if refused := readBody(in, w, r); refused != nil {
 		return refused
 	}
+	in.fingerprint = fingerprintOf(r.Method, r.Host, r.RequestURI, in.customerName(), in.body)
 	if in.customer != nil {
 		if ok, retryAfter := g.limiter.Admit(in.started, in.customer, in.isLate()); !ok {
 			return &refusal{ReasonRateLimited, retryAfter}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -118,6 +118,9 @@
 	if in.route != nil {
 		e.Str("route", in.route.Name)
 	}
+	if in.fingerprint != 0 {
+		e.Str("fingerprint", in.fingerprint.String())
+	}
 	if in.customer != nil {
 		e.Str("customer", in.customer.Name)
 	}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -118,7 +118,7 @@
 	used := time.Since(in.started) + executorMargin
 	return &executor.Request{
 		ID: in.info.ID, Route: in.route.Name, RouteFingerprint: in.route.Fingerprint(), Customer: in.customerName(),
-		Method: method, Head: head, Body: in.body,
+		Method: method, Head: head, Body: in.body, Fingerprint: uint64(in.fingerprint),
 		SoftTimeout: max(soft-used, 1), Timeout: max(timeout-used, 1),
 	}
 }
