Quarantine requests that crash the upstreams that run them, on all VMs

Cause: a request that ends each upstream that runs it was sent on for as long as it came, at any VM. Each VM knew of its own attempts only, and a crash looked like a lost answer.

Ruled out: that upstreams end for another reason (losses are that customer's, or of requests that ran beside it); that retries alone do it (6 of 21 losses).

Change: VMs check whether an instance that closed a connection has ended, share which fingerprints have ended instances, and refuse a request (503, quarantined, Retry-After until the release) when three have ended that no other request explains. A response ends the suspicion. After three losses without a response a request isn't retried or hedged.

Why it works: all VMs exchange a digest of the suspects each time and the suspects if it differs, so that every VM refuses the request after one exchange (0.25 s), or some over relays (0.5 s each), also one that has just started; blame by the most crashes, and by explained bursts, spares requests that ran beside it.

--- a/internal/fleetrpc/exchanger.go
+++ b/internal/fleetrpc/exchanger.go
@@ -61,11 +61,12 @@
 
 // Exchanger exchanges reports with the other VMs.
 type Exchanger struct {
-	usage  UsageTracker
-	limits LimitTracker
-	log    *eventlog.Log
-	client *http.Client
-	onTick func(Size)
+	usage    UsageTracker
+	limits   LimitTracker
+	suspects SuspectTracker
+	log      *eventlog.Log
+	client   *http.Client
+	onTick   func(Size)
 	// queryClient carries the queries that other VMs run for this one, queries runs
 	// theirs.
 	queryClient *http.Client
@@ -93,6 +94,8 @@
 	callInFlight bool                              // an exchange that this VM started
 	callFailed   bool                              // the last such exchange failed
 	discovered   bool                              // a report of the VM has been received since this process started
+	// suspectsDigest is that of the VM's suspects in its last message.
+	suspectsDigest uint64
 }
 
 // Size holds the numbers of VMs that limits are divided by.
@@ -104,11 +107,11 @@
 }
 
 // New returns an exchanger. onTick is called in each tick.
-func New(self fleet.Report, seeds []string, usage UsageTracker, limits LimitTracker, log *eventlog.Log, onTick func(Size)) *Exchanger {
+func New(self fleet.Report, seeds []string, usage UsageTracker, limits LimitTracker, suspects SuspectTracker, log *eventlog.Log, onTick func(Size)) *Exchanger {
 	turn := int(xxhash.Sum64String(self.Address) % maxFirstTurn)
 	return &Exchanger{
 		queryClient: executeClient(), executors: executor.NewDirectory(self.Address, self.Zone, turn),
-		usage: usage, limits: limits, log: log, onTick: onTick, selfAddress: self.Address,
+		usage: usage, limits: limits, suspects: suspects, log: log, onTick: onTick, selfAddress: self.Address,
 		members: fleet.NewTable(fleet.DefaultPolicy(), self, seeds),
 		peers:   map[string]*peer{},
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
@@ -144,11 +147,15 @@
 		return &fleetv1.ExchangeResponse{}, nil
 	}
 	sender := reports[0] // a VM's own report comes first, see fleet.Table.ReportsFor
+	e.suspects.Merge(now, decodeSuspects(now, req.Suspects))
+	resp := &fleetv1.ExchangeResponse{}
+	resp.SuspectsDigest, resp.Suspects = e.suspectsFor(now, req.SuspectsDigest)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known := e.members.Contains(sender)
 	e.merge(reports, sender.Address)
-	return &fleetv1.ExchangeResponse{Reports: encodeReports(now, e.members.ReplyTo(sender, known))}, nil
+	resp.Reports = encodeReports(now, e.members.ReplyTo(sender, known))
+	return resp, nil
 }
 
 // merge applies the reports that are newer than the known ones. Its caller must
@@ -204,6 +211,7 @@
 func (e *Exchanger) tick(ctx context.Context, leaving bool) {
 	now := boottime.Now()
 	state := fleet.State{Leaving: leaving, Usage: e.usage.Tick(time.Now(), now), Limits: e.limits.Tick(now)}
+	e.suspects.Tick(now)
 	e.mu.Lock()
 	e.members.UpdateSelf(now, state)
 	for _, addr := range e.members.Expire(now) {
@@ -219,6 +227,7 @@
 		}
 		p.callInFlight = true
 		req := &fleetv1.ExchangeRequest{Reports: encodeReports(now, e.members.ReportsFor(target.Address, target.RelayScope))}
+		req.SuspectsDigest, req.Suspects = e.suspectsFor(now, p.suspectsDigest)
 		go e.call(ctx, target.Address, p, req)
 	}
 	size := e.updateSize(now)
@@ -269,5 +278,8 @@
 		e.log.Event("peer_regained").Str("peer", address).Send()
 	}
 	p.callFailed = false
-	e.merge(decodeReports(boottime.Now(), resp.Reports), address)
+	now := boottime.Now()
+	e.suspects.Merge(now, decodeSuspects(now, resp.Suspects))
+	p.suspectsDigest = resp.SuspectsDigest
+	e.merge(decodeReports(now, resp.Reports), address)
 }
--- a/internal/fleetrpc/exchanger_test.go
+++ b/internal/fleetrpc/exchanger_test.go
@@ -10,8 +10,10 @@
 	"testing"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/metadata"
+	"ryecourse.example/ryecourse/internal/core/quarantine"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/eventlog"
 )
@@ -57,6 +59,10 @@
 
 func (fakeLimits) RemoveVM(string) {}
 
+func newSuspects() *quarantine.Tracker {
+	return quarantine.NewTracker(quarantine.DefaultPolicy(), func(quarantine.Change) {})
+}
+
 type fakeChangeSource struct{}
 
 func (fakeChangeSource) ChangesSince(after int64) (metadata.Batch, bool) {
@@ -80,7 +86,7 @@
 	address := l.Addr().String()
 	u := &fakeUsage{received: map[string]fleet.Report{}}
 	log := eventlog.New(&bytes.Buffer{}, address)
-	exchanger := New(fleet.Report{Address: address, Zone: zone, Incarnation: 1}, seeds, u, fakeLimits{}, log, func(Size) {})
+	exchanger := New(fleet.Report{Address: address, Zone: zone, Incarnation: 1}, seeds, u, fakeLimits{}, newSuspects(), log, func(Size) {})
 	exchanger.SetChangeSource(fakeChangeSource{})
 	mux := http.NewServeMux()
 	mux.Handle(exchanger.Handler())
@@ -126,6 +132,30 @@
 	}
 }
 
+// TestSuspectsReachAllVMs checks that VMs that know of different crashes, and one that
+// joins later, come to know the same.
+func TestSuspectsReachAllVMs(t *testing.T) {
+	one, _, seed := start(t, "a")
+	two, _, _ := start(t, "b", seed)
+	one.suspects.Merge(boottime.Now(), []quarantine.Suspect{
+		{Fingerprint: 7, Crashes: []quarantine.Crash{{Instance: 1, At: boottime.Now()}, {Instance: 2, At: boottime.Now()}}},
+	})
+	two.suspects.Merge(boottime.Now(), []quarantine.Suspect{
+		{Fingerprint: 7, Crashes: []quarantine.Crash{{Instance: 3, At: boottime.Now()}}},
+		{Fingerprint: 8, RespondedAt: boottime.Now()},
+	})
+	three, _, _ := start(t, "c", seed)
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		same := three.suspects.Digest() == one.suspects.Digest() && three.suspects.Digest() == two.suspects.Digest()
+		if got := three.suspects.Suspects(); same && len(got) == 2 && len(got[0].Crashes) == 3 && got[1].RespondedAt > 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("suspects are %+v, %+v, %+v", one.suspects.Suspects(), two.suspects.Suspects(), three.suspects.Suspects())
+		}
+	}
+}
+
 func TestFollowCarriesChangesAndTheirAge(t *testing.T) {
 	_, _, reader := start(t, "a")
 	exchanger, _, _ := start(t, "a")
--- a/internal/fleetrpc/execute_test.go
+++ b/internal/fleetrpc/execute_test.go
@@ -42,7 +42,7 @@
 
 func newExchanger(address string) *Exchanger {
 	return New(fleet.Report{Address: address, Zone: "z", Incarnation: 1}, nil,
-		&fakeUsage{received: map[string]fleet.Report{}}, fakeLimits{}, eventlog.New(io.Discard, address), func(Size) {})
+		&fakeUsage{received: map[string]fleet.Report{}}, fakeLimits{}, newSuspects(), eventlog.New(io.Discard, address), func(Size) {})
 }
 
 // startExecutor serves queries with the runner. The returned function resets all
--- a/internal/fleetrpc/wire.go
+++ b/internal/fleetrpc/wire.go
@@ -24,7 +24,7 @@
 	for _, r := range reports {
 		m := &fleetv1.Report{
 			Address: r.Address, Zone: r.Zone, Boot: r.Incarnation, Sequence: r.Sequence,
-			AgeMs: uint32(max(now-r.At, 0).Milliseconds()), Leaving: r.Leaving,
+			AgeMs: ageMs(now, r.At), Leaving: r.Leaving,
 			Draining: r.Draining, CpuMillis: uint32(math.Round(r.CPUShare * milli)),
 			Usage: make([]*fleetv1.Usage, 0, len(r.Usage)),
 		}
@@ -42,7 +42,7 @@
 	for _, l := range limits {
 		m := &fleetv1.UpstreamLimit{Instance: l.Instance, Demand: float32(l.Demand)}
 		if l.Stated {
-			m.StatedAgeMs = 1 + uint32(max(now-l.StatedAt, 0).Milliseconds())
+			m.StatedAgeMs = 1 + ageMs(now, l.StatedAt)
 			m.Limited, m.PerSecond = l.Limited, l.PerSecond
 		}
 		out = append(out, m)
@@ -56,7 +56,7 @@
 		l := fleet.UpstreamLimit{Instance: m.Instance, Demand: float64(m.Demand)}
 		if m.StatedAgeMs > 0 {
 			l.Stated, l.Limited, l.PerSecond = true, m.Limited, m.PerSecond
-			l.StatedAt = now - time.Duration(m.StatedAgeMs-1)*time.Millisecond
+			l.StatedAt = timeOf(now, m.StatedAgeMs-1)
 		}
 		out = append(out, l)
 	}
@@ -69,7 +69,7 @@
 		r := fleet.Report{
 			Address: m.Address, Zone: m.Zone, Incarnation: m.Boot, Sequence: m.Sequence, Leaving: m.Leaving,
 			Draining: m.Draining, CPUShare: float64(m.CpuMillis) / milli,
-			At:    now - time.Duration(m.AgeMs)*time.Millisecond,
+			At:    timeOf(now, m.AgeMs),
 			Usage: make(map[uint32]fleet.Usage, len(m.Usage)),
 		}
 		for _, u := range m.Usage {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,11 +7,16 @@
 	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/placement"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/core/verdict"
 	"ryecourse.example/ryecourse/internal/upstreamhttp"
 )
 
 // Send implements fanout.Sender.
 func (q *proxyRequest) Send(shard int, kind fanout.Kind) fanout.SendResult {
+	if kind != fanout.First && q.maySpreadCrash() {
+		return fanout.NoBudget
+	}
 	now := time.Now()
 	service := q.services[shard]
 	q.markSlow(shard, now)
@@ -90,6 +95,22 @@
 // memory at a time.
 const maxShardBodyBytes = 256 << 10
 
+// observe records what the end of an attempt shows of the upstream and the request.
+func (q *proxyRequest) observe(u routetable.Upstream, a *upstreamhttp.Result) {
+	now := boottime.Now()
+	if a.Response != nil && !a.Info.WrongInstance {
+		q.g.limits.Observe(now, u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
+	}
+	switch {
+	case a.Response != nil && a.Verdict == verdict.Ran:
+		q.responded.Store(true)
+		q.g.quarantine.AddResponse(now, uint64(q.in.fingerprint))
+	case a.ConnectionLost():
+		q.lost.Add(1)
+		q.onConnectionLost(u, a)
+	}
+}
+
 // attempt sends the request to one upstream.
 func (q *proxyRequest) attempt(shard int, kind fanout.Kind, picked *placement.Attempt) {
 	u := picked.Upstream
@@ -106,11 +127,6 @@
 		req.MaxBodyBytes = maxShardBodyBytes
 	}
 	a := q.g.pools.Get(u).Do(q.ctx, req, func() { q.g.picker.MarkSent(picked, time.Now()) })
-	if a.Response != nil && !a.Info.WrongInstance {
-		q.g.limits.Observe(boottime.Now(), u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
-	}
-	if a.ConnectionLost() {
-		q.g.onConnectionLost(q.in, u, &a)
-	}
+	q.observe(u, &a)
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/executor"
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/routetable"
@@ -22,8 +23,8 @@
 const maxRemoteQueries = 32
 
 // AcceptQuery returns a RejectedError if this VM wouldn't run another VM's query now.
-func (g *Gateway) AcceptQuery(id, route string, fingerprint uint64) error {
-	r := &executor.Request{ID: id, Route: route, RouteFingerprint: fingerprint}
+func (g *Gateway) AcceptQuery(id, route string, routeFingerprint uint64) error {
+	r := &executor.Request{ID: id, Route: route, RouteFingerprint: routeFingerprint}
 	if g.remoteQueries.Load() >= maxRemoteQueries {
 		return g.reject(r, "busy")
 	}
@@ -78,6 +79,9 @@
 	if in.route.Fingerprint() != r.RouteFingerprint {
 		return "other_version_of_route"
 	}
+	if _, quarantined := g.quarantine.Quarantined(boottime.Now(), r.Fingerprint); quarantined {
+		return string(ReasonQuarantined)
+	}
 	if r.Customer != "" {
 		in.customer = &routetable.Customer{Name: r.Customer}
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -37,16 +38,23 @@
 	done             chan attemptResult
 	attemptsInFlight int
 
-	triedInstances     [][]*placement.Instance // by shard, for the picker to avoid
-	shardAttempts      [][]*placement.Attempt  // by shard, all that were started
-	shardResults       []upstreamhttp.Result   // by shard; Response is nil if the shard has none
-	attempts           int
-	hedges             int
-	deniedByBudget     int           // extra attempts that the retry budget didn't allow
-	withoutUpstream    int           // attempts without an available upstream
-	atLimit            int           // attempts that the upstreams' limits didn't admit
-	retryAfter         time.Duration // of a refusal because of limits
-	lastErr            error
+	triedInstances  [][]*placement.Instance // by shard, for the picker to avoid
+	shardAttempts   [][]*placement.Attempt  // by shard, all that were started
+	shardResults    []upstreamhttp.Result   // by shard; Response is nil if the shard has none
+	attempts        int
+	hedges          int
+	deniedByBudget  int           // extra attempts that the retry budget didn't allow
+	withoutUpstream int           // attempts without an available upstream
+	atLimit         int           // attempts that the upstreams' limits didn't admit
+	retryAfter      time.Duration // of a refusal because of limits
+	lastErr         error
+	// lost counts the attempts whose connections their instances closed; responded is
+	// set once an upstream has responded. Attempts' goroutines set them.
+	lost      atomic.Int64
+	responded atomic.Bool
+	// earlierCrashes is the number of instances that had ended under such requests
+	// before this one.
+	earlierCrashes     int
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
 }
 
@@ -90,6 +98,7 @@
 		g.retryBudget.AddForRequest(s)
 	}
 	q.typicalLatency = q.latency.Median()
+	q.earlierCrashes = g.quarantine.Crashes(uint64(in.fingerprint))
 	n := len(q.services)
 	q.triedInstances = make([][]*placement.Instance, n)
 	q.shardAttempts = make([][]*placement.Attempt, n)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,21 @@
 	Observe(now time.Duration, instance string, perSecond float64, limited bool)
 }
 
+// Quarantine holds the requests that crash upstreams. Times are on the clock that keeps
+// running while the VM is suspended.
+type Quarantine interface {
+	// Quarantined returns whether a request may not be sent on, and for how long.
+	Quarantined(now time.Duration, fingerprint uint64) (time.Duration, bool)
+	// Crashes returns the number of instances that have ended while they ran such a
+	// request, without a response since.
+	Crashes(fingerprint uint64) int
+	// AddCrash records that an instance ended while it ran a request to which no
+	// upstream has responded.
+	AddCrash(now time.Duration, fingerprint, instance uint64)
+	// AddResponse records that an upstream has run a request and responded.
+	AddResponse(now time.Duration, fingerprint uint64)
+}
+
 // Metadata is this VM's copy of the metadata store.
 type Metadata interface {
 	// View returns nil while there is no configuration.
@@ -110,6 +125,7 @@
 	metadata    Metadata
 	limiter     Limiter
 	limits      LimitObserver
+	quarantine  Quarantine
 	picker      *placement.Picker
 	retryBudget *retrybudget.Budget
 	pools       *Pools
@@ -128,14 +144,15 @@
 
 // Dependencies are the settings and collaborators of a Gateway.
 type Dependencies struct {
-	Policy   Policy
-	Headers  Headers
-	Metadata Metadata
-	Limiter  Limiter
-	Limits   LimitObserver
-	Picker   *placement.Picker
-	Budget   *retrybudget.Budget
-	Pools    *Pools
+	Policy     Policy
+	Headers    Headers
+	Metadata   Metadata
+	Limiter    Limiter
+	Limits     LimitObserver
+	Quarantine Quarantine
+	Picker     *placement.Picker
+	Budget     *retrybudget.Budget
+	Pools      *Pools
 	// Executors run queries for this VM.
 	Executors Executors
 	Log       *eventlog.Log
@@ -146,7 +163,7 @@
 // New returns a gateway.
 func New(deps Dependencies) *Gateway {
 	return &Gateway{
-		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits,
+		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
 		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
 		losses:        &lossChecker{pools: deps.Pools, waiting: map[string][]func(upstreamhttp.Liveness){}},
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
@@ -76,6 +77,9 @@
 		return refused
 	}
 	in.fingerprint = fingerprintOf(r.Method, r.Host, r.RequestURI, in.customerName(), in.body)
+	if left, ok := g.quarantine.Quarantined(boottime.Now(), uint64(in.fingerprint)); ok {
+		return &refusal{ReasonQuarantined, left}
+	}
 	if in.customer != nil {
 		if ok, retryAfter := g.limiter.Admit(in.started, in.customer, in.isLate()); !ok {
 			return &refusal{ReasonRateLimited, retryAfter}
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/upstreamhttp"
 )
@@ -48,12 +52,37 @@
 	})
 }
 
-// onConnectionLost logs a connection that its instance closed with a request on it, and
-// whether the instance has ended.
-func (g *Gateway) onConnectionLost(in *incoming, u routetable.Upstream, a *upstreamhttp.Result) {
+// maxLosses is the number of lost connections and earlier crashes from which a request
+// without a response isn't retried or hedged.
+const maxLosses = 3
+
+// maySpreadCrash reports whether another attempt could crash another instance.
+func (q *proxyRequest) maySpreadCrash() bool {
+	if q.responded.Load() {
+		return false
+	}
+	if q.earlierCrashes+int(q.lost.Load()) >= maxLosses {
+		return true
+	}
+	_, quarantined := q.g.quarantine.Quarantined(boottime.Now(), uint64(q.in.fingerprint))
+	return quarantined
+}
+
+// onConnectionLost finds out whether an instance that closed a connection with a request
+// on it has ended, and if so, records the crash.
+func (q *proxyRequest) onConnectionLost(u routetable.Upstream, a *upstreamhttp.Result) {
 	ranFor := time.Since(a.SentAt)
-	g.losses.check(u, func(state upstreamhttp.Liveness) {
-		g.log.Event("upstream_lost").Str("request", in.info.ID).Str("fingerprint", in.fingerprint.String()).
-			Str("service", u.Service).Str("upstream", u.ID).Dur("ran_ms", ranFor).Str("state", state.String()).Send()
+	q.g.losses.check(u, func(state upstreamhttp.Liveness) {
+		if state == upstreamhttp.Ended && !q.responded.Load() {
+			q.g.quarantine.AddCrash(boottime.Now(), uint64(q.in.fingerprint), instanceHash(u))
+		}
+		q.g.log.Event("upstream_lost").Str("request", q.in.info.ID).Str("fingerprint", q.in.fingerprint.String()).
+			Str("service", u.Service).Str("upstream", u.ID).Dur("ran_ms", ranFor).Str("state", state.String()).
+			Int("crashes", q.g.quarantine.Crashes(uint64(q.in.fingerprint))).Send()
 	})
 }
+
+// instanceHash identifies one run of an upstream's process.
+func instanceHash(u routetable.Upstream) uint64 {
+	return xxhash.Sum64String(u.ID + "/" + strconv.FormatInt(u.Born, 10))
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,8 +25,10 @@
 	// ReasonUpstreamsAtLimit means that the limits that the upstreams state on the
 	// requests of all VMs didn't admit the request.
 	ReasonUpstreamsAtLimit Reason = "upstreams_at_limit"
-	ReasonUpstreamsFailed  Reason = "upstreams_failed"
-	ReasonTimedOut         Reason = "timed_out"
+	// ReasonQuarantined means that upstreams have ended while they ran such requests.
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonUpstreamsFailed Reason = "upstreams_failed"
+	ReasonTimedOut        Reason = "timed_out"
 	// ReasonExecutorLost means that the VM that ran the query was lost.
 	ReasonExecutorLost Reason = "executor_lost"
 )
@@ -42,6 +44,7 @@
 	ReasonNoUpstream:          http.StatusServiceUnavailable,
 	ReasonRejectedByUpstreams: http.StatusServiceUnavailable,
 	ReasonUpstreamsAtLimit:    http.StatusServiceUnavailable,
+	ReasonQuarantined:         http.StatusServiceUnavailable,
 	ReasonUpstreamsFailed:     http.StatusBadGateway,
 	ReasonTimedOut:            http.StatusGatewayTimeout,
 	ReasonExecutorLost:        http.StatusBadGateway,
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -93,6 +93,11 @@
 		return true
 	}
 	g.logExecutorFailure(in, addr, err)
+	if isQuarantined(err) {
+		g.refuse(w, ReasonQuarantined, quarantineRetryAfter)
+		g.record(in, requestResult{reason: ReasonQuarantined, status: statusOf[ReasonQuarantined], executor: addr, err: err})
+		return true
+	}
 	if errors.As(err, &failure) && failure.NotRun {
 		return false
 	}
@@ -106,6 +111,16 @@
 	return true
 }
 
+// quarantineRetryAfter is the Retry-After of a request that an executor has quarantined and
+// this VM hasn't yet.
+const quarantineRetryAfter = 10 * time.Second
+
+// isQuarantined reports whether an executor rejected a query because it crashes upstreams.
+func isQuarantined(err error) bool {
+	var rejected *RejectedError
+	return errors.As(err, &rejected) && rejected.Reason == string(ReasonQuarantined)
+}
+
 func (g *Gateway) acceptTimeout(in *incoming) time.Duration {
 	if in.route.Objective <= 0 {
 		return maxAcceptTimeout
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -26,6 +26,7 @@
 	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
+	"ryecourse.example/ryecourse/internal/core/quarantine"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/core/upstreamlimit"
@@ -38,21 +39,22 @@
 
 // Daemon is one gateway process.
 type Daemon struct {
-	settings  platform.Settings
-	log       *eventlog.Log
-	metrics   *metrics.Set
-	follower  *metadatasync.Follower
-	picker    *placement.Picker
-	pools     *gateway.Pools
-	budget    *retrybudget.Budget
-	gateway   *gateway.Gateway
-	limiter   *customerrate.Limiter
-	limits    *upstreamlimit.Tracker
-	exchanger *fleetrpc.Exchanger
-	size      atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
-	started   time.Time
-	stopping  chan struct{}
-	stopOnce  sync.Once
+	settings   platform.Settings
+	log        *eventlog.Log
+	metrics    *metrics.Set
+	follower   *metadatasync.Follower
+	picker     *placement.Picker
+	pools      *gateway.Pools
+	budget     *retrybudget.Budget
+	gateway    *gateway.Gateway
+	limiter    *customerrate.Limiter
+	limits     *upstreamlimit.Tracker
+	quarantine *quarantine.Tracker
+	exchanger  *fleetrpc.Exchanger
+	size       atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
+	started    time.Time
+	stopping   chan struct{}
+	stopOnce   sync.Once
 }
 
 const (
@@ -96,6 +98,7 @@
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.limits = upstreamlimit.NewTracker(upstreamlimit.DefaultPolicy(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), d.logLimit)
+	d.quarantine = quarantine.NewTracker(quarantine.DefaultPolicy(), d.logQuarantine)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
 	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
@@ -105,7 +108,7 @@
 	d.size.Store(&fleetrpc.Size{VMs: expectedVMs})
 	d.exchanger = fleetrpc.New(fleet.Report{
 		Address: s.PeerAddr.String(), Zone: s.Zone, Incarnation: rand.Uint64(), CPUShare: s.CPUShare,
-	}, seedAddresses(s), d.limiter, d.limits, d.log, d.resize)
+	}, seedAddresses(s), d.limiter, d.limits, d.quarantine, d.log, d.resize)
 	store := platform.NewStore(s.StoreAddr.String(), storeClient())
 	syncPolicy := metadatasync.DefaultPolicy()
 	if s.FirstStart {
@@ -115,7 +118,7 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Limits: d.limits, Executors: d.exchanger, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
@@ -221,6 +224,15 @@
 	e.Send()
 }
 
+// logQuarantine logs the begin or end of a quarantine.
+func (d *Daemon) logQuarantine(c quarantine.Change) {
+	e := d.log.Event("quarantine").Str("fingerprint", fmt.Sprintf("%016x", c.Fingerprint)).Bool("quarantined", c.Quarantined)
+	if c.Quarantined {
+		e.Int("crashes", c.Crashes).Dur("remaining_ms", c.Remaining)
+	}
+	e.Send()
+}
+
 // coldLimitFraction is the fraction of a cold upstream's limit that the fleet
 // uses, as VMs may differ in the members that they have discovered.
 const coldLimitFraction = 0.8
