--- a/internal/core/quarantine/judge.go
+++ b/internal/core/quarantine/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -36,6 +37,24 @@
 	}
 	t.quarantined = guilty
 	t.digest = t.hash()
+	t.nextExpiry = t.firstExpiry()
+}
+
+// firstExpiry returns when the first quarantine ends or the first suspect or crash
+// expires.
+func (t *Tracker) firstExpiry() time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for _, until := range t.quarantined {
+		first = min(first, until)
+	}
+	for _, s := range t.suspects {
+		oldest := s.RespondedAt
+		if len(s.Crashes) > 0 {
+			oldest = s.firstCrash()
+		}
+		first = min(first, oldest+t.policy.Retention+1)
+	}
+	return first
 }
 
 const (
--- a/internal/core/quarantine/load_test.go
+++ b/internal/core/quarantine/load_test.go
@@ -268,7 +268,10 @@
 			seeds = 2
 		}
 		for seed := range seeds {
-			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) { f(newWorld(t, seed, l)) })
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				f(newWorld(t, seed, l))
+			})
 		}
 	}
 }
--- a/internal/core/quarantine/tracker.go
+++ b/internal/core/quarantine/tracker.go
@@ -79,6 +79,8 @@
 	suspects    map[uint64]*Suspect
 	quarantined map[uint64]time.Duration // time of the release, by fingerprint
 	digest      uint64
+	// nextExpiry is when the next quarantine ends or the next suspect expires.
+	nextExpiry time.Duration
 	// count is len(suspects), for callers without mu: most VMs know none.
 	count atomic.Int64
 }
@@ -266,6 +268,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now < t.nextExpiry {
+		return
+	}
 	for fingerprint := range t.suspects {
 		t.mergeOne(now, &Suspect{Fingerprint: fingerprint})
 	}
--- a/internal/core/upstreamlimit/load_test.go
+++ b/internal/core/upstreamlimit/load_test.go
@@ -261,7 +261,10 @@
 			if l.vms > 100 && seed > 0 {
 				continue
 			}
-			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) { f(newWorld(t, seed, l)) })
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				f(newWorld(t, seed, l))
+			})
 		}
 	}
 }
