gateway: send a query only once enough of its shards have an upstream

Cause: the attempts of a query over shards began one by one while the shards' upstreams were chosen. If the limits of another shard's upstreams, or their absence, left the query without enough shards, the first ones had been sent already.

What callers saw: 502 in place of 503 with a Retry-After, for a query that couldn't succeed; and upstreams ran it for nothing.

Change: the first attempts of all shards are placed, then started, unless the query can't succeed any more; those that were placed are then returned, also to the limits.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,10 +45,41 @@
 	q.attemptsInFlight++
 	q.triedInstances[shard] = append(q.triedInstances[shard], picked.Instance)
 	q.shardAttempts[shard] = append(q.shardAttempts[shard], picked)
-	go q.attempt(shard, kind, picked)
+	start := func() { go q.attempt(shard, kind, picked) }
+	if q.starting {
+		q.firstAttempts = append(q.firstAttempts, firstAttempt{picked, start})
+	} else {
+		start()
+	}
 	return fanout.Started
 }
 
+// firstAttempt is a first attempt that has been placed and not yet started.
+type firstAttempt struct {
+	picked *placement.Attempt
+	start  func()
+}
+
+// start places the first attempts of all shards, and then starts them unless too many
+// shards have no upstream for a success.
+func (q *proxyRequest) start() {
+	now := time.Now()
+	q.starting = true
+	q.query.Start(now)
+	q.starting = false
+	running := q.query.Outcome() == fanout.Running
+	for _, a := range q.firstAttempts {
+		if running {
+			a.start()
+			continue
+		}
+		q.g.picker.Done(a.picked, now, placement.Canceled, nil)
+		q.attempts--
+		q.attemptsInFlight--
+	}
+	q.firstAttempts = nil
+}
+
 const (
 	// limitRetryAfter is the Retry-After at limits that admit nearly all attempts; it
 	// grows as they admit less, so that callers' retries don't add to the demand, up to
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -45,7 +45,7 @@
 	}
 	q := g.newProxyRequest(in, r.Method, r.Head)
 	defer q.cleanup()
-	q.query.Start(time.Now())
+	q.start()
 	if q.runUntilDone(ctx) {
 		g.recordExecution(in, q.completeResult(requestResult{callerDisconnected: true}))
 		return executor.Result{}, ctx.Err()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,6 +41,8 @@
 	triedInstances  [][]*placement.Instance // by shard, for the picker to avoid
 	shardAttempts   [][]*placement.Attempt  // by shard, all that were started
 	shardResults    []upstreamhttp.Result   // by shard; Response is nil if the shard has none
+	starting        bool                    // the first attempts are being placed
+	firstAttempts   []firstAttempt
 	attempts        int
 	hedges          int
 	deniedByBudget  int           // extra attempts that the retry budget didn't allow
@@ -72,7 +74,7 @@
 	}
 	q := g.newProxyRequest(in, r.Method, g.requestHead(in, r))
 	defer q.cleanup()
-	q.query.Start(time.Now())
+	q.start()
 	disconnected := q.runUntilDone(r.Context())
 	if disconnected {
 		g.record(in, q.completeResult(requestResult{callerDisconnected: true}))
