upstreamlimit: take a rise of the demand into account before it is reported

Cause: in a burst, VMs divide a limit by the demand of the last reports, and by their own average of the last half second.

Ruled out: added VMs (they begin after the excess), hedges beyond the check (each send is an admitted one in a run that prints them).

Change: a VM whose attempts exceed the usual number by more than chance restarts its average and takes the others' demand to have risen alike for one more report; a rise of the sum of the reports is carried on. Large fleets use 0.85 of a limit.

--- a/internal/core/upstreamlimit/limit.go
+++ b/internal/core/upstreamlimit/limit.go
@@ -25,6 +25,13 @@
 	published   float64
 	peers       map[string]float64
 	peersDemand float64 // sum of peers
+	// rise is the factor by which this VM's demand rose before the last tick, which other
+	// VMs' reports may not show yet; 0 if it didn't.
+	rise float64
+	// average is that of the fleet's demand; trend is the factor by which the fleet's
+	// demand exceeds it, if it rises, and 1 otherwise.
+	average movingAverage
+	trend   float64
 	// credit accumulates the admitted fraction of each attempt. An attempt is admitted
 	// for each whole one.
 	credit float64
@@ -32,6 +39,47 @@
 	notified float64
 }
 
+const (
+	// riseFactor and riseSlack define when the attempts in an interval are more than
+	// chance: riseFactor times the usual number and riseSlack.
+	riseFactor = 1.5
+	riseSlack  = 4
+	// maxRise bounds the factor, as a VM may have begun to receive requests that others
+	// received before.
+	maxRise = 8
+)
+
+// riseIn returns the factor by which the demand has risen since the last tick, which
+// began an interval; 0 if it hasn't.
+func (l *limit) riseIn(interval time.Duration) float64 {
+	expected := l.published * interval.Seconds()
+	if l.demand.weight == 0 || float64(l.offered) <= riseFactor*expected+riseSlack {
+		return 0
+	}
+	return min(float64(l.offered)/max(expected, 1), maxRise)
+}
+
+// currentRise returns the factor by which other VMs' demand is taken to have risen since
+// their reports.
+func (l *limit) currentRise(interval time.Duration) float64 {
+	return max(1, l.rise, l.riseIn(interval))
+}
+
+// minTrend is the factor above which the fleet's demand rises by more than chance.
+const minTrend = 1.2
+
+// updateTrend compares the fleet's demand with its average.
+func (l *limit) updateTrend(dt time.Duration, p *Policy) {
+	demand := l.published + l.peersDemand
+	l.trend = 1
+	if usual := l.average.value(); usual > 0 && demand > minTrend*usual {
+		l.trend = min(demand/usual, maxRise)
+	}
+	if dt > 0 {
+		l.average.add(demand, dt, p.TrendHalfLife)
+	}
+}
+
 // sumPeers recomputes peersDemand, without the rounding errors of its updates.
 func (l *limit) sumPeers() {
 	l.peersDemand = 0
@@ -55,9 +103,12 @@
 
 func (l *limit) measure(dt time.Duration, p *Policy) {
 	if dt <= 0 || dt > p.MaxTickGap {
-		l.offered, l.demand = 0, movingAverage{}
+		l.offered, l.demand, l.rise = 0, movingAverage{}, 0
 		return
 	}
+	if l.rise = l.riseIn(dt); l.rise > 0 {
+		l.demand = movingAverage{}
+	}
 	l.demand.add(float64(l.offered)/dt.Seconds(), dt, p.DemandHalfLife)
 	l.offered = 0
 	l.published = l.demand.value()
--- a/internal/core/upstreamlimit/load_test.go
+++ b/internal/core/upstreamlimit/load_test.go
@@ -250,6 +250,7 @@
 	"80 VMs, all instances":    {vms: 80, relayed: true, senders: 80, demand: 60, limits: map[string]float64{"i-0": 10, "i-1": 4, "i-2": 1}},
 	"295 VMs, few requests":    {vms: 295, relayed: true, senders: 295, demand: 40, limits: map[string]float64{"i-0": 4}},
 	"295 VMs, eighteen send":   {vms: 295, relayed: true, senders: 18, demand: 90, limits: map[string]float64{"i-0": 15, "i-1": 15, "i-2": 15}},
+	"seven VMs, one instance":  {vms: 7, senders: 7, demand: 100, limits: map[string]float64{"i-0": 21.5}},
 	"nine VMs, a limit of 0":   {vms: 9, senders: 9, demand: 180, limits: map[string]float64{"i-0": 0}},
 	"nine VMs, limit not used": {vms: 9, senders: 9, demand: 30, limits: map[string]float64{"i-0": 33}},
 }
@@ -316,6 +317,48 @@
 	})
 }
 
+// TestFleetKeepsWithinAStatedLimitInABurst raises the demand on all VMs at once, as when
+// many callers come and then repeat and hedge: each VM sees its own rise before those of
+// the others are reported.
+func TestFleetKeepsWithinAStatedLimitInABurst(t *testing.T) {
+	forEachLoad(t, func(w *world) {
+		w.burst()
+		w.checkLimits()
+	})
+}
+
+// burst raises the demand four times, each time within the age of a few reports, and
+// lowers it after 5 s.
+func (w *world) burst() {
+	usual, steps, factor := w.load.demand, 5, 1.8
+	if w.load.relayed {
+		steps, factor = 2, 1.6
+	}
+	w.run(10 * time.Second)
+	for range 4 {
+		for range steps {
+			w.load.demand *= factor
+			w.run(interval)
+		}
+		w.run(5 * time.Second)
+		w.load.demand = usual
+		w.run(5 * time.Second)
+	}
+}
+
+// TestLowLimitsInABurstOverRelays is TestFleetKeepsWithinAStatedLimitInABurst with many
+// seeds, for limits of a few requests among VMs that receive one every few seconds.
+func TestLowLimitsInABurstOverRelays(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, loads["80 VMs, all instances"])
+			w.burst()
+			w.checkLimits()
+		})
+	}
+}
+
 // TestLimitIsUsedAndTheRestGoesElsewhere checks what callers get: the limits are used, an
 // instance without a limit takes the requests that they leave, and nothing is rejected
 // that fits.
--- a/internal/core/upstreamlimit/tracker.go
+++ b/internal/core/upstreamlimit/tracker.go
@@ -25,8 +25,9 @@
 
 // Policy holds the settings of a Tracker.
 type Policy struct {
-	// DemandHalfLife is the half-life of the measured demand.
-	DemandHalfLife time.Duration
+	// DemandHalfLife is the half-life of the measured demand, and TrendHalfLife that of
+	// the average with which the fleet's demand is compared.
+	DemandHalfLife, TrendHalfLife time.Duration
 	// Retention is the age up to which a VM reports a statement that it has received,
 	// and for which a lifted limit is remembered. It exceeds the time that reports take
 	// over relays.
@@ -35,8 +36,10 @@
 	// suspended, and its measured demand is discarded.
 	MaxTickGap time.Duration
 	// Utilization is the fraction of a limit that the fleet uses; the rest is for demand
-	// that isn't reported yet.
-	Utilization float64
+	// that isn't reported yet. LargeFleetUtilization applies above LargeFleetVMs, where
+	// reports take longer.
+	Utilization, LargeFleetUtilization float64
+	LargeFleetVMs                      int
 	// MinPerSecond is the least rate that the fleet sends to an upstream, so that it
 	// notices when a lower limit is lifted.
 	MinPerSecond float64
@@ -47,8 +50,8 @@
 // DefaultPolicy suits a report interval of a quarter of a second.
 func DefaultPolicy() Policy {
 	return Policy{
-		DemandHalfLife: 500 * time.Millisecond, Retention: 5 * time.Second, MaxTickGap: time.Second,
-		Utilization: 0.9, MinPerSecond: 0.5, IsolatedVMs: 16,
+		DemandHalfLife: 500 * time.Millisecond, TrendHalfLife: time.Second, Retention: 5 * time.Second, MaxTickGap: time.Second,
+		Utilization: 0.9, LargeFleetUtilization: 0.85, LargeFleetVMs: fleet.MeshSize, MinPerSecond: 0.5, IsolatedVMs: 16,
 	}
 }
 
@@ -82,6 +85,7 @@
 	reported map[string][]string
 	vms      map[string]bool // other VMs, by address
 	lastTick time.Duration
+	interval time.Duration // between the last two ticks
 }
 
 // NewTracker returns a tracker without limits. onChange is called with each change; it
@@ -143,17 +147,23 @@
 }
 
 // fleetDemand returns the demand of all VMs. Those that are silent count with their last
-// report, since they may be cut off from this VM only.
+// report, since they may be cut off from this VM only. If this VM's demand has just risen,
+// that of the others is taken to have risen alike; if the sum of the reports rises, it is
+// taken to rise further by as much.
 func (t *Tracker) fleetDemand(l *limit) float64 {
 	if len(t.vms) == 0 {
 		return l.published * float64(t.policy.IsolatedVMs)
 	}
-	return l.published + l.peersDemand
+	return max(l.published+l.peersDemand*l.currentRise(t.interval), (l.published+l.peersDemand)*l.trend)
 }
 
 // fraction returns the fraction of attempts that are admitted.
 func (t *Tracker) fraction(l *limit) float64 {
-	allowed := max(l.newest.perSecond*t.policy.Utilization, t.policy.MinPerSecond)
+	utilization := t.policy.Utilization
+	if len(t.vms)+1 > t.policy.LargeFleetVMs {
+		utilization = t.policy.LargeFleetUtilization
+	}
+	allowed := max(l.newest.perSecond*utilization, t.policy.MinPerSecond)
 	demand := t.fleetDemand(l)
 	if !l.newest.limited || demand <= allowed {
 		return 1
@@ -203,7 +213,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	dt := now - t.lastTick
-	t.lastTick = now
+	t.lastTick, t.interval = now, dt
 	var out []fleet.UpstreamLimit
 	for instance, l := range t.limits {
 		l.measure(dt, &t.policy)
@@ -212,6 +222,7 @@
 			continue
 		}
 		l.sumPeers()
+		l.updateTrend(dt, &t.policy)
 		if f := t.fraction(l); f > l.notified*notifyFactor || f < l.notified/notifyFactor {
 			t.notify(now, instance, l, "")
 		}
