gateway: log extra attempts that are denied because a request may crash upstreams

The decision had no line: a shard without a response looked as if the budget had denied its retry. The request's line now has denied_as_suspect.

--- a/internal/core/upstreamlimit/limit.go
+++ b/internal/core/upstreamlimit/limit.go
@@ -40,8 +40,8 @@
 }
 
 const (
-	// riseFactor and riseSlack define when the attempts in an interval are more than
-	// chance: riseFactor times the usual number and riseSlack.
+	// riseFactor and riseSlack define when the attempts in an interval exceed the usual
+	// number by more than chance: by that factor and riseSlack.
 	riseFactor = 1.5
 	riseSlack  = 4
 	// maxRise bounds the factor, as a VM may have begun to receive requests that others
@@ -49,8 +49,8 @@
 	maxRise = 8
 )
 
-// riseIn returns the factor by which the demand has risen since the last tick, which
-// began an interval; 0 if it hasn't.
+// riseIn returns the factor by which the attempts since the last tick exceed the usual
+// number in an interval between ticks, or 0 if they don't.
 func (l *limit) riseIn(interval time.Duration) float64 {
 	expected := l.published * interval.Seconds()
 	if l.demand.weight == 0 || float64(l.offered) <= riseFactor*expected+riseSlack {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,7 @@
 // Send implements fanout.Sender.
 func (q *proxyRequest) Send(shard int, kind fanout.Kind) fanout.SendResult {
 	if kind != fanout.First && q.maySpreadCrash() {
+		q.deniedAsSuspect++
 		return fanout.NoBudget
 	}
 	now := time.Now()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -57,6 +57,7 @@
 	// earlierCrashes is the number of instances that had ended under such requests
 	// before this one.
 	earlierCrashes     int
+	deniedAsSuspect    int  // extra attempts that could have crashed another instance
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
 }
 
@@ -251,6 +252,7 @@
 func (q *proxyRequest) completeResult(r requestResult) requestResult {
 	r.attempts, r.hedges, r.err = q.attempts, q.hedges, q.lastErr
 	r.deniedByBudget, r.withoutUpstream, r.atLimit = q.deniedByBudget, q.withoutUpstream, q.atLimit
+	r.deniedAsSuspect = q.deniedAsSuspect
 	r.shards, r.answered = len(q.services), q.query.Answered()
 	if len(q.services) == 1 {
 		for _, picked := range q.shardAttempts[0] {
