gateway: log whether a VM reaches upstreams at all

Change: core/reachability decides from a VM's attempts and responses whether it is isolated (no response of any instance), recovering or connected, and the gateway logs changes. An isolated VM probes a random instance by a connection. Nothing else depends on it yet.

Upstreams down or held pools are ruled out.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,6 +130,9 @@
 // observe records what the end of an attempt shows of the upstream and the request.
 func (q *proxyRequest) observe(u routetable.Upstream, a *upstreamhttp.Result) {
 	now := boottime.Now()
+	if a.Response != nil {
+		q.g.reachable.Responded(time.Now())
+	}
 	if a.Response != nil && !a.Info.WrongInstance {
 		q.g.limits.Observe(now, u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
 	}
@@ -158,6 +161,7 @@
 	if q.in.route.Sharded != nil {
 		req.MaxBodyBytes = maxShardBodyBytes
 	}
+	q.g.reachable.Sent(time.Now(), u.ID)
 	a := q.g.pools.Get(u).Do(q.ctx, req, func() { q.g.picker.MarkSent(picked, time.Now()) })
 	q.observe(u, &a)
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
+	"ryecourse.example/ryecourse/internal/core/reachability"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
 	"ryecourse.example/ryecourse/internal/core/retrydetect"
 	"ryecourse.example/ryecourse/internal/core/routetable"
@@ -130,6 +131,7 @@
 	retryBudget *retrybudget.Budget
 	pools       *Pools
 	executors   Executors
+	reachable   *reachability.Tracker
 	losses      *lossChecker
 	log         *eventlog.Log
 	metrics     *Metrics
@@ -155,16 +157,18 @@
 	Pools      *Pools
 	// Executors run queries for this VM.
 	Executors Executors
-	Log       *eventlog.Log
-	Metrics   *Metrics
-	Rand      *rand.Rand
+	// Reachability is told of attempts and responses.
+	Reachability *reachability.Tracker
+	Log          *eventlog.Log
+	Metrics      *Metrics
+	Rand         *rand.Rand
 }
 
 // New returns a gateway.
 func New(deps Dependencies) *Gateway {
 	return &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
-		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, log: deps.Log, metrics: deps.Metrics,
+		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
 		losses:        &lossChecker{pools: deps.Pools, waiting: map[string][]func(upstreamhttp.Liveness){}},
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -27,6 +27,7 @@
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/quarantine"
+	"ryecourse.example/ryecourse/internal/core/reachability"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/core/upstreamlimit"
@@ -50,6 +51,7 @@
 	limiter    *customerrate.Limiter
 	limits     *upstreamlimit.Tracker
 	quarantine *quarantine.Tracker
+	reachable  *reachability.Tracker
 	exchanger  *fleetrpc.Exchanger
 	size       atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
 	started    time.Time
@@ -99,6 +101,7 @@
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.limits = upstreamlimit.NewTracker(upstreamlimit.DefaultPolicy(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), d.logLimit)
 	d.quarantine = quarantine.NewTracker(quarantine.DefaultPolicy(), d.logQuarantine)
+	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
 	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
@@ -108,7 +111,7 @@
 	d.size.Store(&fleetrpc.Size{VMs: expectedVMs})
 	d.exchanger = fleetrpc.New(fleet.Report{
 		Address: s.PeerAddr.String(), Zone: s.Zone, Incarnation: rand.Uint64(), CPUShare: s.CPUShare,
-	}, seedAddresses(s), d.limiter, d.limits, d.quarantine, d.log, d.resize)
+	}, seedAddresses(s), d.limiter, d.limits, d.quarantine, d.log, d.tick)
 	store := platform.NewStore(s.StoreAddr.String(), storeClient())
 	syncPolicy := metadatasync.DefaultPolicy()
 	if s.FirstStart {
@@ -118,7 +121,7 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
@@ -162,6 +165,14 @@
 	}
 }
 
+// tick is called in each tick of the exchanger.
+func (d *Daemon) tick(size fleetrpc.Size) {
+	d.resize(size)
+	if d.reachable.Tick(time.Now()) {
+		go d.probe()
+	}
+}
+
 // resize adapts the limits to the number of VMs.
 func (d *Daemon) resize(size fleetrpc.Size) {
 	if time.Since(d.started) < sizeSettleTime {
@@ -198,6 +209,7 @@
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 	d.limits.Retain(instances(v))
+	d.reachable.SetInstances(len(instances(v)))
 }
 
 // instances returns the IDs of all instances of a view.
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -133,6 +133,27 @@
 	return newConn(nc), nil
 }
 
+// Reconnect opens a connection, in place of an idle one if there is any, and keeps it for
+// requests. It returns ErrNoConnection if all connections are in use.
+func (p *Pool) Reconnect(ctx context.Context) error {
+	idle, wait, err := p.reserve()
+	switch {
+	case err != nil:
+		return err
+	case wait != nil:
+		p.cancelWait(wait)
+		return ErrNoConnection
+	case idle != nil: // its place is taken by the new one
+		idle.close()
+	}
+	c, err := p.openConn(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // cancelWait removes a waiter from the queue. What it has already received goes
 // to the next waiter.
 func (p *Pool) cancelWait(w chan *conn) {
