--- a/internal/core/executor/executor.go
+++ b/internal/core/executor/executor.go
@@ -1,5 +1,12 @@
-// Package executor chooses the VM that runs a query over many shards for the VM that
-// received it. `ryecourse gateway` uses it.
+// Package executor chooses the VM that runs a request for the VM that received it.
+// `ryecourse gateway` uses it.
+//
+// There are two reasons to have another VM run a request. In a large fleet a few VMs,
+// the executors, run the queries over many shards of all others. In a fleet of any size
+// a VM that reaches no upstream, see package reachability, has others run all of its
+// requests; these are its helpers.
+//
+// # Executors
 //
 // It answers the load of a large fleet of small VMs. Each of them receives a query
 // every few seconds, so that its connections to the upstreams are closed between two
@@ -19,14 +26,16 @@
 	"time"
 )
 
-// Request is a query that another VM is asked to run.
+// Request is a caller's request that another VM is asked to run.
 type Request struct {
 	ID    string
 	Route string
 	// RouteFingerprint is that of the sender's version of the route.
 	RouteFingerprint uint64
-	Customer         string
-	Method           string
+	// ConfigVersion is the version of the sender's configuration.
+	ConfigVersion int64
+	Customer      string
+	Method        string
 	// Head is the request line and the headers that all attempts share.
 	Head, Body []byte
 	// Fingerprint identifies requests that are the same to an upstream.
@@ -34,22 +43,36 @@
 	// SoftTimeout is the time after which a sufficient partial result is returned;
 	// Timeout is the time after which the query is given up.
 	SoftTimeout, Timeout time.Duration
+	// MaxRuns is the number of upstreams, by shard, that may run the request.
+	MaxRuns int
+	// HandedOver is set if the sender has tried to run the request itself.
+	HandedOver bool
 }
 
-// Result is the outcome of a query.
+// Header is one header of an upstream's response.
+type Header struct{ Name, Value string }
+
+// Result is the outcome of a request.
 type Result struct {
-	// Failure is why there is no merged response; empty on success.
+	// Failure is why there is no response to pass on; empty on success.
 	Failure string
 	// NotRun is set if no upstream may have run the request.
 	NotRun bool
 	// RetryAfter is how long the caller of a failed query that hasn't run should wait
 	// before it retries.
 	RetryAfter time.Duration
-	Body       []byte
+	// Status and Headers are those of the upstream's response; 0 and empty if Body was
+	// merged from shards.
+	Status  int
+	Headers []Header
+	Body    []byte
 	// Signatures are those of the upstreams whose responses were merged; Missing names
 	// the services without a response.
 	Signatures, Missing []string
 
+	// Upstreams are the instances of the attempts of a request to one service.
+	Upstreams []string
+
 	Answered, Attempts, Hedges, DeniedByBudget, WithoutUpstream, AtLimit int
 	// LastError is the last error of an attempt, or empty.
 	LastError string
@@ -59,6 +82,13 @@
 	// maxCandidates is the number of executors that are tried before a VM runs a
 	// query itself.
 	maxCandidates = 2
+	// maxHelpers is the number of helpers that are tried before a VM that reaches no
+	// upstream runs the request itself.
+	maxHelpers = 4
+	// minOwnZoneHelpers is the number of helpers in a VM's own zone, as a fraction of
+	// the zone's other VMs, from which those of other zones come last. With fewer, they
+	// would carry far more than VMs in other zones.
+	minOwnZoneHelpers = 0.5
 	// avoidPeriod is how long an executor that didn't accept a query is avoided. It
 	// is about the time after which reports show that a VM is down.
 	avoidPeriod = 2 * time.Second
@@ -70,7 +100,9 @@
 	self, zone string
 
 	mu      sync.Mutex
-	byZone  map[string][]string
+	byZone  map[string][]string  // executors
+	helpers map[string][]string  // by zone
+	ownZone int                  // other VMs in this VM's zone
 	avoided map[string]time.Time // until when, by address
 	turns   int
 }
@@ -81,11 +113,18 @@
 	return &Directory{self: self, zone: zone, avoided: map[string]time.Time{}, turns: turn}
 }
 
-// Update replaces the executors, by zone.
-func (d *Directory) Update(now time.Time, byZone map[string][]string) {
+// VMs are the VMs that may run requests for others, by zone.
+type VMs struct {
+	Executors, Helpers map[string][]string
+	// OwnZone is the number of other VMs in the zone of the directory's VM.
+	OwnZone int
+}
+
+// Update replaces the VMs that may run requests.
+func (d *Directory) Update(now time.Time, vms VMs) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.byZone = byZone
+	d.byZone, d.helpers, d.ownZone = vms.Executors, vms.Helpers, vms.OwnZone
 	for addr, until := range d.avoided {
 		if now.After(until) {
 			delete(d.avoided, addr)
@@ -93,7 +132,7 @@
 	}
 }
 
-// Avoid excludes an executor that didn't accept a query for a while.
+// Avoid excludes a VM that didn't accept a request for a while.
 func (d *Directory) Avoid(now time.Time, address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -121,6 +160,42 @@
 	return out[:min(len(out), maxCandidates)]
 }
 
+// Helpers returns the VMs to ask, in order, for a request of a VM that reaches no
+// upstream: executors, which have connections to the upstreams, then other VMs. The
+// requests rotate through them.
+func (d *Directory) Helpers(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.turns++
+	out := d.appendRotated(nil, now, d.byZone[d.zone])
+	out = d.appendRotated(out, now, allZones(d.byZone))
+	if own := d.helpers[d.zone]; float64(len(own)) >= minOwnZoneHelpers*float64(d.ownZone) {
+		out = d.appendRotated(out, now, own)
+	}
+	out = d.appendRotated(out, now, allZones(d.helpers))
+	return firstDistinct(out, maxHelpers)
+}
+
+func allZones(byZone map[string][]string) []string {
+	var out []string
+	for _, list := range byZone {
+		out = append(out, list...)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// firstDistinct returns the first n distinct addresses.
+func firstDistinct(list []string, n int) []string {
+	var out []string
+	for _, addr := range list {
+		if len(out) < n && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 func (d *Directory) inOtherZones(zones map[string]bool) []string {
 	var out []string
 	for zone, list := range d.byZone {
--- a/internal/core/executor/executor_test.go
+++ b/internal/core/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := NewDirectory(test.self, test.zone, 0)
-			d.Update(epoch, byZone)
+			d.Update(epoch, VMs{Executors: byZone})
 			for _, addr := range test.avoid {
 				d.Avoid(epoch, addr)
 			}
@@ -50,13 +51,13 @@
 func TestAvoidedExecutorIsTriedAgain(t *testing.T) {
 	d := NewDirectory("x", "a", 0)
 	byZone := map[string][]string{"a": {"a1"}}
-	d.Update(epoch, byZone)
+	d.Update(epoch, VMs{Executors: byZone})
 	d.Avoid(epoch, "a1")
 	later := epoch.Add(avoidPeriod + time.Millisecond)
 	if got := d.Candidates(later.Add(-2*time.Millisecond), zonesOf("a")); len(got) != 0 {
 		t.Errorf("candidates are %v while avoided", got)
 	}
-	d.Update(later, byZone)
+	d.Update(later, VMs{Executors: byZone})
 	if got := d.Candidates(later, zonesOf("a")); !slices.Equal(got, []string{"a1"}) {
 		t.Errorf("candidates are %v after the period", got)
 	}
@@ -64,7 +65,7 @@
 
 func TestQueriesRotateThroughExecutors(t *testing.T) {
 	d := NewDirectory("x", "a", 0)
-	d.Update(epoch, map[string][]string{"a": {"a1", "a2", "a3"}})
+	d.Update(epoch, VMs{Executors: map[string][]string{"a": {"a1", "a2", "a3"}}})
 	first := map[string]int{}
 	for range 30 {
 		first[d.Candidates(epoch, zonesOf("a"))[0]]++
@@ -75,3 +76,75 @@
 		}
 	}
 }
+
+// TestHelpers checks whom a VM asks that reaches no upstream.
+func TestHelpers(t *testing.T) {
+	all := map[string][]string{"a": {"a1", "a2"}, "b": {"b1", "b2"}, "c": {"c1"}}
+	for name, test := range map[string]struct {
+		vms   VMs
+		avoid []string
+		first []string // one of these comes first
+		n     int
+	}{
+		"own zone first":                       {VMs{Helpers: all, OwnZone: 3}, nil, []string{"a1", "a2"}, 4},
+		"all zones if few are left in its own": {VMs{Helpers: all, OwnZone: 5}, nil, []string{"a1", "a2", "b1", "b2", "c1"}, 4},
+		"executors first":                      {VMs{Executors: map[string][]string{"b": {"b1"}}, Helpers: all, OwnZone: 3}, nil, []string{"b1"}, 4},
+		"not those that didn't accept":         {VMs{Helpers: all, OwnZone: 3}, []string{"a1", "b1", "b2"}, []string{"a2"}, 2},
+		"nobody":                               {VMs{Helpers: map[string][]string{}, OwnZone: 3}, nil, nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory("x", "a", 0)
+			d.Update(epoch, test.vms)
+			for _, addr := range test.avoid {
+				d.Avoid(epoch, addr)
+			}
+			for range 10 {
+				got := d.Helpers(epoch)
+				if len(got) != test.n || test.n > 0 && !slices.Contains(test.first, got[0]) {
+					t.Errorf("helpers are %v, want %d of them, one of %v first", got, test.n, test.first)
+				}
+			}
+		})
+	}
+}
+
+// TestHelpersCarryEqualParts guards against one VM that gets the requests of all that
+// reach no upstream, in fleets of 8, 80 and 295 VMs of which six in ten do not.
+func TestHelpersCarryEqualParts(t *testing.T) {
+	for _, vms := range []int{8, 80, 295} {
+		helpers := map[string][]string{}
+		zoneSize := map[string]int{}
+		name := func(i int) (vm, zone string) { return fmt.Sprintf("vm-%03d", i), fmt.Sprint("z", i%4) }
+		isIsolated := func(i int) bool { return i%10 < 6 }
+		n := 0
+		for i := range vms {
+			vm, zone := name(i)
+			zoneSize[zone]++
+			if !isIsolated(i) {
+				helpers[zone] = append(helpers[zone], vm)
+				n++
+			}
+		}
+		got := map[string]int{}
+		const perVM = 60
+		total := 0
+		for i := range vms {
+			vm, zone := name(i)
+			if !isIsolated(i) {
+				continue
+			}
+			d := NewDirectory(vm, zone, i*7919)
+			d.Update(epoch, VMs{Helpers: helpers, OwnZone: zoneSize[zone] - 1})
+			for range perVM {
+				got[d.Helpers(epoch)[0]]++
+				total++
+			}
+		}
+		mean := float64(total) / float64(n)
+		for vm, requests := range got {
+			if float64(requests) > 2*mean {
+				t.Errorf("%d VMs: %s gets %d requests, the mean is %.0f", vms, vm, requests, mean)
+			}
+		}
+	}
+}
--- a/internal/core/executor/load_test.go
+++ b/internal/core/executor/load_test.go
@@ -79,7 +79,7 @@
 	}
 	upstreamZones := zonesOf("z0", "z1", "z2")
 	for _, vm := range vms {
-		vm.directory.Update(epoch, byZone)
+		vm.directory.Update(epoch, VMs{Executors: byZone})
 	}
 	var took []float64
 	for at := 0.0; at < 30_000; at += rng.ExpFloat64() * 1000 / queriesPerSec {
--- a/internal/core/fanout/fanout.go
+++ b/internal/core/fanout/fanout.go
@@ -45,6 +45,8 @@
 	NoBudget
 	// AtLimit means that the upstreams' own limits don't admit the attempt.
 	AtLimit
+	// Elsewhere means that another VM runs the request instead.
+	Elsewhere
 )
 
 // Sender starts attempts.
@@ -103,6 +105,9 @@
 	failed   int
 	verdict  verdict.Verdict
 	outcome  Outcome
+	// elsewhere is set while another VM runs the request. Shards without an attempt in
+	// flight don't fail meanwhile.
+	elsewhere bool
 }
 
 // Outcome is the state of the request as a whole.
@@ -162,6 +167,9 @@
 			return
 		}
 		q.fail(i)
+	case Elsewhere:
+		s.hedgeAt = time.Time{}
+		q.elsewhere = true
 	case NoBudget, AtLimit:
 		s.hedgeAt = time.Time{}
 		if s.inFlight == 0 {
@@ -171,7 +179,7 @@
 }
 
 func (q *Query) fail(i int) {
-	if q.shards[i].state == stateOpen {
+	if q.shards[i].state == stateOpen && !q.elsewhere {
 		q.shards[i].state = stateFailed
 		q.failed++
 	}
@@ -216,6 +224,19 @@
 // replace rejected ones.
 const maxRejected = 2
 
+// OnElsewhereFailed handles the failure of another VM to run the request, of which v says
+// whether that VM's upstreams may have run it.
+func (q *Query) OnElsewhereFailed(now time.Time, v verdict.Verdict) {
+	q.elsewhere = false
+	q.verdict = verdict.Join(q.verdict, v)
+	for i := range q.shards {
+		if s := &q.shards[i]; s.inFlight == 0 && s.retryAt.IsZero() {
+			q.fail(i)
+		}
+	}
+	q.updateOutcome(now)
+}
+
 // OnTimer handles the time returned by NextTimer.
 func (q *Query) OnTimer(now time.Time) {
 	if q.outcome != Running {
--- a/internal/core/fanout/fanout_test.go
+++ b/internal/core/fanout/fanout_test.go
@@ -246,3 +246,41 @@
 		t.Errorf("the verdict is %v", q.Verdict())
 	}
 }
+
+// TestRequestThatRunsElsewhere checks that shards whose attempts have failed stay open
+// while another VM runs the request, and fail once that VM has failed.
+func TestRequestThatRunsElsewhere(t *testing.T) {
+	s := &scriptedSender{next: map[int][]SendResult{0: {Started, Elsewhere}, 1: {Started, NoBudget}}}
+	q := New(policy(3, 1), s)
+	q.Start(start)
+	q.OnResult(at(1), 0, false, verdict.NotRun)
+	q.OnResult(at(2), 1, false, verdict.NotRun)
+	expectOutcome(t, q, Running)
+	q.OnResult(at(3), 2, true, verdict.Ran)
+	expectOutcome(t, q, Running)
+	q.OnElsewhereFailed(at(4), verdict.MayHaveRun)
+	expectOutcome(t, q, Unanswerable)
+	expectSent(t, s, First, First, First)
+}
+
+// TestAttemptInFlightCountsAfterTheFailureElsewhere checks that an own attempt still
+// completes the request.
+func TestAttemptInFlightCountsAfterTheFailureElsewhere(t *testing.T) {
+	s := &scriptedSender{next: map[int][]SendResult{0: {Started, Elsewhere}}}
+	q := New(policy(1, 1), s)
+	q.Start(start)
+	q.OnTimer(at(10))
+	q.OnElsewhereFailed(at(20), verdict.NotRun)
+	expectOutcome(t, q, Running)
+	q.OnResult(at(30), 0, true, verdict.Ran)
+	expectOutcome(t, q, Success)
+}
+
+func TestElsewhereEndsAtTheDeadline(t *testing.T) {
+	s := &scriptedSender{next: map[int][]SendResult{0: {Started, Elsewhere}}}
+	q := New(policy(1, 1), s)
+	q.Start(start)
+	q.OnResult(at(1), 0, false, verdict.NotRun)
+	q.OnTimer(at(1000))
+	expectOutcome(t, q, TimedOut)
+}
--- a/internal/core/fleet/executors.go
+++ b/internal/core/fleet/executors.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// vmsPerExecutor is the number of VMs of a zone for each executor, and
@@ -32,7 +35,7 @@
 	}
 	candidates := map[string][]Report{}
 	add := func(r Report) {
-		if r.CPUShare > 0 && r.CPUShare >= minExecutorCPU*largest && !r.Leaving && !r.Draining {
+		if r.CPUShare > 0 && r.CPUShare >= minExecutorCPU*largest && r.acceptsRequests() {
 			candidates[r.Zone] = append(candidates[r.Zone], r)
 		}
 	}
@@ -49,3 +52,40 @@
 	}
 	return out
 }
+
+// acceptsRequests reports whether the VM runs requests of other VMs.
+func (r *Report) acceptsRequests() bool { return !r.Leaving && !r.Draining && !r.Isolated }
+
+// ZoneSize returns the number of other VMs in this VM's zone.
+func (t *Table) ZoneSize() int {
+	n := 0
+	for _, m := range t.members {
+		if m.report.Zone == t.self.Zone {
+			n++
+		}
+	}
+	return n
+}
+
+// maxHelperSilence is the age of its last report from which a VM of a small fleet, in
+// which reports take no relay, isn't asked for help.
+const maxHelperSilence = time.Second
+
+// Helpers returns the other VMs that may run requests for this one while it reaches no
+// upstream, by zone. It excludes those without a recent report.
+func (t *Table) Helpers(now time.Duration) map[string][]string {
+	silence := maxHelperSilence
+	if t.isLarge() {
+		silence = maxExecutorSilence
+	}
+	out := map[string][]string{}
+	for addr, m := range t.members {
+		if m.report.acceptsRequests() && now-m.report.At <= silence {
+			out[m.report.Zone] = append(out[m.report.Zone], addr)
+		}
+	}
+	for _, list := range out {
+		slices.Sort(list)
+	}
+	return out
+}
--- a/internal/core/fleet/executors_test.go
+++ b/internal/core/fleet/executors_test.go
@@ -69,3 +69,37 @@
 		t.Errorf("%d of 40 VMs are executors, want 3: one for each %d", len(got), vmsPerExecutor)
 	}
 }
+
+// TestIsolatedVMsRunNothingForOthers checks that a VM that reaches no upstream is neither an
+// executor nor a helper, and that one without a recent report isn't either.
+func TestIsolatedVMsRunNothingForOthers(t *testing.T) {
+	now := 100 * time.Second
+	table, update := newExecutorTable(now)
+	helpers := func() int {
+		n := 0
+		for _, list := range table.Helpers(now) {
+			n += len(list)
+		}
+		return n
+	}
+	if n := helpers(); n != 24 {
+		t.Errorf("%d of 24 VMs help at first", n)
+	}
+	update("10.0.0.0:1", func(r *Report) { r.Isolated = true })
+	if got := table.Executors(now)["zone-0"]; !slices.Equal(got, []string{"10.0.0.1:1"}) {
+		t.Errorf("executors are %v while one is isolated", got)
+	}
+	update("10.1.0.5:1", func(r *Report) { r.At = now - maxExecutorSilence - time.Millisecond })
+	update("10.2.0.5:1", func(r *Report) { r.Draining = true })
+	if n := helpers(); n != 21 {
+		t.Errorf("%d VMs help while three of 24 can't", n)
+	}
+	table.UpdateSelf(now, State{Isolated: true})
+	if got := table.ReportsFor("x", RelayNone)[0]; !got.Isolated {
+		t.Error("a VM that is isolated doesn't report it")
+	}
+	update("10.0.0.0:1", func(r *Report) { r.Isolated = false })
+	if got := table.Executors(now)["zone-0"]; !slices.Equal(got, []string{"10.0.0.0:1", "10.0.0.1:1"}) {
+		t.Errorf("executors are %v after the isolation", got)
+	}
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -43,6 +43,9 @@
 // State is the part of a VM's report that changes.
 type State struct {
 	Leaving bool
+	// Isolated is set by a VM that doesn't run other VMs' requests, as it reaches no
+	// upstream or has only just reached one again.
+	Isolated bool
 	// Usage is keyed by the hash of the customer's name.
 	Usage map[uint32]Usage
 	// Limits is sorted by instance.
@@ -59,6 +62,8 @@
 	Leaving     bool
 	// Draining is set while the VM takes no new queries of other VMs.
 	Draining bool
+	// Isolated is as in State.
+	Isolated bool
 	// CPUShare is the VM's share of a processor; 0 if unknown.
 	CPUShare float64
 	// At is when the VM wrote the report, converted to this VM's clock.
@@ -149,7 +154,8 @@
 // UpdateSelf replaces the VM's own report.
 func (t *Table) UpdateSelf(now time.Duration, s State) {
 	t.self.Sequence++
-	t.self.At, t.self.Usage, t.self.Limits, t.self.Leaving = now, s.Usage, s.Limits, s.Leaving
+	t.self.At, t.self.Usage, t.self.Limits = now, s.Usage, s.Limits
+	t.self.Leaving, t.self.Isolated = s.Leaving, s.Isolated
 }
 
 // SetDraining marks the VM's own reports as those of a VM that drains.
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -78,6 +78,22 @@
 // there is none.
 func (b *Budget) Take(service string) bool { return b.take(service, 0) }
 
+// TakeAll spends a token of each service. It spends none and returns false if one has
+// none.
+func (b *Budget) TakeAll(services []string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range services {
+		if b.available(s) < 1 {
+			return false
+		}
+	}
+	for _, s := range services {
+		b.tokens[s]--
+	}
+	return true
+}
+
 // minScarcity is the scarcity while the budget is full. It is above 0 because
 // an extra attempt costs the upstreams work in any case.
 const minScarcity = 0.15
--- a/internal/core/retrybudget/retrybudget_test.go
+++ b/internal/core/retrybudget/retrybudget_test.go
@@ -131,3 +131,20 @@
 		t.Error("a hedge was denied with a full budget")
 	}
 }
+
+// TestTakeAllTakesFromAllOrNone checks that a request over shards that lacks the budget of
+// one service spends that of none.
+func TestTakeAllTakesFromAllOrNone(t *testing.T) {
+	b := newBudget(1, 2)
+	b.AddForRequest("a")
+	if b.TakeAll([]string{"a", "b"}) {
+		t.Error("a service without a token allowed an attempt")
+	}
+	b.AddForRequest("b")
+	if !b.TakeAll([]string{"a", "b"}) {
+		t.Error("the tokens of the other service were spent")
+	}
+	if b.Take("a") || b.Take("b") {
+		t.Error("a token was spent twice")
+	}
+}
--- a/internal/core/routetable/model.go
+++ b/internal/core/routetable/model.go
@@ -40,8 +40,8 @@
 	Sharded *Sharded
 }
 
-// Fingerprint identifies what determines how a query of a sharded route is run. Two
-// versions of the route with the same fingerprint run it alike.
+// Fingerprint identifies what determines how a request of the route is run. Two versions
+// of the route with the same fingerprint run it alike.
 func (r *Route) Fingerprint() uint64 {
 	h := xxhash.New()
 	if r.Sharded != nil {
@@ -50,7 +50,10 @@
 		}
 		fmt.Fprint(h, r.Sharded.TopK, r.Sharded.MinShare)
 	}
-	fmt.Fprint(h, "\x00", r.Attempts, r.Timeout, r.Objective)
+	for _, t := range r.Targets {
+		fmt.Fprint(h, t.Service, "\x00", t.Weight, "\x00")
+	}
+	fmt.Fprint(h, "\x00", r.Idempotent, r.Attempts, r.Timeout, r.Objective)
 	return h.Sum64()
 }
 
--- a/internal/fleetrpc/exchanger.go
+++ b/internal/fleetrpc/exchanger.go
@@ -211,6 +211,7 @@
 func (e *Exchanger) tick(ctx context.Context, leaving bool) {
 	now := boottime.Now()
 	state := fleet.State{Leaving: leaving, Usage: e.usage.Tick(time.Now(), now), Limits: e.limits.Tick(now)}
+	state.Isolated = e.queries != nil && !e.queries.AcceptsQueries()
 	e.suspects.Tick(now)
 	e.mu.Lock()
 	e.members.UpdateSelf(now, state)
@@ -240,7 +241,7 @@
 // caller must hold mu.
 func (e *Exchanger) updateSize(now time.Duration) Size {
 	byZone := e.members.Executors(now)
-	e.executors.Update(time.Now(), byZone)
+	e.executors.Update(time.Now(), executor.VMs{Executors: byZone, Helpers: e.members.Helpers(now), OwnZone: e.members.ZoneSize()})
 	size := Size{VMs: e.members.Size()}
 	for _, list := range byZone {
 		size.Executors += len(list)
--- a/internal/fleetrpc/execute.go
+++ b/internal/fleetrpc/execute.go
@@ -15,10 +15,14 @@
 	"ryecourse.example/ryecourse/internal/gen/fleet/v1/fleetv1connect"
 )
 
-// QueryRunner runs queries for other VMs, see gateway.Gateway. Its errors are
-// gateway.RejectedErrors if the query hasn't run.
+// QueryRunner runs requests for other VMs, see gateway.Gateway. Its errors are
+// gateway.RejectedErrors if the request hasn't run.
 type QueryRunner interface {
-	AcceptQuery(id, route string, fingerprint uint64) error
+	// AcceptsQueries reports whether the VM reaches upstreams.
+	AcceptsQueries() bool
+	// AcceptQuery returns nil if the VM would run the request now. Only its ID, route and
+	// versions are set.
+	AcceptQuery(r *executor.Request) error
 	RunQuery(ctx context.Context, r *executor.Request) (executor.Result, error)
 }
 
@@ -46,7 +50,9 @@
 
 // Accept implements fleetv1connect.FleetServiceHandler.
 func (s server) Accept(_ context.Context, req *fleetv1.AcceptRequest) (*fleetv1.AcceptResponse, error) {
-	err := s.exchanger.queries.AcceptQuery(req.RequestId, req.Route, req.RouteFingerprint)
+	err := s.exchanger.queries.AcceptQuery(&executor.Request{
+		ID: req.RequestId, Route: req.Route, RouteFingerprint: req.RouteFingerprint, ConfigVersion: req.ConfigVersion,
+	})
 	var rejected *gateway.RejectedError
 	if errors.As(err, &rejected) {
 		return &fleetv1.AcceptResponse{Rejected: rejected.Reason}, nil
@@ -71,8 +77,9 @@
 	return &executor.Request{
 		ID: m.RequestId, Route: m.Route, RouteFingerprint: m.RouteFingerprint, Customer: m.Customer,
 		Method: m.Method, Head: m.Head, Body: m.Body, Fingerprint: m.Fingerprint,
-		SoftTimeout: time.Duration(m.SoftTimeoutUs) * time.Microsecond,
-		Timeout:     time.Duration(m.TimeoutUs) * time.Microsecond,
+		SoftTimeout:   time.Duration(m.SoftTimeoutUs) * time.Microsecond,
+		Timeout:       time.Duration(m.TimeoutUs) * time.Microsecond,
+		ConfigVersion: m.ConfigVersion, MaxRuns: int(m.MaxRuns), HandedOver: m.HandedOver,
 	}
 }
 
@@ -81,11 +88,17 @@
 		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, Customer: r.Customer,
 		Method: r.Method, Head: r.Head, Body: r.Body, Fingerprint: r.Fingerprint,
 		SoftTimeoutUs: r.SoftTimeout.Microseconds(), TimeoutUs: r.Timeout.Microseconds(),
+		ConfigVersion: r.ConfigVersion, MaxRuns: uint32(r.MaxRuns), HandedOver: r.HandedOver,
 	}
 }
 
 func encodeResult(r *executor.Result) *fleetv1.ExecuteResult {
+	var headers []*fleetv1.Header
+	for _, h := range r.Headers {
+		headers = append(headers, &fleetv1.Header{Name: h.Name, Value: h.Value})
+	}
 	return &fleetv1.ExecuteResult{
+		Status: uint32(r.Status), Headers: headers, Upstreams: r.Upstreams,
 		Failure: r.Failure, NotRun: r.NotRun, Body: r.Body, Signatures: r.Signatures, Missing: r.Missing,
 		Answered: uint32(r.Answered), Attempts: uint32(r.Attempts), Hedges: uint32(r.Hedges),
 		DeniedByBudget: uint32(r.DeniedByBudget), WithoutUpstream: uint32(r.WithoutUpstream), AtLimit: uint32(r.AtLimit),
@@ -94,7 +107,12 @@
 }
 
 func decodeResult(m *fleetv1.ExecuteResult) executor.Result {
+	var headers []executor.Header
+	for _, h := range m.Headers {
+		headers = append(headers, executor.Header{Name: h.Name, Value: h.Value})
+	}
 	return executor.Result{
+		Status: int(m.Status), Headers: headers, Upstreams: m.Upstreams,
 		Failure: m.Failure, NotRun: m.NotRun, Body: m.Body, Signatures: m.Signatures, Missing: m.Missing,
 		Answered: int(m.Answered), Attempts: int(m.Attempts), Hedges: int(m.Hedges),
 		DeniedByBudget: int(m.DeniedByBudget), WithoutUpstream: int(m.WithoutUpstream), AtLimit: int(m.AtLimit),
@@ -107,6 +125,9 @@
 	return e.executors.Candidates(now, zones)
 }
 
+// Helpers implements gateway.Executors.
+func (e *Exchanger) Helpers(now time.Time) []string { return e.executors.Helpers(now) }
+
 // Avoid implements gateway.Executors.
 func (e *Exchanger) Avoid(now time.Time, address string) { e.executors.Avoid(now, address) }
 
@@ -115,7 +136,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := e.executeClientFor(address).Accept(ctx, &fleetv1.AcceptRequest{
-		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint,
+		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, ConfigVersion: r.ConfigVersion,
 	})
 	if err != nil {
 		return err
--- a/internal/fleetrpc/execute_test.go
+++ b/internal/fleetrpc/execute_test.go
@@ -19,8 +19,11 @@
 // runnerFunc implements QueryRunner. It accepts all queries.
 type runnerFunc func(ctx context.Context, r *executor.Request) (executor.Result, error)
 
+// AcceptsQueries implements QueryRunner.
+func (runnerFunc) AcceptsQueries() bool { return true }
+
 // AcceptQuery implements QueryRunner.
-func (f runnerFunc) AcceptQuery(string, string, uint64) error { return nil }
+func (runnerFunc) AcceptQuery(*executor.Request) error { return nil }
 
 // RunQuery implements QueryRunner.
 func (f runnerFunc) RunQuery(ctx context.Context, r *executor.Request) (executor.Result, error) {
@@ -28,12 +31,13 @@
 }
 
 // acceptFunc implements QueryRunner. It runs nothing.
-type acceptFunc func(id, route string, fingerprint uint64) error
+type acceptFunc func(r *executor.Request) error
+
+// AcceptsQueries implements QueryRunner.
+func (acceptFunc) AcceptsQueries() bool { return true }
 
 // AcceptQuery implements QueryRunner.
-func (f acceptFunc) AcceptQuery(id, route string, fingerprint uint64) error {
-	return f(id, route, fingerprint)
-}
+func (f acceptFunc) AcceptQuery(r *executor.Request) error { return f(r) }
 
 // RunQuery implements QueryRunner.
 func (f acceptFunc) RunQuery(context.Context, *executor.Request) (executor.Result, error) {
@@ -66,6 +70,7 @@
 var sampleQuery = executor.Request{
 	ID: "id-1", Route: "r", RouteFingerprint: 1 << 60, Customer: "shop", Method: "GET", Head: []byte("GET /x HTTP/1.1\r\n"),
 	Body: []byte("b"), Fingerprint: 1 << 50, SoftTimeout: 100 * time.Millisecond, Timeout: 5 * time.Second,
+	ConfigVersion: 1 << 40, MaxRuns: 2, HandedOver: true,
 }
 
 const testAcceptTimeout = 2 * time.Second
@@ -73,6 +78,7 @@
 func TestExecuteReturnsTheResult(t *testing.T) {
 	want := executor.Result{
 		Body: []byte("records"), Signatures: []string{"s1", "s2"}, Missing: []string{"m"},
+		Status: 201, Headers: []executor.Header{{Name: "A", Value: "1"}, {Name: "A", Value: "2"}}, Upstreams: []string{"u1"},
 		Answered: 2, Attempts: 4, Hedges: 1, DeniedByBudget: 3, WithoutUpstream: 5, AtLimit: 6, LastError: "e",
 		RetryAfter: 70 * time.Millisecond,
 	}
@@ -130,17 +136,21 @@
 }
 
 func TestAccept(t *testing.T) {
-	accepting, _ := startExecutor(t, acceptFunc(func(id, route string, fingerprint uint64) error {
-		if id != sampleQuery.ID || route != sampleQuery.Route || fingerprint != sampleQuery.RouteFingerprint {
-			t.Errorf("asked for %q, %q, %d", id, route, fingerprint)
+	accepting, _ := startExecutor(t, acceptFunc(func(r *executor.Request) error {
+		want := executor.Request{
+			ID: sampleQuery.ID, Route: sampleQuery.Route,
+			RouteFingerprint: sampleQuery.RouteFingerprint, ConfigVersion: sampleQuery.ConfigVersion,
+		}
+		if !reflect.DeepEqual(*r, want) {
+			t.Errorf("asked for %+v, want %+v", *r, want)
 		}
 		return nil
 	}))
-	rejecting, _ := startExecutor(t, acceptFunc(func(string, string, uint64) error {
+	rejecting, _ := startExecutor(t, acceptFunc(func(*executor.Request) error {
 		return &gateway.RejectedError{Reason: "busy"}
 	}))
 	release := make(chan struct{})
-	silent, _ := startExecutor(t, acceptFunc(func(string, string, uint64) error {
+	silent, _ := startExecutor(t, acceptFunc(func(*executor.Request) error {
 		<-release
 		return nil
 	}))
--- a/internal/fleetrpc/wire.go
+++ b/internal/fleetrpc/wire.go
@@ -25,7 +25,7 @@
 		m := &fleetv1.Report{
 			Address: r.Address, Zone: r.Zone, Boot: r.Incarnation, Sequence: r.Sequence,
 			AgeMs: ageMs(now, r.At), Leaving: r.Leaving,
-			Draining: r.Draining, CpuMillis: uint32(math.Round(r.CPUShare * milli)),
+			Draining: r.Draining, Isolated: r.Isolated, CpuMillis: uint32(math.Round(r.CPUShare * milli)),
 			Usage: make([]*fleetv1.Usage, 0, len(r.Usage)),
 		}
 		for customer, u := range r.Usage {
@@ -68,7 +68,7 @@
 	for _, m := range reports {
 		r := fleet.Report{
 			Address: m.Address, Zone: m.Zone, Incarnation: m.Boot, Sequence: m.Sequence, Leaving: m.Leaving,
-			Draining: m.Draining, CPUShare: float64(m.CpuMillis) / milli,
+			Draining: m.Draining, Isolated: m.Isolated, CPUShare: float64(m.CpuMillis) / milli,
 			At:    timeOf(now, m.AgeMs),
 			Usage: make(map[uint32]fleet.Usage, len(m.Usage)),
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,6 +19,12 @@
 		return fanout.NoBudget
 	}
 	now := time.Now()
+	if kind != fanout.First && q.handOver(now) {
+		return fanout.Elsewhere
+	}
+	if q.elsewhere != nil { // this VM adds no attempts to those of the other one
+		return fanout.NoBudget
+	}
 	service := q.services[shard]
 	q.markSlow(shard, now)
 	picked, shortage := q.g.picker.Pick(now, placement.Request{
@@ -161,8 +167,18 @@
 	if q.in.route.Sharded != nil {
 		req.MaxBodyBytes = maxShardBodyBytes
 	}
+	written := false
 	q.g.reachable.Sent(time.Now(), u.ID)
-	a := q.g.pools.Get(u).Do(q.ctx, req, func() { q.g.picker.MarkSent(picked, time.Now()) })
+	a := q.g.pools.Get(u).Do(q.ctx, req, func() bool {
+		written = q.writes.begin(shard)
+		if written {
+			q.g.picker.MarkSent(picked, time.Now())
+		}
+		return written
+	})
+	if written && a.Verdict == verdict.NotRun {
+		q.writes.undo(shard)
+	}
 	q.observe(u, &a)
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -1,32 +1,54 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/executor"
-	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
-// RejectedError is the error of another VM's query that this one has not run and never
+// RejectedError is the error of another VM's request that this one has not run and never
 // will.
 type RejectedError struct{ Reason string }
 
 // Error implements error.
 func (e *RejectedError) Error() string { return "rejected: " + e.Reason }
 
-// maxRemoteQueries is the number of other VMs' queries that a VM runs at a time. With
+// maxRemoteQueries is the number of other VMs' requests that a VM runs at a time. With
 // more, its processor delays all of them.
 const maxRemoteQueries = 32
 
-// AcceptQuery returns a RejectedError if this VM wouldn't run another VM's query now.
-func (g *Gateway) AcceptQuery(id, route string, routeFingerprint uint64) error {
-	r := &executor.Request{ID: id, Route: route, RouteFingerprint: routeFingerprint}
+// Reasons of RejectedErrors that are no Reasons of responses.
+const (
+	rejectedBusy     = "busy"
+	rejectedIsolated = "isolated"
+	rejectedStopping = "stopping"
+	// rejectedOtherRoute means that this VM's version of the route is older.
+	rejectedOtherRoute = "other_version_of_route"
+)
+
+// concernsRequest reports whether the VM may accept another request at the same time.
+func (e *RejectedError) concernsRequest() bool {
+	return e.Reason == rejectedOtherRoute || e.Reason == string(ReasonQuarantined)
+}
+
+// AcceptsQueries reports whether this VM runs requests of other VMs: it doesn't while it
+// reaches no upstream, or has only just reached one again.
+func (g *Gateway) AcceptsQueries() bool { return g.reachable.IsConnected() }
+
+// AcceptQuery returns a RejectedError if this VM wouldn't run another VM's request now.
+func (g *Gateway) AcceptQuery(r *executor.Request) error {
+	if !g.AcceptsQueries() {
+		return g.reject(r, rejectedIsolated)
+	}
 	if g.remoteQueries.Load() >= maxRemoteQueries {
-		return g.reject(r, "busy")
+		return g.reject(r, rejectedBusy)
 	}
 	if reason := g.checkRemote(g.remoteIncoming(r), r); reason != "" {
 		return g.reject(r, reason)
@@ -34,8 +56,8 @@
 	return nil
 }
 
-// RunQuery runs a query for another VM, which has admitted it. It returns a
-// RejectedError if it hasn't run the query, and the error of ctx if that ends first.
+// RunQuery runs a request for another VM, which has admitted it. It returns a
+// RejectedError if it hasn't run the request, and the error of ctx if that ends first.
 func (g *Gateway) RunQuery(ctx context.Context, r *executor.Request) (executor.Result, error) {
 	g.remoteQueries.Add(1)
 	defer g.remoteQueries.Add(-1)
@@ -57,27 +79,28 @@
 	return &incoming{
 		started: time.Now(), view: g.metadata.View(), viewAge: g.metadata.Age(), body: r.Body,
 		info:        RequestInfo{ID: r.ID, Timeout: r.Timeout, HasTimeout: true},
-		softTimeout: r.SoftTimeout,
+		softTimeout: r.SoftTimeout, maxRuns: r.MaxRuns, isRemote: true, isCounted: r.HandedOver,
 		fingerprint: Fingerprint(r.Fingerprint),
 	}
 }
 
-// checkRemote sets the route and the customer of another VM's query, and returns why
-// it is rejected, or "". Both VMs must have the same version of the route, so that a
-// caller that has seen the effect of a change isn't served without it.
+// checkRemote sets the route and the customer of another VM's request, and returns why
+// it is rejected, or "". This VM must have the same version of the route or a newer
+// configuration, so that a caller that has seen the effect of a change isn't served
+// without it.
 func (g *Gateway) checkRemote(in *incoming, r *executor.Request) string {
 	switch {
 	case g.stopping.Load():
-		return "stopping"
+		return rejectedStopping
 	case in.view == nil || in.viewAge > g.policy.MaxKeyStaleness:
 		return string(ReasonStaleMetadata)
 	}
 	in.route = in.view.Table.RouteByName(r.Route)
-	if in.route == nil || in.route.Sharded == nil {
+	if in.route == nil {
 		return string(ReasonNoRoute)
 	}
-	if in.route.Fingerprint() != r.RouteFingerprint {
-		return "other_version_of_route"
+	if in.view.Table.Config.Version < r.ConfigVersion && in.route.Fingerprint() != r.RouteFingerprint {
+		return rejectedOtherRoute
 	}
 	if _, quarantined := g.quarantine.Quarantined(boottime.Now(), r.Fingerprint); quarantined {
 		return string(ReasonQuarantined)
@@ -95,23 +118,22 @@
 
 func (q *proxyRequest) remoteResult() executor.Result {
 	var out executor.Result
-	result := requestResult{status: statusOf[ReasonTimedOut]}
-	switch q.query.Outcome() {
-	case fanout.Success:
+	var result requestResult
+	if resp := q.upstreamResponse(); resp != nil {
+		out.Status, out.Headers, out.Body = resp.StatusCode(), q.g.encodeHeaders(resp), bytes.Clone(resp.Body())
+		result = requestResult{status: out.Status}
+	} else if q.hasMergedResponse() {
 		out.Body, out.Signatures = q.merge()
 		out.Missing = q.missingServices()
 		result = requestResult{status: http.StatusOK, missing: out.Missing}
-	case fanout.TimedOut:
-		result.reason = q.refineReason(ReasonTimedOut)
-	default:
-		result.reason = q.refineReason(ReasonUpstreamsFailed)
-	}
-	if result.reason != "" {
+	} else {
+		result.reason = q.failureReason()
 		result.status = statusOf[result.reason]
 		out.Failure, out.NotRun = string(result.reason), impliesNotRun(result.status)
 		out.RetryAfter = q.refusalRetryAfter(result.reason)
 	}
 	result = q.completeResult(result)
+	out.Upstreams = result.upstreams
 	out.Answered, out.Attempts, out.Hedges = result.answered, result.attempts, result.hedges
 	out.DeniedByBudget, out.WithoutUpstream, out.AtLimit = result.deniedByBudget, result.withoutUpstream, result.atLimit
 	if result.err != nil {
@@ -120,3 +142,16 @@
 	q.g.recordExecution(q.in, result)
 	return out
 }
+
+// encodeHeaders returns the headers of an upstream's response that are passed on.
+func (g *Gateway) encodeHeaders(resp *fasthttp.Response) []executor.Header {
+	h := http.Header{}
+	g.headers.CopyResponseHeaders(h, &resp.Header)
+	var out []executor.Header
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, executor.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	latency          *fanout.Latency // of the route's first attempts
 	typicalLatency   time.Duration
 	deadline         time.Time
+	maxRuns          int // upstreams of each shard that may run the request
 	query            *fanout.Query
 	ctx              context.Context
 	cancel           context.CancelFunc
@@ -56,8 +58,15 @@
 	responded atomic.Bool
 	// earlierCrashes is the number of instances that had ended under such requests
 	// before this one.
-	earlierCrashes     int
-	deniedAsSuspect    int  // extra attempts that could have crashed another instance
+	earlierCrashes  int
+	deniedAsSuspect int // extra attempts that could have crashed another instance
+	// elsewhere receives the result of the VM that the request was handed over to, and
+	// remote is that result if it completes the request.
+	elsewhere chan elsewhereResult
+	remote    *elsewhereResult
+	writes    writeCounts
+	// cancelElsewhere ends the other VM's attempts; nil if there are none.
+	cancelElsewhere    context.CancelFunc
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
 }
 
@@ -70,7 +79,7 @@
 
 // forward serves the request from upstreams.
 func (g *Gateway) forward(in *incoming, w http.ResponseWriter, r *http.Request) {
-	if in.route.Sharded != nil && g.forwardToExecutor(in, w, r) {
+	if g.forwardElsewhere(in, w, r) {
 		return
 	}
 	q := g.newProxyRequest(in, r.Method, g.requestHead(in, r))
@@ -81,6 +90,10 @@
 		g.record(in, q.completeResult(requestResult{callerDisconnected: true}))
 		return
 	}
+	if q.remote != nil {
+		g.record(in, q.completeRemote(g.respondRemote(in, w, q.remote.executor, q.remote.result)))
+		return
+	}
 	g.record(in, q.respond(w))
 }
 
@@ -98,7 +111,9 @@
 	}
 	// Each request adds to the retry budget of its services.
 	for _, s := range q.services {
-		g.retryBudget.AddForRequest(s)
+		if !in.isCounted {
+			g.retryBudget.AddForRequest(s)
+		}
 	}
 	q.typicalLatency = q.latency.Median()
 	q.earlierCrashes = g.quarantine.Crashes(uint64(in.fingerprint))
@@ -106,6 +121,7 @@
 	q.triedInstances = make([][]*placement.Instance, n)
 	q.shardAttempts = make([][]*placement.Attempt, n)
 	q.shardResults = make([]upstreamhttp.Result, n)
+	q.writes.count = make([]int, n)
 	q.done = make(chan attemptResult, n)
 	// Attempts may outlive the handler by Policy.Linger, so they don't use its context.
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -130,9 +146,13 @@
 	if route.Sharded != nil {
 		minShare = route.Sharded.MinShare
 	}
+	q.maxRuns = route.Attempts
+	if q.in.maxRuns > 0 {
+		q.maxRuns = min(q.maxRuns, q.in.maxRuns)
+	}
 	return fanout.Policy{
 		Shards: len(q.services), MinShare: minShare,
-		MaxRuns: route.Attempts, Idempotent: route.Idempotent,
+		MaxRuns: q.maxRuns, Idempotent: route.Idempotent,
 		HedgeDelay:           q.latency.HedgeDelay(time.Duration(float64(route.Objective) * maxHedgeFraction)),
 		SoftDeadline:         start.Add(softTimeout),
 		UpstreamWaitDeadline: start.Add(min(route.Objective, timeout) / 4),
@@ -166,6 +186,10 @@
 		select {
 		case r := <-q.done:
 			q.handleResult(r)
+		case r := <-q.elsewhere:
+			if q.onElsewhereResult(r) {
+				return false
+			}
 		case <-timer.C:
 			q.query.OnTimer(time.Now())
 		case <-caller.Done():
@@ -230,6 +254,8 @@
 	switch {
 	case usable:
 		outcome = placement.Answered
+	case errors.Is(r.upstreamResult.Err, upstreamhttp.ErrNotWritten):
+		outcome = placement.Canceled
 	case r.upstreamResult.Info.WrongInstance:
 		outcome = placement.WrongInstance
 	case r.upstreamResult.Info.NotRun:
@@ -265,6 +291,9 @@
 // cleanup releases the responses. Pending attempts go on for up to Policy.Linger, and
 // their responses are dropped.
 func (q *proxyRequest) cleanup() {
+	if q.cancelElsewhere != nil {
+		q.cancelElsewhere()
+	}
 	for i := range q.shardResults {
 		if resp := q.shardResults[i].Response; resp != nil {
 			fasthttp.ReleaseResponse(resp)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -28,6 +28,14 @@
 	// softTimeout replaces that of the route unless it is 0: another VM has used a part
 	// of it.
 	softTimeout time.Duration
+	// maxRuns replaces the route's number of attempts unless it is 0: another VM may have
+	// had some of them run.
+	maxRuns int
+	// isRemote is set if another VM has received the request, and isCounted if that VM
+	// has credited it to its retry budget.
+	isRemote, isCounted bool
+	// othersAsked is set once other VMs have been asked to run the request.
+	othersAsked bool
 }
 
 // refusal ends a request before it is forwarded.
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ryecourse.example/ryecourse/internal/core/verdict"
+)
+
+// handOver asks other VMs to run the request in place of an extra attempt, if no upstream
+// has responded to this VM, not even to other requests, since the request was received:
+// the VM's links may have failed, and an extra attempt over them would be lost, too. It
+// returns false if this VM should make the attempt. Attempts in flight go on, and the
+// first response counts.
+func (q *proxyRequest) handOver(now time.Time) bool {
+	in := q.in
+	if in.isRemote || in.othersAsked || q.g.reachable.RespondedSince(in.started) {
+		return false
+	}
+	helpers := q.g.executors.Helpers(now)
+	if len(helpers) == 0 {
+		return false
+	}
+	runs, ok := q.withdrawUnwritten()
+	if !ok {
+		return false
+	}
+	in.othersAsked = true
+	req := q.g.executorRequest(in, q.method, q.requestHead)
+	req.MaxRuns, req.HandedOver = runs, true
+	// The other VM's attempts end with this request.
+	ctx, cancel := context.WithCancel(q.ctx)
+	q.cancelElsewhere = cancel
+	q.elsewhere = make(chan elsewhereResult, 1)
+	go func() { q.elsewhere <- q.g.runElsewhere(ctx, helpers, req, in) }()
+	q.g.log.Event("handed_over").Str("request", in.info.ID).Str("route", in.route.Name).
+		Dur("after_ms", now.Sub(in.started)).Int("max_runs", runs).Send()
+	return true
+}
+
+// withdrawUnwritten makes sure that attempts which wait for a connection send nothing any
+// more, and returns how many more upstreams of each shard may run the request. The first
+// attempts of the other VM are extra attempts at the shards whose upstreams may have run
+// it. It returns false, and withdraws nothing, if no run is left or the retry budget
+// doesn't allow them.
+func (q *proxyRequest) withdrawUnwritten() (runs int, ok bool) {
+	w := &q.writes
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs = q.maxRuns
+	var mayHaveRun []string
+	for shard, n := range w.count {
+		runs = min(runs, q.maxRuns-n)
+		if n > 0 {
+			mayHaveRun = append(mayHaveRun, q.services[shard])
+		}
+	}
+	if runs <= 0 || !q.g.retryBudget.TakeAll(mayHaveRun) {
+		return 0, false
+	}
+	w.withdrawn = true
+	return runs, true
+}
+
+// writeCounts counts the attempts of each shard whose upstreams may have run the request.
+// It is safe for concurrent use.
+type writeCounts struct {
+	mu        sync.Mutex
+	count     []int // by shard
+	withdrawn bool  // no further attempt is written
+}
+
+// begin records that an attempt is about to be written. It returns false if it must not
+// be.
+func (w *writeCounts) begin(shard int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.withdrawn {
+		w.count[shard]++
+	}
+	return !w.withdrawn
+}
+
+// undo records that the upstream hasn't run a written attempt.
+func (w *writeCounts) undo(shard int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count[shard]--
+}
+
+// onElsewhereResult handles the result of another VM. It returns true if that completes
+// the request.
+func (q *proxyRequest) onElsewhereResult(r elsewhereResult) bool {
+	if r.err == nil && r.result.Failure == "" {
+		q.remote = &r
+		return true
+	}
+	v := verdict.MayHaveRun
+	if r.notRun {
+		v = verdict.NotRun
+	} else if r.err != nil {
+		q.lastErr = r.err
+	}
+	q.query.OnElsewhereFailed(time.Now(), v)
+	return false
+}
+
+// completeRemote adds this VM's own attempts to the result of another VM.
+func (q *proxyRequest) completeRemote(r requestResult) requestResult {
+	own := q.completeResult(requestResult{})
+	q.g.countAttempts(own)
+	r.handedOver = true
+	r.attempts += own.attempts
+	r.hedges += own.hedges
+	r.deniedByBudget += own.deniedByBudget
+	r.withoutUpstream += own.withoutUpstream
+	r.atLimit += own.atLimit
+	return r
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -25,7 +25,8 @@
 	atLimit            int      // attempts that the upstreams' limits didn't admit
 	deniedAsSuspect    int      // extra attempts that could have crashed another instance
 	upstreams          []string // tried by a request to a single service
-	executor           string   // VM that ran the query, if it wasn't this one
+	executor           string   // VM that ran the request, if it wasn't this one
+	handedOver         bool     // this VM tried to run the request first
 }
 
 // Metrics holds the gateway's counters.
@@ -136,7 +137,7 @@
 		e.Int("denied_as_suspect", r.deniedAsSuspect)
 	}
 	if r.executor != "" {
-		e.Str("executor", r.executor)
+		e.Str("executor", r.executor).Bool("handed_over", r.handedOver)
 	}
 	if len(r.upstreams) > 0 {
 		e.Strs("upstreams", r.upstreams)
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/executor"
@@ -11,17 +13,20 @@
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
-// Executors sends queries to the VMs that run them for this one.
+// Executors sends requests to the VMs that run them for this one.
 type Executors interface {
 	// Candidates returns the VMs to ask, in order, for a query whose upstreams are in
 	// the zones; none if this VM should run it itself.
 	Candidates(now time.Time, zones map[string]bool) []string
-	// Avoid excludes an executor that didn't accept a query for a while.
+	// Helpers returns the VMs to ask, in order, for a request of a VM that reaches no
+	// upstream.
+	Helpers(now time.Time) []string
+	// Avoid excludes a VM that didn't accept a request for a while.
 	Avoid(now time.Time, address string)
-	// Accept asks a VM whether it would run a query now. It returns nil if so. The VM
+	// Accept asks a VM whether it would run a request now. It returns nil if so. The VM
 	// runs nothing for this call.
 	Accept(ctx context.Context, address string, r *executor.Request, timeout time.Duration) error
-	// Execute has a VM run a query. Its errors are ExecuteErrors.
+	// Execute has a VM run a request. Its errors are ExecuteErrors.
 	Execute(ctx context.Context, address string, r *executor.Request) (executor.Result, error)
 }
 
@@ -53,62 +58,89 @@
 	minShardZoneFraction = 0.25
 )
 
-// forwardToExecutor has an executor run the query. It returns false if this VM should
-// run it itself.
-func (g *Gateway) forwardToExecutor(in *incoming, w http.ResponseWriter, r *http.Request) bool {
-	candidates := g.executors.Candidates(in.started, shardZones(in.view, in.route))
+// forwardElsewhere has another VM run the request. It returns false if this VM should run
+// it itself.
+func (g *Gateway) forwardElsewhere(in *incoming, w http.ResponseWriter, r *http.Request) bool {
+	candidates := g.otherVMs(in)
 	if len(candidates) == 0 {
 		return false
 	}
-	head := g.requestHead(in, r)
-	for _, addr := range candidates {
-		req := g.executorRequest(in, r.Method, head)
-		err := g.executors.Accept(r.Context(), addr, req, g.acceptTimeout(in))
-		if err == nil && g.executeRemote(in, w, r, addr, req) {
-			return true
-		}
-		if r.Context().Err() != nil {
-			g.record(in, requestResult{callerDisconnected: true, executor: addr, err: err})
-			return true
-		}
-		g.executors.Avoid(time.Now(), addr)
-		if err != nil {
-			g.logExecutorFailure(in, addr, err)
+	in.othersAsked = true
+	res := g.runElsewhere(r.Context(), candidates, g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
+	switch {
+	case r.Context().Err() != nil:
+		g.record(in, requestResult{callerDisconnected: true, executor: res.executor, err: res.err})
+	case res.err == nil:
+		g.record(in, g.respondRemote(in, w, res.executor, res.result))
+	case isQuarantined(res.err):
+		g.refuse(w, ReasonQuarantined, quarantineRetryAfter)
+		g.record(in, requestResult{reason: ReasonQuarantined, status: statusOf[ReasonQuarantined], executor: res.executor, err: res.err})
+	case res.notRun:
+		return false
+	default:
+		// The other VM may have sent the request to as many upstreams as the route allows.
+		reason := ReasonExecutorLost
+		if errors.Is(res.err, context.DeadlineExceeded) {
+			reason = ReasonTimedOut
 		}
+		g.refuse(w, reason, 0)
+		g.record(in, requestResult{reason: reason, status: statusOf[reason], executor: res.executor, err: res.err})
 	}
-	return false
+	return true
 }
 
-// executeRemote has an executor that accepted the query run it, and responds to the
-// caller. It returns false if the query hasn't run.
-func (g *Gateway) executeRemote(in *incoming, w http.ResponseWriter, r *http.Request, addr string, req *executor.Request) bool {
-	res, err := g.executors.Execute(r.Context(), addr, req)
-	var failure *ExecuteError
-	switch {
-	case err == nil:
-		g.record(in, g.respondRemote(in, w, addr, res))
-		return true
-	case r.Context().Err() != nil:
-		g.record(in, requestResult{callerDisconnected: true, executor: addr, err: err})
-		return true
+// otherVMs returns the VMs to ask, in order, before this VM runs the request itself. A VM
+// that reaches no upstream asks for all requests, one that recovers for a falling fraction.
+func (g *Gateway) otherVMs(in *incoming) []string {
+	if rand.Float64() >= g.reachable.LocalFraction(in.started) {
+		if helpers := g.executors.Helpers(in.started); len(helpers) > 0 {
+			return helpers
+		}
 	}
-	g.logExecutorFailure(in, addr, err)
-	if isQuarantined(err) {
-		g.refuse(w, ReasonQuarantined, quarantineRetryAfter)
-		g.record(in, requestResult{reason: ReasonQuarantined, status: statusOf[ReasonQuarantined], executor: addr, err: err})
-		return true
+	if in.route.Sharded == nil {
+		return nil
 	}
-	if errors.As(err, &failure) && failure.NotRun {
-		return false
-	}
-	// The executor may have sent the request to as many upstreams as the route allows.
-	reason := ReasonExecutorLost
-	if errors.Is(err, context.DeadlineExceeded) {
-		reason = ReasonTimedOut
+	return g.executors.Candidates(in.started, shardZones(in.view, in.route))
+}
+
+// elsewhereResult is the outcome of a request that other VMs were asked to run.
+type elsewhereResult struct {
+	executor string // the VM asked last
+	result   executor.Result
+	// err is nil if there is a result. notRun reports whether no VM has run the request
+	// or ever will.
+	err    error
+	notRun bool
+}
+
+// runElsewhere asks VMs in order to run the request, until one may have run it.
+func (g *Gateway) runElsewhere(ctx context.Context, candidates []string, req *executor.Request, in *incoming) elsewhereResult {
+	res := elsewhereResult{notRun: true}
+	for _, addr := range candidates {
+		g.setTimeouts(req, in)
+		res.executor = addr
+		if res.err = g.executors.Accept(ctx, addr, req, g.acceptTimeout(in)); res.err == nil {
+			res.result, res.err = g.executors.Execute(ctx, addr, req)
+			if res.err == nil {
+				res.notRun = res.result.NotRun
+				return res
+			}
+			var failure *ExecuteError
+			res.notRun = errors.As(res.err, &failure) && failure.NotRun
+		}
+		if ctx.Err() != nil {
+			return res
+		}
+		var rejected *RejectedError
+		if !errors.As(res.err, &rejected) || !rejected.concernsRequest() {
+			g.executors.Avoid(time.Now(), addr)
+		}
+		g.logExecutorFailure(in, addr, res.err)
+		if !res.notRun || isQuarantined(res.err) {
+			return res
+		}
 	}
-	g.refuse(w, reason, 0)
-	g.record(in, requestResult{reason: reason, status: statusOf[reason], executor: addr, err: err})
-	return true
+	return res
 }
 
 // quarantineRetryAfter is the Retry-After of a request that an executor has quarantined and
@@ -129,24 +161,35 @@
 }
 
 func (g *Gateway) executorRequest(in *incoming, method string, head []byte) *executor.Request {
-	timeout, soft := g.timeouts(in)
-	used := time.Since(in.started) + executorMargin
 	return &executor.Request{
-		ID: in.info.ID, Route: in.route.Name, RouteFingerprint: in.route.Fingerprint(), Customer: in.customerName(),
-		Method: method, Head: head, Body: in.body, Fingerprint: uint64(in.fingerprint),
-		SoftTimeout: max(soft-used, 1), Timeout: max(timeout-used, 1),
+		ID: in.info.ID, Route: in.route.Name, RouteFingerprint: in.route.Fingerprint(),
+		ConfigVersion: in.view.Table.Config.Version, Customer: in.customerName(),
+		Method: method, Head: head, Body: in.body, Fingerprint: uint64(in.fingerprint), MaxRuns: in.route.Attempts,
 	}
 }
 
-// respondRemote sends the caller the result of a query that an executor has run.
+// setTimeouts sets the time left for a request.
+func (g *Gateway) setTimeouts(req *executor.Request, in *incoming) {
+	timeout, soft := g.timeouts(in)
+	used := time.Since(in.started) + executorMargin
+	req.SoftTimeout, req.Timeout = max(soft-used, 1), max(timeout-used, 1)
+}
+
+// respondRemote sends the caller the result of a request that another VM has run.
 func (g *Gateway) respondRemote(in *incoming, w http.ResponseWriter, addr string, res executor.Result) requestResult {
 	result := requestResult{
-		executor: addr, missing: res.Missing, shards: len(in.route.Sharded.Shards), answered: res.Answered,
+		executor: addr, missing: res.Missing, shards: shardCount(in.route), answered: res.Answered,
 		attempts: res.Attempts, hedges: res.Hedges, deniedByBudget: res.DeniedByBudget, withoutUpstream: res.WithoutUpstream, atLimit: res.AtLimit,
+		upstreams: res.Upstreams,
 	}
 	if res.LastError != "" {
 		result.err = errors.New(res.LastError)
 	}
+	if res.Failure == "" && res.Status > 0 {
+		result.status = res.Status
+		result.writeErr = g.writePassedOn(w, res)
+		return result
+	}
 	if res.Failure == "" {
 		result.status = http.StatusOK
 		result.writeErr = g.writeMergedBody(w, in.info.ID, res.Body, res.Signatures, len(res.Missing))
@@ -162,6 +205,27 @@
 	return result
 }
 
+// shardCount returns the number of shards of a request; 1 without shards.
+func shardCount(route *routetable.Route) int {
+	if route.Sharded == nil {
+		return 1
+	}
+	return len(route.Sharded.Shards)
+}
+
+// writePassedOn sends an upstream's response that another VM has received.
+func (g *Gateway) writePassedOn(w http.ResponseWriter, res executor.Result) error {
+	h := w.Header()
+	for _, header := range res.Headers {
+		h.Add(header.Name, header.Value)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(res.Body)))
+	g.closeIfStopping(h)
+	w.WriteHeader(res.Status)
+	_, err := w.Write(res.Body)
+	return err
+}
+
 func (g *Gateway) logExecutorFailure(in *incoming, addr string, err error) {
 	g.log.Event("executor_failed").Str("request", in.info.ID).Str("executor", addr).
 		Dur("after_ms", time.Since(in.started)).Str("error", err.Error()).Send()
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/topk"
 	"ryecourse.example/ryecourse/internal/core/verdict"
@@ -14,28 +16,51 @@
 // error. The last response of an unsharded route is passed on even after a failure
 // if its upstream ran the request.
 func (q *proxyRequest) respond(w http.ResponseWriter) requestResult {
-	switch q.query.Outcome() {
-	case fanout.Success:
-		if q.in.route.Sharded != nil {
-			return q.writeMerged(w)
-		}
-		return q.writeUpstream(w)
-	case fanout.TimedOut:
-		return q.fail(w, ReasonTimedOut)
-	default:
-		if q.shardResults[0].Response != nil && len(q.services) == 1 && q.in.route.Sharded == nil &&
-			q.shardResults[0].Verdict == verdict.Ran {
-			return q.writeUpstream(w)
-		}
-		return q.fail(w, ReasonUpstreamsFailed)
+	if q.hasMergedResponse() {
+		return q.writeMerged(w)
+	}
+	if resp := q.upstreamResponse(); resp != nil {
+		return q.writeUpstream(w, resp)
+	}
+	return q.fail(w)
+}
+
+// hasMergedResponse reports whether enough shards have responded.
+func (q *proxyRequest) hasMergedResponse() bool {
+	return q.in.route.Sharded != nil && q.query.Outcome() == fanout.Success
+}
+
+// upstreamResponse returns the response of an unsharded route that is passed on, or nil.
+// The last one is passed on even after a failure if its upstream ran the request. One
+// whose status would guarantee the caller that the request hasn't run isn't: the upstream
+// didn't send it as a guarantee.
+func (q *proxyRequest) upstreamResponse() *fasthttp.Response {
+	if q.in.route.Sharded != nil {
+		return nil
 	}
+	a := &q.shardResults[0]
+	switch outcome := q.query.Outcome(); {
+	case a.Response == nil || impliesNotRun(a.Response.StatusCode()):
+		return nil
+	case outcome == fanout.Success, outcome == fanout.Unanswerable && a.Verdict == verdict.Ran:
+		return a.Response
+	}
+	return nil
+}
+
+// failureReason returns why there is no response to pass on.
+func (q *proxyRequest) failureReason() Reason {
+	if q.query.Outcome() == fanout.TimedOut {
+		return q.refineReason(ReasonTimedOut)
+	}
+	return q.refineReason(ReasonUpstreamsFailed)
 }
 
 // fail responds without an upstream's response. If no attempt may have run the
 // request and none is pending, the response guarantees that it hasn't run; only such
 // responses carry a Retry-After.
-func (q *proxyRequest) fail(w http.ResponseWriter, reason Reason) requestResult {
-	reason = q.refineReason(reason)
+func (q *proxyRequest) fail(w http.ResponseWriter) requestResult {
+	reason := q.failureReason()
 	q.g.refuse(w, reason, q.refusalRetryAfter(reason))
 	return q.completeResult(requestResult{reason: reason, status: statusOf[reason]})
 }
@@ -72,11 +97,7 @@
 	return false
 }
 
-func (q *proxyRequest) writeUpstream(w http.ResponseWriter) requestResult {
-	resp := q.shardResults[0].Response
-	if impliesNotRun(resp.StatusCode()) { // the upstream didn't send it as a guarantee
-		return q.fail(w, ReasonUpstreamsFailed)
-	}
+func (q *proxyRequest) writeUpstream(w http.ResponseWriter, resp *fasthttp.Response) requestResult {
 	h := w.Header()
 	q.g.headers.CopyResponseHeaders(h, &resp.Header)
 	body := resp.Body()
--- a/internal/gen/fleet/v1/fleetv1connect/fleet.connect.go
+++ b/internal/gen/fleet/v1/fleetv1connect/fleet.connect.go
@@ -51,9 +51,9 @@
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
 	// Follow returns the changes of the metadata store that the receiver knows.
 	Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error)
-	// Accept asks whether the receiver would run a query now. It runs nothing.
+	// Accept asks whether the receiver would run a request now. It runs nothing.
 	Accept(context.Context, *v1.AcceptRequest) (*v1.AcceptResponse, error)
-	// Execute runs a query over the shards of a route for the VM that received it.
+	// Execute runs a request for the VM that received it.
 	Execute(context.Context, *v1.ExecuteRequest) (*v1.ExecuteResponse, error)
 }
 
@@ -146,9 +146,9 @@
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
 	// Follow returns the changes of the metadata store that the receiver knows.
 	Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error)
-	// Accept asks whether the receiver would run a query now. It runs nothing.
+	// Accept asks whether the receiver would run a request now. It runs nothing.
 	Accept(context.Context, *v1.AcceptRequest) (*v1.AcceptResponse, error)
-	// Execute runs a query over the shards of a route for the VM that received it.
+	// Execute runs a request for the VM that received it.
 	Execute(context.Context, *v1.ExecuteRequest) (*v1.ExecuteResponse, error)
 }
 
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -84,9 +84,10 @@
 }
 
 // Do sends a request over one of the pool's connections. The connection is
-// closed if ctx ends before the response is complete. onSent is called when the
-// request is about to be written.
-func (p *Pool) Do(ctx context.Context, r *Request, onSent func()) Result {
+// closed if ctx ends before the response is complete. mayWrite is called when the
+// request is about to be written; if it returns false, the request isn't, and the error is
+// ErrNotWritten.
+func (p *Pool) Do(ctx context.Context, r *Request, mayWrite func() bool) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	c, err := p.get(ctx)
@@ -97,7 +98,10 @@
 		p.put(c)
 		return Result{Verdict: verdict.NotRun, Err: err}
 	}
-	onSent()
+	if !mayWrite() {
+		p.put(c)
+		return Result{Verdict: verdict.NotRun, Err: ErrNotWritten}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
 	a := c.doRecovering(p.inspector, r)
 	if !stop() {
--- a/internal/upstreamhttp/liveness_test.go
+++ b/internal/upstreamhttp/liveness_test.go
@@ -26,7 +26,7 @@
 		}
 	}()
 	p := NewPool(l.Addr().String(), 1, dial, plainInspector{})
-	r := p.Do(t.Context(), request("1"), func() {})
+	r := p.Do(t.Context(), request("1"), func() bool { return true })
 	if !r.ConnectionLost() {
 		t.Fatalf("the result %+v isn't a lost connection", r)
 	}
@@ -48,7 +48,7 @@
 	if got := p.CheckLiveness(t.Context()); got != Ended {
 		t.Errorf("an instance that refuses connections is %v", got)
 	}
-	if r := p.Do(t.Context(), request("2"), func() {}); r.ConnectionLost() {
+	if r := p.Do(t.Context(), request("2"), func() bool { return true }); r.ConnectionLost() {
 		t.Errorf("a connection that wasn't opened counts as lost: %+v", r)
 	}
 }
@@ -65,7 +65,7 @@
 	r := request("1")
 	r.Deadline = time.Now().Add(50 * time.Millisecond)
 	p := NewPool(addr, 1, dial, plainInspector{})
-	if got := p.Do(t.Context(), r, func() {}); got.Err == nil || got.ConnectionLost() {
+	if got := p.Do(t.Context(), r, func() bool { return true }); got.Err == nil || got.ConnectionLost() {
 		t.Errorf("the result is %+v", got)
 	}
 }
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -12,6 +12,9 @@
 // the pool is closed.
 var ErrNoConnection = errors.New("upstreamhttp: no connection became available in time")
 
+// ErrNotWritten is returned for a request that its caller withdrew before it was written.
+var ErrNotWritten = errors.New("upstreamhttp: the request was withdrawn")
+
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/upstreamhttp/pool_test.go
+++ b/internal/upstreamhttp/pool_test.go
@@ -82,7 +82,7 @@
 
 func do(t *testing.T, p *Pool, r *Request) Result {
 	t.Helper()
-	return p.Do(t.Context(), r, func() {})
+	return p.Do(t.Context(), r, func() bool { return true })
 }
 
 func expectBody(t *testing.T, a Result, want string) {
@@ -296,7 +296,7 @@
 		cancel()
 	}()
 	p := NewPool(addr, 1, dial, plainInspector{})
-	expectFailure(t, p.Do(ctx, request("a"), func() {}), verdict.MayHaveRun)
+	expectFailure(t, p.Do(ctx, request("a"), func() bool { return true }), verdict.MayHaveRun)
 	<-closed
 }
 
@@ -326,7 +326,7 @@
 	p := NewPool(addr, 2, dial, plainInspector{})
 	results := make(chan Result, 20)
 	for range cap(results) {
-		go func() { results <- p.Do(context.Background(), request("a"), func() {}) }()
+		go func() { results <- p.Do(context.Background(), request("a"), func() bool { return true }) }()
 	}
 	for range cap(results) {
 		expectBody(t, <-results, "x")
@@ -342,7 +342,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	first := make(chan Result, 1)
 	sent := make(chan struct{})
-	go func() { first <- p.Do(ctx, request("a"), func() { close(sent) }) }()
+	go func() { first <- p.Do(ctx, request("a"), func() bool { close(sent); return true }) }()
 	<-sent
 	r := request("b")
 	r.Deadline = time.Now().Add(20 * time.Millisecond)
