gateway: a VM that may be isolated accepts no requests of others

Cause: a VM reports that it is isolated 0.5 s after the cut, and accepted requests until then.

Change: it rejects them once four instances have been silent for 50 ms and no other has responded. The asking VM doesn't avoid it for that, as it may be a mistake.

--- a/internal/core/reachability/reachability.go
+++ b/internal/core/reachability/reachability.go
@@ -38,6 +38,10 @@
 	MinInstances int
 	// MinSilence is the time without a response after which an instance is silent.
 	MinSilence time.Duration
+	// SuspectSilence is the time without a response after which as many instances are
+	// enough for the VM to run no requests of others. It is short, as a mistake costs
+	// them little.
+	SuspectSilence time.Duration
 	// SilentTicks is the number of consecutive ticks with silent instances and no
 	// response after which the VM is isolated. A VM that resumes after a pause ticks once
 	// before it has read the responses that have arrived.
@@ -50,7 +54,7 @@
 
 // DefaultPolicy returns the thresholds for ticks of 250 ms.
 func DefaultPolicy() Policy {
-	return Policy{MinInstances: 4, MinSilence: 150 * time.Millisecond, SilentTicks: 2, RampTime: 2 * time.Second, InitialFraction: 0.1}
+	return Policy{MinInstances: 4, MinSilence: 150 * time.Millisecond, SuspectSilence: 50 * time.Millisecond, SilentTicks: 2, RampTime: 2 * time.Second, InitialFraction: 0.1}
 }
 
 // Change is a change of the state, with what it was concluded from.
@@ -125,8 +129,7 @@
 func (t *Tracker) Tick(now time.Time) (probe bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	silent := t.silentInstances(now)
-	if silent > 0 && silent >= min(t.policy.MinInstances, t.instances) {
+	if t.isSilent(now, t.policy.MinSilence) {
 		t.silentTicks++
 	} else {
 		t.silentTicks = 0
@@ -142,11 +145,19 @@
 	return probe
 }
 
-// silentInstances returns the number of silent instances. The caller holds mu.
-func (t *Tracker) silentInstances(now time.Time) int {
+// isSilent reports whether enough instances have been silent for some time. The caller
+// holds mu.
+func (t *Tracker) isSilent(now time.Time, silence time.Duration) bool {
+	n := t.silentInstances(now, silence)
+	return n > 0 && n >= min(t.policy.MinInstances, t.instances)
+}
+
+// silentInstances returns the number of instances that have been silent for some time.
+// The caller holds mu.
+func (t *Tracker) silentInstances(now time.Time, silence time.Duration) int {
 	n := 0
 	for _, at := range t.sentAt {
-		if now.Sub(at) >= t.policy.MinSilence {
+		if now.Sub(at) >= silence {
 			n++
 		}
 	}
@@ -176,14 +187,21 @@
 
 func (t *Tracker) change(now time.Time, s State) {
 	t.state = s
-	t.onChange(Change{State: s, SilentInstances: t.silentInstances(now), Silence: now.Sub(t.lastResponse)})
+	t.onChange(Change{State: s, SilentInstances: t.silentInstances(now, t.policy.MinSilence), Silence: now.Sub(t.lastResponse)})
+}
+
+// State returns the state.
+func (t *Tracker) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state
 }
 
-// IsConnected reports whether the VM may run requests of other VMs.
-func (t *Tracker) IsConnected() bool {
+// IsSuspect reports whether so many instances are silent that the VM may be isolated.
+func (t *Tracker) IsSuspect(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state == Connected
+	return t.isSilent(now, t.policy.SuspectSilence)
 }
 
 // LocalFraction returns the fraction of its requests, 0 to 1, that the VM should run
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -10,6 +10,7 @@
 
 	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/executor"
+	"ryecourse.example/ryecourse/internal/core/reachability"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
@@ -28,25 +29,30 @@
 const (
 	rejectedBusy     = "busy"
 	rejectedIsolated = "isolated"
+	// rejectedSuspect means that this VM may be isolated.
+	rejectedSuspect  = "suspect"
 	rejectedStopping = "stopping"
 	// rejectedOtherRoute means that this VM's version of the route is older.
 	rejectedOtherRoute = "other_version_of_route"
 )
 
-// concernsRequest reports whether the VM may accept another request at the same time.
-func (e *RejectedError) concernsRequest() bool {
-	return e.Reason == rejectedOtherRoute || e.Reason == string(ReasonQuarantined)
+// isShort reports whether the VM may accept another request now or very soon.
+func (e *RejectedError) isShort() bool {
+	return e.Reason == rejectedOtherRoute || e.Reason == rejectedSuspect || e.Reason == string(ReasonQuarantined)
 }
 
 // AcceptsQueries reports whether this VM runs requests of other VMs: it doesn't while it
 // reaches no upstream, or has only just reached one again.
-func (g *Gateway) AcceptsQueries() bool { return g.reachable.IsConnected() }
+func (g *Gateway) AcceptsQueries() bool { return g.reachable.State() == reachability.Connected }
 
 // AcceptQuery returns a RejectedError if this VM wouldn't run another VM's request now.
 func (g *Gateway) AcceptQuery(r *executor.Request) error {
 	if !g.AcceptsQueries() {
 		return g.reject(r, rejectedIsolated)
 	}
+	if g.reachable.IsSuspect(time.Now()) {
+		return g.reject(r, rejectedSuspect)
+	}
 	if g.remoteQueries.Load() >= maxRemoteQueries {
 		return g.reject(r, rejectedBusy)
 	}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -132,7 +132,7 @@
 			return res
 		}
 		var rejected *RejectedError
-		if !errors.As(res.err, &rejected) || !rejected.concernsRequest() {
+		if !errors.As(res.err, &rejected) || !rejected.isShort() {
 			g.executors.Avoid(time.Now(), addr)
 		}
 		g.logExecutorFailure(in, addr, res.err)
