gateway: hand requests over where connections are refused, and after half of the time in silence

Of the first half second, requests whose hedges were due after the last response had arrived were hedged over dead links.

Cause: a response over any connection counted as proof that links work, although the request's own connections were refused; and retries in place of refused connections drew on the retry budget until it denied them.

Change: a request is also handed over when two instances couldn't be connected to and none may have received it; the silence is measured over half of the request's time so far (10 ms at least), not from its start; a retry that is the first attempt of its shard to reach an upstream is free, as it is no extra arrival there.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 		q.withoutUpstream++
 		return fanout.NoUpstream
 	}
-	if !q.takeBudget(service, kind) {
+	if !q.replacesUnreachable(shard, kind) && !q.takeBudget(service, kind) {
 		q.g.picker.Done(picked, now, placement.Canceled, nil)
 		q.deniedByBudget++
 		q.g.metrics.extraAttemptsDenied.Inc()
@@ -105,6 +105,12 @@
 	q.retryAfter = max(q.retryAfter, wait)
 }
 
+// replacesUnreachable reports whether a retry is the first attempt of its shard to reach an
+// upstream, so that it is no extra attempt at the service.
+func (q *proxyRequest) replacesUnreachable(shard int, kind fanout.Kind) bool {
+	return kind == fanout.Retry && q.unreachableOf[shard] == len(q.shardAttempts[shard])
+}
+
 // takeBudget takes the cost of an attempt of that kind from the retry budget
 // and returns false if there isn't enough. First attempts are free.
 func (q *proxyRequest) takeBudget(service string, kind fanout.Kind) bool {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -49,6 +49,8 @@
 	hedges          int
 	deniedByBudget  int           // extra attempts that the retry budget didn't allow
 	withoutUpstream int           // attempts without an available upstream
+	unreachable     int           // attempts whose instances couldn't be connected to
+	unreachableOf   []int         // the same by shard
 	atLimit         int           // attempts that the upstreams' limits didn't admit
 	retryAfter      time.Duration // of a refusal because of limits
 	lastErr         error
@@ -122,6 +124,7 @@
 	q.shardAttempts = make([][]*placement.Attempt, n)
 	q.shardResults = make([]upstreamhttp.Result, n)
 	q.writes.count = make([]int, n)
+	q.unreachableOf = make([]int, n)
 	q.done = make(chan attemptResult, n)
 	// Attempts may outlive the handler by Policy.Linger, so they don't use its context.
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -262,6 +265,8 @@
 		outcome, q.rejectedByUpstream = placement.Rejected, true
 	case !r.upstreamResult.AnyBytesSent:
 		outcome = placement.Unreachable
+		q.unreachable++
+		q.unreachableOf[r.shard]++
 	}
 	q.g.picker.Done(r.attempt, now, outcome, loadOf(&r.upstreamResult))
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -2,20 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/verdict"
 )
 
-// handOver asks other VMs to run the request in place of an extra attempt, if no upstream
-// has responded to this VM, not even to other requests, since the request was received:
-// the VM's links may have failed, and an extra attempt over them would be lost, too. It
-// returns false if this VM should make the attempt. Attempts in flight go on, and the
-// first response counts.
+// handOver asks other VMs to run the request in place of an extra attempt if this VM's
+// links may have failed, so that an extra attempt over them would be lost, too. It returns
+// false if this VM should make the attempt. Attempts in flight go on, and the first
+// response counts.
 func (q *proxyRequest) handOver(now time.Time) bool {
 	in := q.in
-	if in.isRemote || in.othersAsked || q.g.reachable.RespondedSince(in.started) {
+	if in.isRemote || in.othersAsked || !q.linksMayHaveFailed(now) {
 		return false
 	}
 	helpers := q.g.executors.Helpers(now)
@@ -39,6 +39,26 @@
 	return true
 }
 
+const (
+	// minUnreachable is the number of instances that can't be connected to from which
+	// another VM is asked.
+	minUnreachable = 2
+	// minLinkSilence is the least time without any response after which this VM's links
+	// may have failed. It is about the latency of an upstream.
+	minLinkSilence = 10 * time.Millisecond
+)
+
+// linksMayHaveFailed reports whether no upstream has responded to this VM, not even to
+// other requests, for half of the request's time so far, or several instances couldn't
+// be connected to while none received the request.
+func (q *proxyRequest) linksMayHaveFailed(now time.Time) bool {
+	if q.unreachable >= minUnreachable && q.unreachable == q.attempts-q.attemptsInFlight && !q.writes.any() {
+		return true
+	}
+	silence := max(now.Sub(q.in.started)/2, minLinkSilence)
+	return q.query.Answered() == 0 && !q.g.reachable.RespondedSince(now.Add(-silence))
+}
+
 // withdrawUnwritten makes sure that attempts which wait for a connection send nothing any
 // more, and returns how many more upstreams of each shard may run the request. The first
 // attempts of the other VM are extra attempts at the shards whose upstreams may have run
@@ -82,6 +102,13 @@
 	return !w.withdrawn
 }
 
+// any reports whether an attempt has been written that an upstream may have run.
+func (w *writeCounts) any() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Max(w.count) > 0
+}
+
 // undo records that the upstream hasn't run a written attempt.
 func (w *writeCounts) undo(shard int) {
 	w.mu.Lock()
