--- a/internal/core/executor/executor.go
+++ b/internal/core/executor/executor.go
@@ -84,7 +84,7 @@
 	maxCandidates = 2
 	// maxHelpers is the number of helpers that are tried before a VM that reaches no
 	// upstream runs the request itself.
-	maxHelpers = 4
+	maxHelpers = 6
 	// minOwnZoneHelpers is the number of helpers in a VM's own zone, as a fraction of
 	// the zone's other VMs, from which those of other zones come last. With fewer, they
 	// would carry far more than VMs in other zones.
@@ -172,7 +172,10 @@
 	if own := d.helpers[d.zone]; float64(len(own)) >= minOwnZoneHelpers*float64(d.ownZone) {
 		out = d.appendRotated(out, now, own)
 	}
-	out = d.appendRotated(out, now, allZones(d.helpers))
+	others := allZones(d.helpers)
+	out = d.appendRotated(out, now, others)
+	// An avoided VM may accept by now, while this VM can't run the request itself.
+	out = d.appendRotated(out, now.Add(avoidPeriod), others)
 	return firstDistinct(out, maxHelpers)
 }
 
--- a/internal/core/reachability/reachability.go
+++ b/internal/core/reachability/reachability.go
@@ -52,9 +52,15 @@
 	InitialFraction float64
 }
 
-// DefaultPolicy returns the thresholds for ticks of 250 ms.
+// TickInterval is the time between two ticks that DefaultPolicy assumes.
+const TickInterval = 100 * time.Millisecond
+
+// DefaultPolicy returns the thresholds of a gateway.
 func DefaultPolicy() Policy {
-	return Policy{MinInstances: 4, MinSilence: 150 * time.Millisecond, SuspectSilence: 50 * time.Millisecond, SilentTicks: 2, RampTime: 2 * time.Second, InitialFraction: 0.1}
+	return Policy{
+		MinInstances: 4, MinSilence: 120 * time.Millisecond, SuspectSilence: 50 * time.Millisecond, SilentTicks: 2,
+		RampTime: 2 * time.Second, InitialFraction: 0.1,
+	}
 }
 
 // Change is a change of the state, with what it was concluded from.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -18,8 +18,8 @@
 	if in.isRemote || in.othersAsked || !q.linksMayHaveFailed(now) {
 		return false
 	}
-	helpers := q.g.executors.Helpers(now)
-	if len(helpers) == 0 {
+	helpers := q.g.helpers(now)
+	if len(helpers.addresses) == 0 {
 		return false
 	}
 	runs, ok := q.withdrawUnwritten()
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -46,7 +46,8 @@
 const (
 	// acceptFraction and maxAcceptTimeout limit the time in which an executor must
 	// accept a query, as a fraction of the latency objective and absolutely. An idle
-	// executor accepts within a round trip.
+	// executor accepts within a round trip. A VM that can't run the request itself waits
+	// for maxAcceptTimeout.
 	acceptFraction   = 0.2
 	maxAcceptTimeout = 40 * time.Millisecond
 	// executorMargin is the part of the time left that is reserved for the way back
@@ -61,12 +62,12 @@
 // forwardElsewhere has another VM run the request. It returns false if this VM should run
 // it itself.
 func (g *Gateway) forwardElsewhere(in *incoming, w http.ResponseWriter, r *http.Request) bool {
-	candidates := g.otherVMs(in)
-	if len(candidates) == 0 {
+	others := g.otherVMs(in)
+	if len(others.addresses) == 0 {
 		return false
 	}
 	in.othersAsked = true
-	res := g.runElsewhere(r.Context(), candidates, g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
+	res := g.runElsewhere(r.Context(), others, g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
 	switch {
 	case r.Context().Err() != nil:
 		g.record(in, requestResult{callerDisconnected: true, executor: res.executor, err: res.err})
@@ -91,16 +92,30 @@
 
 // otherVMs returns the VMs to ask, in order, before this VM runs the request itself. A VM
 // that reaches no upstream asks for all requests, one that recovers for a falling fraction.
-func (g *Gateway) otherVMs(in *incoming) []string {
+func (g *Gateway) otherVMs(in *incoming) otherVMs {
 	if rand.Float64() >= g.reachable.LocalFraction(in.started) {
-		if helpers := g.executors.Helpers(in.started); len(helpers) > 0 {
+		if helpers := g.helpers(in.started); len(helpers.addresses) > 0 {
 			return helpers
 		}
 	}
 	if in.route.Sharded == nil {
-		return nil
+		return otherVMs{}
 	}
-	return g.executors.Candidates(in.started, shardZones(in.view, in.route))
+	return otherVMs{addresses: g.executors.Candidates(in.started, shardZones(in.view, in.route)), acceptTimeout: g.acceptTimeout(in)}
+}
+
+// otherVMs are the VMs to ask to run a request.
+type otherVMs struct {
+	addresses []string // in order
+	// acceptTimeout is the time in which each must accept.
+	acceptTimeout time.Duration
+	// areHelpers is set if this VM's links may have failed. A VM that has no upstream for
+	// the request then isn't the last to be asked, as its links may have failed, too.
+	areHelpers bool
+}
+
+func (g *Gateway) helpers(now time.Time) otherVMs {
+	return otherVMs{addresses: g.executors.Helpers(now), acceptTimeout: maxAcceptTimeout, areHelpers: true}
 }
 
 // elsewhereResult is the outcome of a request that other VMs were asked to run.
@@ -114,15 +129,19 @@
 }
 
 // runElsewhere asks VMs in order to run the request, until one may have run it.
-func (g *Gateway) runElsewhere(ctx context.Context, candidates []string, req *executor.Request, in *incoming) elsewhereResult {
+func (g *Gateway) runElsewhere(ctx context.Context, others otherVMs, req *executor.Request, in *incoming) elsewhereResult {
 	res := elsewhereResult{notRun: true}
-	for _, addr := range candidates {
+	for i, addr := range others.addresses {
 		g.setTimeouts(req, in)
 		res.executor = addr
-		if res.err = g.executors.Accept(ctx, addr, req, g.acceptTimeout(in)); res.err == nil {
+		if res.err = g.executors.Accept(ctx, addr, req, others.acceptTimeout); res.err == nil {
 			res.result, res.err = g.executors.Execute(ctx, addr, req)
 			if res.err == nil {
 				res.notRun = res.result.NotRun
+				if others.areHelpers && i+1 < len(others.addresses) && hasNoUpstream(&res.result) {
+					g.executors.Avoid(time.Now(), addr)
+					continue
+				}
 				return res
 			}
 			var failure *ExecuteError
@@ -143,6 +162,11 @@
 	return res
 }
 
+// hasNoUpstream reports whether a VM has not run a request as it reached no upstream.
+func hasNoUpstream(r *executor.Result) bool {
+	return r.NotRun && r.Failure == string(ReasonNoUpstream)
+}
+
 // quarantineRetryAfter is the Retry-After of a request that an executor has quarantined and
 // this VM hasn't yet.
 const quarantineRetryAfter = 10 * time.Second
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -111,7 +111,7 @@
 	d.size.Store(&fleetrpc.Size{VMs: expectedVMs})
 	d.exchanger = fleetrpc.New(fleet.Report{
 		Address: s.PeerAddr.String(), Zone: s.Zone, Incarnation: rand.Uint64(), CPUShare: s.CPUShare,
-	}, seedAddresses(s), d.limiter, d.limits, d.quarantine, d.log, d.tick)
+	}, seedAddresses(s), d.limiter, d.limits, d.quarantine, d.log, d.resize)
 	store := platform.NewStore(s.StoreAddr.String(), storeClient())
 	syncPolicy := metadatasync.DefaultPolicy()
 	if s.FirstStart {
@@ -165,14 +165,6 @@
 	}
 }
 
-// tick is called in each tick of the exchanger.
-func (d *Daemon) tick(size fleetrpc.Size) {
-	d.resize(size)
-	if d.reachable.Tick(time.Now()) {
-		go d.probe()
-	}
-}
-
 // resize adapts the limits to the number of VMs.
 func (d *Daemon) resize(size fleetrpc.Size) {
 	if time.Since(d.started) < sizeSettleTime {
@@ -303,6 +295,7 @@
 	defer cancel()
 	go d.follower.Run(ctx)
 	go d.exchanger.Run(ctx)
+	go d.trackReachability(ctx)
 	callers := d.callerServer()
 	ready := &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout}
 	mux := http.NewServeMux()
--- a/internal/gatewaydaemon/probe.go
+++ b/internal/gatewaydaemon/probe.go
@@ -10,6 +10,25 @@
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
+// trackReachability updates whether this VM reaches upstreams until ctx ends.
+func (d *Daemon) trackReachability(ctx context.Context) {
+	t := time.NewTicker(reachability.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if d.reachable.Tick(time.Now()) {
+				time.AfterFunc(probeDelay, d.probe)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probeDelay is the time between two probes, beside that of the next tick.
+const probeDelay = 150 * time.Millisecond
+
 // probe opens a connection to a random instance, to find out whether an isolated VM
 // reaches upstreams again. The connection is kept for requests.
 func (d *Daemon) probe() {
