gateway: a refused connection shows that an upstream has ended only if this VM's links work

What callers would see: a VM whose links are reset while it runs a request on three upstreams, and whose new connections are refused, concludes that the request has ended them; all VMs refuse the request for two minutes.

Cause: the check of an instance after a lost connection took the VM's own links for sound.

Change: a crash is recorded only if an upstream has responded or accepted a connection since the loss, or a random one accepts one within a second; otherwise the state is unknown.

Ruled out: asking for a response alone, or probing alone: requests that crash all upstreams of a service were then never quarantined (TestRequestThatCrashesUpstreamsIsQuarantined, TestQueryThatCrashesUpstreamsIsQuarantined).

--- a/internal/core/reachability/reachability.go
+++ b/internal/core/reachability/reachability.go
@@ -81,6 +81,8 @@
 	state        State
 	instances    int
 	lastResponse time.Time
+	// lastConnected is when an instance last accepted a connection.
+	lastConnected time.Time
 	// sentAt is when each instance was first sent a request since the last response of
 	// any instance.
 	sentAt       map[string]time.Time
@@ -130,6 +132,21 @@
 	return !t.lastResponse.Before(at)
 }
 
+// Connected records that an instance has accepted a connection.
+func (t *Tracker) Connected(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastConnected = now
+}
+
+// ReachedSince reports whether any instance has responded or accepted a connection since a
+// time.
+func (t *Tracker) ReachedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.lastResponse.Before(at) || !t.lastConnected.Before(at)
+}
+
 // Tick updates the state. It reports whether the caller should open a connection to an
 // instance and pass the outcome to Probed.
 func (t *Tracker) Tick(now time.Time) (probe bool) {
--- a/internal/core/reachability/reachability_test.go
+++ b/internal/core/reachability/reachability_test.go
@@ -209,3 +209,16 @@
 	}
 	v.expect(t)
 }
+
+func TestAcceptedConnectionsShowThatLinksWork(t *testing.T) {
+	v := newVM(30)
+	v.now = v.now.Add(time.Second)
+	lost := v.now
+	if v.ReachedSince(lost) {
+		t.Error("reached without a connection or response")
+	}
+	v.Connected(v.now.Add(time.Millisecond))
+	if !v.ReachedSince(lost) || v.RespondedSince(lost) {
+		t.Error("an accepted connection shows that links work, and is no response")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,13 +166,14 @@
 
 // New returns a gateway.
 func New(deps Dependencies) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
 		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
-		losses:        &lossChecker{pools: deps.Pools, waiting: map[string][]func(upstreamhttp.Liveness){}},
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
+	g.losses = &lossChecker{pools: deps.Pools, linksWork: g.linksWork, waiting: map[string][]func(upstreamhttp.Liveness){}}
+	return g
 }
 
 // StartDraining makes all further responses close the caller's connection.
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -25,6 +25,9 @@
 // it have ended. Losses at one instance share a check.
 type lossChecker struct {
 	pools *Pools
+	// linksWork reports whether an upstream has responded to this VM or accepted a
+	// connection since a time, or accepts one now.
+	linksWork func(ctx context.Context, since time.Time) bool
 
 	mu      sync.Mutex
 	waiting map[string][]func(upstreamhttp.Liveness) // by instance ID
@@ -38,10 +41,14 @@
 	if len(c.waiting[u.ID]) > 1 {
 		return
 	}
+	lostAt := time.Now()
 	time.AfterFunc(livenessDelay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), livenessTimeout)
 		defer cancel()
 		state := c.pools.Get(u).CheckLiveness(ctx)
+		if state == upstreamhttp.Ended && !c.confirm(lostAt) {
+			state = upstreamhttp.Unknown
+		}
 		c.mu.Lock()
 		waiting := c.waiting[u.ID]
 		delete(c.waiting, u.ID)
@@ -52,6 +59,34 @@
 	})
 }
 
+const (
+	// linkCheckInterval is the time between two checks of this VM's own links, and
+	// linkChecks their number. While many instances are down, most checks find one of
+	// them.
+	linkCheckInterval = 100 * time.Millisecond
+	linkChecks        = 10
+)
+
+// confirm reports whether this VM's links have worked since a connection was lost. If
+// they haven't, a refused connection says nothing about the instance.
+func (c *lossChecker) confirm(lostAt time.Time) bool {
+	for range linkChecks {
+		ctx, cancel := context.WithTimeout(context.Background(), livenessTimeout)
+		works := c.linksWork(ctx, lostAt)
+		cancel()
+		if works {
+			return true
+		}
+		time.Sleep(linkCheckInterval)
+	}
+	return false
+}
+
+// linksWork implements lossChecker.linksWork.
+func (g *Gateway) linksWork(ctx context.Context, since time.Time) bool {
+	return g.reachable.ReachedSince(since) || g.Probe(ctx)
+}
+
 // maxLosses is the number of lost connections and earlier crashes from which a request
 // without a response isn't retried or hedged.
 const maxLosses = 3
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -52,6 +52,7 @@
 	limits     *upstreamlimit.Tracker
 	quarantine *quarantine.Tracker
 	reachable  *reachability.Tracker
+	dialer     net.Dialer // of connections to upstreams
 	exchanger  *fleetrpc.Exchanger
 	size       atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
 	started    time.Time
@@ -96,14 +97,15 @@
 func New(s platform.Settings, out io.Writer) *Daemon {
 	d := &Daemon{
 		settings: s, metrics: metrics.NewSet(), started: time.Now(), stopping: make(chan struct{}),
-		log: eventlog.New(out, s.VM),
+		dialer: upstreamDialer(),
+		log:    eventlog.New(out, s.VM),
 	}
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d.limits = upstreamlimit.NewTracker(upstreamlimit.DefaultPolicy(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), d.logLimit)
 	d.quarantine = quarantine.NewTracker(quarantine.DefaultPolicy(), d.logQuarantine)
 	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
-	d.pools = gateway.NewPools(dialer().dial, platform.Headers{})
+	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{})
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
 	rates := customerrate.DefaultPolicy()
 	rates.Slack = s.Bounds.QuotaSlack
--- a/internal/gatewaydaemon/listeners.go
+++ b/internal/gatewaydaemon/listeners.go
@@ -89,14 +89,8 @@
 )
 
 // upstreamDialer opens connections to upstreams.
-type upstreamDialer struct{ d net.Dialer }
-
-func dialer() *upstreamDialer {
-	return &upstreamDialer{net.Dialer{Timeout: dialTimeout, KeepAlive: -1}}
-}
-
-func (u *upstreamDialer) dial(ctx context.Context, address string) (net.Conn, error) {
-	return u.d.DialContext(ctx, "tcp", address)
+func upstreamDialer() net.Dialer {
+	return net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 }
 
 // storeClient returns the HTTP client of the metadata store. A connection on
--- a/internal/gatewaydaemon/probe.go
+++ b/internal/gatewaydaemon/probe.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"net"
 	"time"
 
-	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/reachability"
-	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
 // trackReachability updates whether this VM reaches upstreams until ctx ends.
@@ -26,40 +24,26 @@
 	}
 }
 
+// dialUpstream opens a connection to an upstream.
+func (d *Daemon) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
+	nc, err := d.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		d.reachable.Connected(time.Now())
+	}
+	return nc, err
+}
+
 // probeDelay is the time between two probes, beside that of the next tick.
 const probeDelay = 150 * time.Millisecond
 
-// probe opens a connection to a random instance, to find out whether an isolated VM
-// reaches upstreams again. The connection is kept for requests.
+// probe finds out whether an isolated VM reaches upstreams again.
 func (d *Daemon) probe() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	accepted := false
-	if u, ok := randomInstance(d.follower.View()); ok {
-		accepted = d.pools.Get(u).Reconnect(ctx) == nil
-	}
+	accepted := d.gateway.Probe(ctx)
 	d.reachable.Probed(time.Now(), accepted)
 }
 
-// randomInstance returns an instance that may be sent requests.
-func randomInstance(v *metadata.View) (routetable.Upstream, bool) {
-	if v == nil {
-		return routetable.Upstream{}, false
-	}
-	var out []routetable.Upstream
-	for _, list := range v.Upstreams {
-		for _, u := range list {
-			if !u.Draining && !v.Evacuated[u.Zone] {
-				out = append(out, u)
-			}
-		}
-	}
-	if len(out) == 0 {
-		return routetable.Upstream{}, false
-	}
-	return out[rand.IntN(len(out))], true
-}
-
 // logReachability logs whether this VM reaches upstreams.
 func (d *Daemon) logReachability(c reachability.Change) {
 	d.log.Event("reachability").Str("state", c.State.String()).
