gateway: a VM with few requests notices its isolation, and an executor hands queries over

Cause: a small VM sees a request each few seconds; four silent instances take it many requests, and its part of the retry budget is below one token. And an executor that was cut off failed what it had accepted, as only the VM that received a request could hand it over.

Change: a request without a response that raises the suspicion probes four random instances by connections; those that don't accept one count as silent. What hasn't been handed over yet may be, also by an executor: two hops at most.

TestInstancesThatAcceptConnectionsAreNotSilent (new method).

--- a/internal/core/reachability/reachability.go
+++ b/internal/core/reachability/reachability.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// Withdraw removes what Sent has recorded of an instance, as the instance has accepted a
+// connection in place of a request.
+func (t *Tracker) Withdraw(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.sentAt, instance)
+}
+
 // Responded records a response of any instance.
 func (t *Tracker) Responded(now time.Time) {
 	t.mu.Lock()
--- a/internal/core/reachability/reachability_test.go
+++ b/internal/core/reachability/reachability_test.go
@@ -222,3 +222,16 @@
 		t.Error("an accepted connection shows that links work, and is no response")
 	}
 }
+
+// TestInstancesThatAcceptConnectionsAreNotSilent checks that probes isolate a VM with few
+// requests only if they fail.
+func TestInstancesThatAcceptConnectionsAreNotSilent(t *testing.T) {
+	v := newVM(30)
+	v.sendToAll(4)
+	v.Withdraw("i-3")
+	v.run(4, func(int) {})
+	v.expect(t)
+	v.Sent(v.now, "i-3")
+	v.run(4, func(int) {})
+	v.expect(t, Isolated)
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -78,6 +78,9 @@
 		g.recordExecution(in, q.completeResult(requestResult{callerDisconnected: true}))
 		return executor.Result{}, ctx.Err()
 	}
+	if q.remote != nil {
+		return q.passOnRemote(), nil
+	}
 	return q.remoteResult(), nil
 }
 
@@ -85,7 +88,7 @@
 	return &incoming{
 		started: time.Now(), view: g.metadata.View(), viewAge: g.metadata.Age(), body: r.Body,
 		info:        RequestInfo{ID: r.ID, Timeout: r.Timeout, HasTimeout: true},
-		softTimeout: r.SoftTimeout, maxRuns: r.MaxRuns, isRemote: true, isCounted: r.HandedOver,
+		softTimeout: r.SoftTimeout, maxRuns: r.MaxRuns, wasHandedOver: r.HandedOver,
 		fingerprint: Fingerprint(r.Fingerprint),
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -113,7 +113,7 @@
 	}
 	// Each request adds to the retry budget of its services.
 	for _, s := range q.services {
-		if !in.isCounted {
+		if !in.wasHandedOver {
 			g.retryBudget.AddForRequest(s)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,8 @@
 
 	stopping      atomic.Bool
 	remoteQueries atomic.Int64 // other VMs' queries that are running
-	latencies     sync.Map     // *fanout.Latency by route name
+	probingLinks  atomic.Bool
+	latencies     sync.Map // *fanout.Latency by route name
 	retryDetector *retrydetect.Tracker
 	weights       weightedRoundRobin
 	table         *routetable.Table // of the last Update
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -31,9 +31,9 @@
 	// maxRuns replaces the route's number of attempts unless it is 0: another VM may have
 	// had some of them run.
 	maxRuns int
-	// isRemote is set if another VM has received the request, and isCounted if that VM
-	// has credited it to its retry budget.
-	isRemote, isCounted bool
+	// wasHandedOver is set if another VM has tried to run the request, and credited it to
+	// its retry budget. It isn't handed over again.
+	wasHandedOver bool
 	// othersAsked is set once other VMs have been asked to run the request.
 	othersAsked bool
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/executor"
 	"ryecourse.example/ryecourse/internal/core/verdict"
 )
 
@@ -15,7 +17,7 @@
 // response counts.
 func (q *proxyRequest) handOver(now time.Time) bool {
 	in := q.in
-	if in.isRemote || in.othersAsked || !q.linksMayHaveFailed(now) {
+	if in.wasHandedOver || in.othersAsked || !q.linksMayHaveFailed(now) {
 		return false
 	}
 	helpers := q.g.helpers(now)
@@ -56,7 +58,11 @@
 		return true
 	}
 	silence := max(now.Sub(q.in.started)/2, minLinkSilence)
-	return q.query.Answered() == 0 && !q.g.reachable.RespondedSince(now.Add(-silence))
+	if q.query.Answered() > 0 || q.g.reachable.RespondedSince(now.Add(-silence)) {
+		return false
+	}
+	q.g.probeLinks()
+	return true
 }
 
 // withdrawUnwritten makes sure that attempts which wait for a connection send nothing any
@@ -145,3 +151,16 @@
 	r.atLimit += own.atLimit
 	return r
 }
+
+// passOnRemote returns the result of the VM that this one has handed another VM's request
+// over to.
+func (q *proxyRequest) passOnRemote() executor.Result {
+	out := q.remote.result
+	result := q.completeRemote(requestResult{
+		status: http.StatusOK, executor: q.remote.executor, missing: out.Missing, shards: len(q.services), answered: out.Answered,
+		attempts: out.Attempts, hedges: out.Hedges, deniedByBudget: out.DeniedByBudget, withoutUpstream: out.WithoutUpstream, atLimit: out.AtLimit,
+	})
+	out.Attempts, out.Hedges, out.DeniedByBudget = result.attempts, result.hedges, result.deniedByBudget
+	q.g.recordExecution(q.in, result)
+	return out
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -104,7 +104,9 @@
 	took := time.Since(in.started)
 	outcome := r.outcome()
 	g.metrics.set.GetOrCreateCounter(`ryecourse_gateway_executions_total{outcome="` + outcome + `"}`).Inc()
-	g.countAttempts(r)
+	if r.executor == "" {
+		g.countAttempts(r)
+	}
 	late := took > in.softTimeout
 	if outcome != "served" || late {
 		g.logRequest("execution", in, r, outcome, took, late)
