gateway: a request that another VM may be running isn't called not run

Cause: the reason of a request that timed out was refined from this VM's own attempts.

Change: it isn't while another VM runs the request.

Test: TestRequestThatAnotherVMMayHaveRunIsNotCalledNotRun; before the change it fails with 503 no_upstream.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -65,8 +65,10 @@
 	// elsewhere receives the result of the VM that the request was handed over to, and
 	// remote is that result if it completes the request.
 	elsewhere chan elsewhereResult
-	remote    *elsewhereResult
-	writes    writeCounts
+	// runsElsewhere is set until then.
+	runsElsewhere bool
+	remote        *elsewhereResult
+	writes        writeCounts
 	// cancelElsewhere ends the other VM's attempts; nil if there are none.
 	cancelElsewhere    context.CancelFunc
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,7 @@
 	Pools      *Pools
 	// Executors run queries for this VM.
 	Executors Executors
-	// Reachability is told of attempts and responses.
+	// Reachability decides whether this VM reaches upstreams.
 	Reachability *reachability.Tracker
 	Log          *eventlog.Log
 	Metrics      *Metrics
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -35,6 +35,7 @@
 	ctx, cancel := context.WithCancel(q.ctx)
 	q.cancelElsewhere = cancel
 	q.elsewhere = make(chan elsewhereResult, 1)
+	q.runsElsewhere = true
 	go func() { q.elsewhere <- q.g.runElsewhere(ctx, helpers, req, in) }()
 	q.g.log.Event("handed_over").Str("request", in.info.ID).Str("route", in.route.Name).
 		Dur("after_ms", now.Sub(in.started)).Int("max_runs", runs).Send()
@@ -125,6 +126,7 @@
 // onElsewhereResult handles the result of another VM. It returns true if that completes
 // the request.
 func (q *proxyRequest) onElsewhereResult(r elsewhereResult) bool {
+	q.runsElsewhere = false
 	if r.err == nil && r.result.Failure == "" {
 		q.remote = &r
 		return true
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -13,10 +13,8 @@
 // Probe opens a connection to a random instance and reports whether the instance accepts
 // it. The connection is kept for requests.
 func (g *Gateway) Probe(ctx context.Context) bool {
-	for _, u := range randomInstances(g.metadata.View(), 1) {
-		return g.pools.Get(u).Reconnect(ctx) == nil
-	}
-	return false
+	instances := randomInstances(g.metadata.View(), 1)
+	return len(instances) > 0 && g.pools.Get(instances[0]).Reconnect(ctx) == nil
 }
 
 const (
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -74,10 +74,10 @@
 }
 
 // refineReason replaces the reason of a request that no attempt may have run and that
-// has none pending.
+// has none pending, here or on another VM.
 func (q *proxyRequest) refineReason(reason Reason) Reason {
 	switch {
-	case q.query.Verdict() != verdict.NotRun || q.attemptsInFlight > 0:
+	case q.query.Verdict() != verdict.NotRun || q.attemptsInFlight > 0 || q.runsElsewhere:
 		return reason
 	case q.rejectedByUpstream:
 		return ReasonRejectedByUpstreams
