--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -62,15 +62,16 @@
 	// before this one.
 	earlierCrashes  int
 	deniedAsSuspect int // extra attempts that could have crashed another instance
-	// elsewhere receives the result of the VM that the request was handed over to, and
-	// remote is that result if it completes the request.
-	elsewhere chan elsewhereResult
-	// runsElsewhere is set until then.
-	runsElsewhere bool
-	remote        *elsewhereResult
-	writes        writeCounts
-	// cancelElsewhere ends the other VM's attempts; nil if there are none.
-	cancelElsewhere    context.CancelFunc
+	// writes counts the written attempts, by shard.
+	writes writeCounts
+	// elsewhere receives the result of the VM that the request was handed over to; nil if
+	// it wasn't. runsElsewhere is set until the result, cancelElsewhere ends that VM's
+	// attempts, and remote is the result if it completes the request.
+	elsewhere       chan elsewhereResult
+	runsElsewhere   bool
+	cancelElsewhere context.CancelFunc
+	remote          *elsewhereResult
+
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
 }
 
