--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -185,6 +185,9 @@
 // Load is the load that an upstream reported with its answer.
 type Load struct {
 	Running, Queued, Slots int
+	// Slowdown is how long work takes on the upstream now, in multiples of the usual time;
+	// 0 if it isn't known.
+	Slowdown float64
 }
 
 // hasRoom reports whether the upstream reported a free slot.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -278,7 +278,7 @@
 	if !a.Info.HasLoad {
 		return nil
 	}
-	return &placement.Load{Running: a.Info.Load.Running, Queued: a.Info.Load.Queued, Slots: a.Info.Load.Slots}
+	return &placement.Load{Running: a.Info.Load.Running, Queued: a.Info.Load.Queued, Slots: a.Info.Load.Slots, Slowdown: a.Info.Load.Slowdown}
 }
 
 // completeResult fills in the counts and the last error of the request. If it has
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -73,7 +73,12 @@
 }
 
 // Load is the load that an upstream reports.
-type Load struct{ Running, Queued, Slots int }
+type Load struct {
+	Running, Queued, Slots int
+	// Slowdown is how long work takes now, in multiples of the usual time; 0 if the upstream
+	// doesn't report it.
+	Slowdown float64
+}
 
 // Inspector reads the headers of responses.
 type Inspector interface {
