fleet: tell a VM that takes a large fleet for a small one of all members

Cause: such a VM exchanges as in a small fleet, with the half of the ring that follows it. The VMs that it calls know the whole fleet and answer a call from another zone with their own zone only, as relays expect. It never learns of the zones beyond its half of the ring until its next call to a seed. Ruled out: seeds called more often (the call that mends it takes 9 s to come, and a seed of 295 VMs was kept busy by them); relays that call all VMs of their zone. Change: only relays call other zones in a large fleet, so a call from another zone by a VM that isn't one of its zone's relays is answered with all members.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -228,6 +228,9 @@
 		return append([]Report{t.self}, t.membersExcept(caller.Address)...)
 	case t.isLarge() && caller.Zone == t.self.Zone:
 		return t.ReportsFor(caller.Address, RelayAll)
+	case t.isLarge() && !slices.Contains(t.relays(caller.Zone, t.self.At), caller.Address):
+		// Only relays call other zones: the caller takes the fleet for a small one.
+		return append([]Report{t.self}, t.membersExcept(caller.Address)...)
 	case t.isLarge():
 		return t.ReportsFor(caller.Address, RelayZone)
 	default:
