placement: upstreams that state that they leave, or take no requests of a VM for a while

Both were ignored: the upstream got requests until the store's record changed, and was asked again at once. Ruled out: waiting for the store's record (it lags, and may say ready again); a flag on the Instance alone (an entry that lapses for a moment makes a new Instance, which forgets it). Change: statements by run of the process, asked for every pick and again before an attempt that waited for a connection is written. The last replica of a shard goes on for half of the drain bound. A service all of whose upstreams are closed refuses at once with the time at which the first opens, spread. Before: neither header was read. After: TestLeavingInstanceIsNotPickedAgain, TestLastReplicaIsUsedForAWhileThoughItLeaves, TestClosedInstanceGetsNoRequests (drawn orders) and, through a gateway process, TestUpstreamThatLeavesGetsNoMoreRequests, TestUpstreamThatIsClosedGetsNoRequests, TestStatementsThatCannotBeRead pass. Open: other VMs aren't told by reports; the return after the closed time isn't a ramp yet; the fault soak doesn't play it.

--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -20,6 +20,9 @@
 	services  map[string][]*Instance
 	instances map[string]*Instance // by ID
 	evacuated map[string]bool
+	stated    statements
+	// leavingGrace is as in SetLeavingGrace.
+	leavingGrace time.Duration
 }
 
 // ColdRate returns how many requests per second this VM may send to a cold
@@ -38,7 +41,7 @@
 
 // NewPicker returns a picker for a VM of the zone. limits may be nil.
 func NewPicker(zone string, r *rand.Rand, limits Limits) *Picker {
-	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}}
+	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}, stated: newStatements()}
 }
 
 // Update replaces the instances. Observations of instances that remain are
@@ -68,6 +71,7 @@
 		}
 	}
 	p.services, p.instances, p.evacuated = services, instances, evacuated
+	p.stated.prune(now, instances)
 }
 
 // allowed reports whether the instance may be picked at all. The limit of a cold one
@@ -98,11 +102,14 @@
 	// AdmittedFraction is the largest fraction of attempts that such an instance
 	// admits now.
 	AdmittedFraction float64
+	// OpensIn is the time until the first of the instances that take no requests of this
+	// VM does again; 0 if there is none.
+	OpensIn time.Duration
 }
 
 // Pick starts an attempt at the instance with the lowest score. It skips those in
-// Tried, draining or replaced ones, those in evacuated zones, cold ones to which this
-// VM may not send at now, and those whose limit doesn't admit the attempt. It returns
+// Tried, draining or replaced ones, those in evacuated zones, those that have stated that
+// they leave or take no requests, cold ones to which this VM may not send now, and those whose limit doesn't admit the attempt. It returns
 // nil if none is left.
 func (p *Picker) Pick(now time.Time, r Request) (*Attempt, Shortage) {
 	p.mu.Lock()
@@ -110,7 +117,7 @@
 	var shortage Shortage
 	skipped := r.Tried
 	for {
-		best := p.best(now, r, skipped)
+		best := p.best(now, r, skipped, &shortage)
 		if best == nil && r.RetryTried {
 			r.RetryTried, skipped = false, skipped[len(r.Tried):]
 			continue
@@ -127,23 +134,35 @@
 	}
 }
 
-// best returns the instance with the lowest score, or nil. The caller holds mu.
-func (p *Picker) best(now time.Time, r Request, skipped []*Instance) *Instance {
+// best returns the instance with the lowest score, or nil. It adds the instances that take
+// no requests of this VM to the shortage. The caller holds mu.
+func (p *Picker) best(now time.Time, r Request, skipped []*Instance, shortage *Shortage) *Instance {
 	var best *Instance
 	var bestScore float64
+	coldSkipped := false
 	for _, inst := range p.services[r.Service] {
 		if !p.allowed(inst) || slices.Contains(skipped, inst) {
 			continue
 		}
+		if open, opensIn := p.isOpen(now, inst); !open {
+			if opensIn > 0 && (shortage.OpensIn == 0 || opensIn < shortage.OpensIn) {
+				shortage.OpensIn = opensIn
+			}
+			continue
+		}
 		s := inst.score(now, p.zone, p.rand.Float64(), r.ExtraAttemptScarcity)
 		if best != nil && s >= bestScore {
 			continue
 		}
 		if now.Before(inst.coldUntil) && !inst.cold.allow(now) {
+			coldSkipped = true
 			continue
 		}
 		best, bestScore = inst, s
 	}
+	if coldSkipped { // a cold instance may take a request very soon
+		shortage.OpensIn = 0
+	}
 	return best
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -38,6 +39,9 @@
 	case shortage.AtLimit:
 		q.refusedByLimit(shortage)
 		return fanout.AtLimit
+	case shortage.OpensIn > 0:
+		q.refusedAsClosed(shortage)
+		return fanout.AtLimit
 	default:
 		q.withoutUpstream++
 		return fanout.NoUpstream
@@ -105,6 +109,16 @@
 	q.retryAfter = max(q.retryAfter, wait)
 }
 
+// closedSpread is the largest fraction that is added to the Retry-After of requests whose
+// upstreams are closed, so that callers don't return together.
+const closedSpread = 0.5
+
+// refusedAsClosed records an attempt all of whose instances take no requests of this VM.
+func (q *proxyRequest) refusedAsClosed(s placement.Shortage) {
+	q.atLimit++
+	q.retryAfter = max(q.retryAfter, time.Duration(float64(s.OpensIn)*(1+closedSpread*rand.Float64())))
+}
+
 // replacesUnreachable reports whether a retry is the first attempt of its shard to reach an
 // upstream, so that it is no extra attempt at the service.
 func (q *proxyRequest) replacesUnreachable(shard int, kind fanout.Kind) bool {
@@ -139,6 +153,22 @@
 // memory at a time.
 const maxShardBodyBytes = 256 << 10
 
+// observeStatements records what an upstream states of itself in its response.
+func (q *proxyRequest) observeStatements(picked *placement.Attempt, a *upstreamhttp.Result) {
+	if a.Response == nil || a.Info.WrongInstance {
+		return
+	}
+	u, now := picked.Upstream, time.Now()
+	if a.Info.Leaving && q.g.picker.MarkLeaving(picked, now) {
+		q.g.log.Event("upstream_leaving").Str("service", u.Service).Str("upstream", u.ID).Str("request", q.in.info.ID).Send()
+	}
+	if a.Info.NotRun && a.Info.RetryAfter > 0 {
+		closedFor := q.g.picker.MarkClosed(picked, now, a.Info.RetryAfter)
+		q.g.log.Event("upstream_closed").Str("service", u.Service).Str("upstream", u.ID).Str("request", q.in.info.ID).
+			Dur("stated_ms", a.Info.RetryAfter).Dur("closed_ms", closedFor).Send()
+	}
+}
+
 // observe records what the end of an attempt shows of the upstream and the request.
 func (q *proxyRequest) observe(u routetable.Upstream, a *upstreamhttp.Result) {
 	now := boottime.Now()
@@ -176,7 +206,7 @@
 	written := false
 	q.g.reachable.Sent(time.Now(), u.ID)
 	a := q.g.pools.Get(u).Do(q.ctx, req, func() bool {
-		written = q.writes.begin(shard)
+		written = q.g.picker.MaySend(picked, time.Now()) && q.writes.begin(shard)
 		if written {
 			q.g.picker.MarkSent(picked, time.Now())
 		}
@@ -185,6 +215,7 @@
 	if written && a.Verdict == verdict.NotRun {
 		q.writes.undo(shard)
 	}
+	q.observeStatements(picked, &a)
 	q.observe(u, &a)
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
 }
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -89,6 +89,10 @@
 	// firstStartSourceRead how long those that read from others wait for these.
 	firstStartRead       = 1200 * time.Millisecond
 	firstStartSourceRead = 4 * time.Second
+	// leavingGraceFraction is the part of the users' bound on drains in which the last
+	// replica of a shard gets requests although it leaves. The rest is for requests on
+	// their way to it.
+	leavingGraceFraction = 0.5
 	// spareVMs is the number of VMs that may join before this VM discovers them.
 	spareVMs = 3
 )
@@ -105,6 +109,7 @@
 	d.quarantine = quarantine.NewTracker(quarantine.DefaultPolicy(), d.logQuarantine)
 	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
+	d.picker.SetLeavingGrace(time.Duration(float64(s.Bounds.Drain) * leavingGraceFraction))
 	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{})
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
 	rates := customerrate.DefaultPolicy()
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -67,6 +67,11 @@
 	// states; valid if HasLimit is set.
 	LimitPerSecond float64
 	HasLimit       bool
+	// Leaving is set if the upstream states that it is leaving.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests of this VM; 0 if it doesn't
+	// say so.
+	RetryAfter time.Duration
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if
 	// it doesn't report it.
 	IdleTimeout time.Duration
