metadata: a store that comes back from an older copy begins an era

VMs compared revisions alone: a true later change with a lower revision was missed until the revision passed the old one, and entries of the copy with revisions above a removal's brought upstreams back. Ruled out: era and revision in one number (the copy's items would count as new); forgetting everything (withdrawn keys back until the next write). Change: batches carry the era. An era begins with a full batch; revisions are compared within it, versions of the configuration over eras; missing entries and evacuations are held for the users' two seconds; items of the copy change nothing until they are written again; responses of earlier eras count as failed reads. Followers state their era; builds without eras count as current until an era begins. Open: the fault soak's store has no eras.

--- a/internal/core/metadata/since.go
+++ b/internal/core/metadata/since.go
@@ -67,10 +67,12 @@
 	return u != old
 }
 
-// ChangesSince returns the changes that a VM at revision after lacks.
-// Heartbeats are omitted.
-func (s *State) ChangesSince(now time.Duration, after int64) Batch {
-	b := Batch{Revision: s.revision, Full: after == 0 || after < s.removals.horizon}
+// ChangesSince returns the changes that a VM at a position lacks. Heartbeats are
+// omitted. A VM that doesn't know eras states none.
+func (s *State) ChangesSince(now time.Duration, from Position) Batch {
+	after := from.Revision
+	otherEra := from.Era != 0 && from.Era != s.era
+	b := Batch{Revision: s.revision, Era: s.era, Full: after == 0 || after < s.removals.horizon || otherEra}
 	if b.Full {
 		after = 0
 	}
--- a/internal/core/metadata/state.go
+++ b/internal/core/metadata/state.go
@@ -77,6 +77,8 @@
 	Changes []Change
 	// Revision is the store's revision up to which the batch is complete.
 	Revision int64
+	// Era is the store's era; 0 if it isn't known.
+	Era int64
 	// Full is set if the batch contains every item.
 	Full bool
 	// Age is the time since the source last confirmed its data with the store;
@@ -141,6 +143,14 @@
 	lastContact   time.Duration // when the store was last known to respond
 	recoveredAt   time.Duration // end of the last outage
 	synced        bool          // a batch has been applied
+
+	era        int64 // 0: unknown
+	eraBegan   bool  // an era has begun since this VM's first batch
+	eraBeganAt time.Duration
+	copied     map[itemKey]int64 // revisions in the copy with which the era began
+	// unwritten holds evacuations that the copy lacks, with the revision at which they
+	// end unless they are written again.
+	unwritten map[string]int64
 }
 
 // NewState returns an empty state.
@@ -148,13 +158,10 @@
 	return &State{
 		OutageThreshold: outageThreshold, HoldPeriod: holdPeriod,
 		entries: map[string]*entry{}, evacuated: map[string]int64{}, evacuationRev: map[string]int64{},
+		unwritten: map[string]int64{},
 	}
 }
 
-// Revision is the revision from which the next read of changes continues; 0
-// requests a full read.
-func (s *State) Revision() int64 { return s.revision }
-
 // Event is an effect of a batch, or the end of a hold, for the log. Kind is what
 // happened to the item.
 type Event struct {
@@ -164,7 +171,8 @@
 	Err     error
 }
 
-// Apply applies a batch that was received at now.
+// Apply applies a batch that was received at now. CheckEra must have returned EraCurrent
+// for it.
 func (s *State) Apply(now time.Duration, b Batch) []Event {
 	respondedAt := now // when the store is known to have responded
 	if b.FromFallbackPeer {
@@ -175,8 +183,8 @@
 		s.renewHolds(now)
 	}
 	s.lastContact = max(s.lastContact, respondedAt)
+	events := s.enterEra(now, b, nil)
 	s.synced = true
-	var events []Event
 	for _, c := range b.Changes {
 		events = s.applyChange(now, c, events)
 	}
@@ -185,7 +193,7 @@
 		s.removals.recordFullRead(b)
 	}
 	s.revision = max(s.revision, b.Revision)
-	return s.expireHolds(now, events)
+	return s.expireEvacuations(now, s.expireHolds(now, events))
 }
 
 func (s *State) applyChange(now time.Duration, c Change, events []Event) []Event {
@@ -216,6 +224,12 @@
 
 func (s *State) applyUpstream(now time.Duration, c Change, events []Event) []Event {
 	e := s.entries[c.Name]
+	if s.isCopied(c) {
+		if e != nil {
+			e.revision, e.contentRevision = c.Revision, c.Revision
+		}
+		return events
+	}
 	// A deletion applies at the same revision, too: a removal by a full read or by
 	// the end of a hold is recorded at a revision that the entry may have.
 	if e != nil && (c.Revision < e.revision || c.Revision == e.revision && !c.Deleted) {
@@ -323,32 +337,6 @@
 	return events
 }
 
-func (s *State) applyEvacuation(now time.Duration, c Change, events []Event) []Event {
-	// As in applyUpstream, a deletion applies at the same revision, too.
-	if c.Revision < s.evacuationRev[c.Name] || c.Revision == s.evacuationRev[c.Name] && !c.Deleted {
-		return events
-	}
-	s.evacuationRev[c.Name] = c.Revision
-	if c.Deleted {
-		return s.endEvacuation(now, c.Name, c.Revision, events)
-	}
-	if _, known := s.evacuated[c.Name]; !known {
-		events = append(events, Event{Subject: SubjectEvacuation, Name: c.Name, Kind: "evacuated"})
-	}
-	s.evacuated[c.Name] = c.Revision
-	return events
-}
-
-func (s *State) endEvacuation(now time.Duration, zone string, revision int64, events []Event) []Event {
-	_, known := s.evacuated[zone]
-	delete(s.evacuated, zone)
-	s.removals.add(now, removal{subject: SubjectEvacuation, name: zone, revision: revision})
-	if !known {
-		return events
-	}
-	return append(events, Event{Subject: SubjectEvacuation, Name: zone, Kind: "returned"})
-}
-
 // removeMissing removes the upstreams and evacuations that a full read lacks. Those
 // that are newer than the read are kept.
 func (s *State) removeMissing(now time.Duration, b Batch, events []Event) []Event {
@@ -370,7 +358,11 @@
 		}
 	}
 	for zone, rev := range s.evacuated {
-		if !present[SubjectEvacuation.String()+"/"+zone] && rev <= b.Revision {
+		switch {
+		case present[SubjectEvacuation.String()+"/"+zone] || rev > b.Revision:
+		case s.holdEvacuation(now):
+			s.evacuated[zone], s.unwritten[zone] = b.Revision, b.Revision
+		default:
 			events = s.endEvacuation(now, zone, b.Revision, events)
 		}
 	}
--- a/internal/core/metadata/state_test.go
+++ b/internal/core/metadata/state_test.go
@@ -157,7 +157,7 @@
 
 // follow makes a follower read once from its reader.
 func follow(now time.Duration, follower, reader *State) {
-	follower.Apply(now, reader.ChangesSince(now, follower.Revision()))
+	follower.Apply(now, reader.ChangesSince(now, follower.Position()))
 }
 
 func TestFollowerEndsTheHoldOfARemovedEntry(t *testing.T) {
@@ -230,14 +230,14 @@
 			if reader := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "leader")]; reader != vm {
 				follow(now, vm, reader)
 			} else {
-				vm.Apply(now, store.read(t, vm.Revision()))
+				vm.Apply(now, store.read(t, vm.Position().Revision))
 			}
 		}
 		// Without further writes: the first VM reads the store, and holds end.
 		for range 8 {
 			now += time.Second
 			store.rev++ // heartbeats
-			vms[0].Apply(now, store.since(vms[0].Revision(), false))
+			vms[0].Apply(now, store.since(vms[0].Position().Revision, false))
 			follow(now, vms[1], vms[0])
 			follow(now, vms[2], vms[1])
 		}
--- a/internal/fleetrpc/exchanger_test.go
+++ b/internal/fleetrpc/exchanger_test.go
@@ -65,9 +65,9 @@
 
 type fakeChangeSource struct{}
 
-func (fakeChangeSource) ChangesSince(after int64) (metadata.Batch, bool) {
+func (fakeChangeSource) ChangesSince(from metadata.Position) (metadata.Batch, bool) {
 	return metadata.Batch{
-		Revision: after + 5, Age: 700 * time.Millisecond,
+		Revision: from.Revision + 5, Era: from.Era, Age: 700 * time.Millisecond,
 		Changes: []metadata.Change{
 			{Subject: metadata.SubjectConfig, Revision: 1, Config: &routetable.Config{Version: 9}},
 			{Subject: metadata.SubjectUpstream, Name: "u", Revision: 2, ContentRevision: 1, Upstream: routetable.Upstream{ID: "u", Slots: 2}},
@@ -159,11 +159,11 @@
 func TestFollowCarriesChangesAndTheirAge(t *testing.T) {
 	_, _, reader := start(t, "a")
 	exchanger, _, _ := start(t, "a")
-	b, err := exchanger.Follow(t.Context(), reader, 10)
+	b, err := exchanger.Follow(t.Context(), reader, metadata.Position{Era: 3, Revision: 10})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b.Revision != 15 || b.Age != 700*time.Millisecond || len(b.Changes) != 4 {
+	if b.Revision != 15 || b.Era != 3 || b.Age != 700*time.Millisecond || len(b.Changes) != 4 {
 		t.Fatalf("batch is %+v", b)
 	}
 	if b.Changes[0].Config.Version != 9 || b.Changes[1].Upstream.Slots != 2 || b.Changes[1].ContentRevision != 1 || !b.Changes[2].Deleted {
@@ -176,7 +176,7 @@
 
 func TestFollowFailsWithoutAResponse(t *testing.T) {
 	exchanger, _, _ := start(t, "a")
-	if _, err := exchanger.Follow(t.Context(), "127.0.0.1:1", 0); err == nil {
+	if _, err := exchanger.Follow(t.Context(), "127.0.0.1:1", metadata.Position{}); err == nil {
 		t.Error("a call to an address without a VM succeeded")
 	}
 }
@@ -185,7 +185,7 @@
 type malformedSource struct{}
 
 // ChangesSince implements ChangeSource.
-func (malformedSource) ChangesSince(int64) (metadata.Batch, bool) {
+func (malformedSource) ChangesSince(metadata.Position) (metadata.Batch, bool) {
 	return metadata.Batch{Revision: 1, Changes: []metadata.Change{{Subject: metadata.SubjectConfig, Revision: 1}}}, true
 }
 
@@ -195,7 +195,7 @@
 	reader, _, addr := start(t, "a")
 	reader.SetChangeSource(malformedSource{})
 	exchanger, _, _ := start(t, "a")
-	if b, err := exchanger.Follow(t.Context(), addr, 0); err == nil {
+	if b, err := exchanger.Follow(t.Context(), addr, metadata.Position{}); err == nil {
 		t.Errorf("the batch %+v was accepted", b)
 	}
 }
--- a/internal/fleetrpc/follow.go
+++ b/internal/fleetrpc/follow.go
@@ -18,9 +18,9 @@
 
 // ChangeSource is this VM's copy of the metadata.
 type ChangeSource interface {
-	// ChangesSince returns the changes that a VM at the revision lacks; false if
+	// ChangesSince returns the changes that a VM at the position lacks; false if
 	// there is no metadata yet.
-	ChangesSince(after int64) (metadata.Batch, bool)
+	ChangesSince(from metadata.Position) (metadata.Batch, bool)
 }
 
 // wireChange is the encoding of a metadata.Change.
@@ -65,7 +65,7 @@
 
 // Follow implements fleetv1connect.FleetServiceHandler.
 func (s server) Follow(_ context.Context, req *fleetv1.FollowRequest) (*fleetv1.FollowResponse, error) {
-	b, ok := s.exchanger.changes.ChangesSince(req.After)
+	b, ok := s.exchanger.changes.ChangesSince(metadata.Position{Era: req.Era, Revision: req.After})
 	if !ok {
 		return nil, errNoMetadata
 	}
@@ -96,7 +96,7 @@
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
 	return &fleetv1.FollowResponse{
-		Revision: b.Revision, Full: b.Full, AgeMs: uint32(b.Age.Milliseconds()), Changes: data,
+		Revision: b.Revision, Full: b.Full, AgeMs: uint32(b.Age.Milliseconds()), Changes: data, Era: b.Era,
 	}, nil
 }
 
@@ -133,12 +133,12 @@
 	return e.members.FallbackPeer(boottime.Now())
 }
 
-// Follow returns the changes that another VM has received since the revision.
-func (e *Exchanger) Follow(ctx context.Context, peer string, after int64) (metadata.Batch, error) {
+// Follow returns the changes that another VM has received since the position.
+func (e *Exchanger) Follow(ctx context.Context, peer string, from metadata.Position) (metadata.Batch, error) {
 	e.mu.Lock()
 	client := e.peer(peer).client
 	e.mu.Unlock()
-	resp, err := client.Follow(ctx, &fleetv1.FollowRequest{After: after})
+	resp, err := client.Follow(ctx, &fleetv1.FollowRequest{After: from.Revision, Era: from.Era})
 	if err != nil {
 		return metadata.Batch{}, err
 	}
@@ -146,7 +146,7 @@
 	if err := json.Unmarshal(resp.Changes, &items); err != nil {
 		return metadata.Batch{}, err
 	}
-	b := metadata.Batch{Revision: resp.Revision, Full: resp.Full, Age: time.Duration(resp.AgeMs) * time.Millisecond}
+	b := metadata.Batch{Revision: resp.Revision, Era: resp.Era, Full: resp.Full, Age: time.Duration(resp.AgeMs) * time.Millisecond}
 	for _, it := range items {
 		c := metadata.Change{Subject: it.Subject, Name: it.Name, Revision: it.Revision, Deleted: it.Deleted}
 		if len(it.Config) > 0 {
--- a/internal/metadatasync/follower.go
+++ b/internal/metadatasync/follower.go
@@ -39,9 +39,9 @@
 	// FallbackPeer returns a VM to read from after the source has failed, another
 	// one with each call, or "" if there is none.
 	FallbackPeer() string
-	// Follow returns the changes that the VM has received since the revision. The
+	// Follow returns the changes that the VM has received since the position. The
 	// batch has an age.
-	Follow(ctx context.Context, reader string, after int64) (metadata.Batch, error)
+	Follow(ctx context.Context, reader string, from metadata.Position) (metadata.Batch, error)
 }
 
 // Policy holds the intervals and timeouts of reads.
@@ -209,7 +209,7 @@
 	f.mu.Unlock()
 	f.provenAt.Store(max(f.provenAt.Load(), int64(requestedAt-batch.Age)))
 	for _, e := range events {
-		f.logEvent(e, batch.Revision)
+		f.logEvent(e, batch)
 	}
 	if len(events) > 0 || f.view.Load() == nil {
 		if v := f.state.View(); v != nil {
@@ -228,20 +228,32 @@
 			return b, nil
 		}
 	}
-	if f.state.Revision() == 0 && len(f.peers.Readers()) > 0 && time.Since(f.started) < f.policy.FirstSourceRead {
+	if f.state.Position().Revision == 0 && len(f.peers.Readers()) > 0 && time.Since(f.started) < f.policy.FirstSourceRead {
 		return metadata.Batch{}, errNoReaderHasMetadata
 	}
-	if rev := f.state.Revision(); rev > 0 {
+	if rev := f.state.Position().Revision; rev > 0 {
 		call, cancel := context.WithTimeout(ctx, f.policy.ChangesTimeout)
 		defer cancel()
 		b, err := f.source.Changes(call, rev, longPollWait)
-		if !errors.Is(err, f.errHistoryGone) {
-			return b, err
+		if !errors.Is(err, f.errHistoryGone) && (err != nil || f.state.CheckEra(b) != metadata.EraNewer) {
+			return f.checked(b, err)
 		}
 	}
 	call, cancel := context.WithTimeout(ctx, f.policy.FullTimeout)
 	defer cancel()
-	return f.source.ReadAll(call)
+	b, err := f.source.ReadAll(call)
+	return f.checked(b, err)
+}
+
+// errOlderEra is the error of a response of an earlier era of the source, which comes from
+// a copy that is behind or has been on its way for long.
+var errOlderEra = errors.New("the response is of an earlier era of the store")
+
+func (f *Follower) checked(b metadata.Batch, err error) (metadata.Batch, error) {
+	if err == nil && f.state.CheckEra(b) == metadata.EraOlder {
+		err = errOlderEra
+	}
+	return b, err
 }
 
 // fetchFromPeer reads from another VM. It returns false if the call fails or
@@ -249,25 +261,28 @@
 func (f *Follower) fetchFromPeer(ctx context.Context, peer string, maxAge time.Duration) (metadata.Batch, bool) {
 	call, cancel := context.WithTimeout(ctx, f.policy.PeerTimeout)
 	defer cancel()
-	b, err := f.peers.Follow(call, peer, f.state.Revision())
+	b, err := f.peers.Follow(call, peer, f.state.Position())
+	if err == nil && f.state.CheckEra(b) == metadata.EraNewer {
+		b, err = f.peers.Follow(call, peer, metadata.Position{})
+	}
 	switch {
 	case err != nil:
 		f.log.Event("reader_failed").Str("reader", peer).Str("error", err.Error()).Send()
 		return metadata.Batch{}, false
-	case b.Age >= maxAge:
-		f.log.Event("reader_behind").Str("reader", peer).Dur("age_ms", b.Age).Send()
+	case b.Age >= maxAge || f.state.CheckEra(b) != metadata.EraCurrent:
+		f.log.Event("reader_behind").Str("reader", peer).Dur("age_ms", b.Age).Int64("era", b.Era).Send()
 		return metadata.Batch{}, false
 	}
 	return b, true
 }
 
 // ChangesSince implements fleetrpc.ChangeSource.
-func (f *Follower) ChangesSince(after int64) (metadata.Batch, bool) {
+func (f *Follower) ChangesSince(from metadata.Position) (metadata.Batch, bool) {
 	if f.view.Load() == nil {
 		return metadata.Batch{}, false
 	}
 	f.mu.Lock()
-	b := f.state.ChangesSince(f.now(), after)
+	b := f.state.ChangesSince(f.now(), from)
 	f.mu.Unlock()
 	b.Age = f.Age()
 	return b, true
@@ -289,9 +304,12 @@
 	f.storeLost, f.failures = false, 0
 }
 
-func (f *Follower) logEvent(e metadata.Event, revision int64) {
+func (f *Follower) logEvent(e metadata.Event, b metadata.Batch) {
 	l := f.log.Event("knowledge").Stringer("subject", e.Subject).
-		Str("name", e.Name).Str("change", e.Kind).Int64("revision", revision)
+		Str("name", e.Name).Str("change", e.Kind).Int64("revision", b.Revision)
+	if b.Era > 0 {
+		l.Int64("era", b.Era)
+	}
 	if e.Err != nil {
 		l.Str("error", e.Err.Error())
 	}
--- a/internal/metadatasync/follower_test.go
+++ b/internal/metadatasync/follower_test.go
@@ -51,7 +51,7 @@
 
 func (p *fakePeers) FallbackPeer() string { return p.fallback }
 
-func (p *fakePeers) Follow(_ context.Context, vm string, _ int64) (metadata.Batch, error) {
+func (p *fakePeers) Follow(_ context.Context, vm string, _ metadata.Position) (metadata.Batch, error) {
 	p.called = append(p.called, vm)
 	if p.failing[vm] {
 		return metadata.Batch{}, errors.New("no answer")
@@ -205,16 +205,16 @@
 
 func TestChangesSince(t *testing.T) {
 	f := newFollower(t)
-	if _, ok := f.ChangesSince(0); ok {
+	if _, ok := f.ChangesSince(metadata.Position{Revision: 0}); ok {
 		t.Error("a batch was returned before the first read")
 	}
 	f.read(t.Context())
 	f.clock += time.Second
-	b, ok := f.ChangesSince(0)
+	b, ok := f.ChangesSince(metadata.Position{Revision: 0})
 	if !ok || !b.Full || b.Age != time.Second || len(b.Changes) != 1 {
 		t.Errorf("batch is %+v", b)
 	}
-	if b, _ = f.ChangesSince(10); len(b.Changes) != 0 {
+	if b, _ = f.ChangesSince(metadata.Position{Revision: 10}); len(b.Changes) != 0 {
 		t.Errorf("batch for the same revision is %+v", b)
 	}
 }
