faultsoak: old and new builds side by side; name the version in production

No test ran two builds. Ruled out: recorded messages of the old build as test data (they show decoding, not what the fleet does); building with a worktree (it would write into the repository). TestBuildsSideBySide builds that commit from the history (git archive, shared cache), starts a fleet on it and replaces it VM by VM by the current build, with keys, versions, drains, a stated limit and requests that crash upstreams meanwhile; a VM of each build loses its links to the upstreams on the way.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL    := $(GO) tool -modfile=tools/go.mod
 SOURCES := $(shell git ls-files -co --exclude-standard '*.go')
 
-.PHONY: build test fmt-check lint unit generate demo smoke bench proofs fuzz soak faults
+.PHONY: build test fmt-check lint unit generate demo smoke bench proofs fuzz soak faults upgrade
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -46,6 +46,12 @@
 faults:
 	$(GO) test ./platform/faultsoak -count=1 -v -run TestFaults -timeout $$(($(SECONDS) + 120))s -args -faults.seed=$(SEED) -faults.seconds=$(SECONDS) -faults.vms=$(VMS)
 
+# make upgrade SEED=3 VMS=16 replaces the version in production (deploy/system.toml) by this
+# one, VM by VM; ROLLBACK=true does the reverse.
+ROLLBACK ?= false
+upgrade:
+	$(GO) test ./platform/faultsoak -count=1 -v -run TestBuildsSideBySide -timeout 300s -args -faults.seed=$(SEED) -faults.vms=$(VMS) -faults.rollback=$(ROLLBACK)
+
 proofs:
 	scripts/proofs.sh
 
