Isolate a VM that can't open connections while its open ones work

Callers of such a VM got 502: as its open connections to upstreams ended one by one, some shards of a query could not be reached.

Ruled out: slowness of the upstreams (the other VMs were served by the same ones) and the retry budget (`denied` is 0 on most of the lines).

Change: core/reachability counts the instances to which connections have failed since one was last opened. From the second on others are tried, one at first, more with each failure; three quarters of the instances, or 32, isolate the VM. A connection counts as opened once it has carried a response or stayed open for 10 ms, since a link may accept connections and reset them; only such a connection ends that isolation. A failed probe no longer costs the idle connection that it was to replace.

--- a/internal/core/reachability/reachability.go
+++ b/internal/core/reachability/reachability.go
@@ -2,8 +2,10 @@
 // all. `ryecourse gateway` uses it.
 //
 // A VM whose links to all upstreams have failed still has callers, the metadata store and
-// other VMs, and the store goes on listing the upstreams. Such a VM is isolated. One that
-// is slow, or has lost some upstreams, still receives responses and isn't isolated. An
+// other VMs, and the store goes on listing the upstreams. Such a VM is isolated. So is one
+// whose open connections work while it can't open new ones: it loses one shard after the
+// other as its connections end. One that is slow, or has lost some upstreams, still
+// receives responses or opens connections and isn't isolated. An
 // isolated VM has other VMs run its requests; when it reaches an upstream again, it takes
 // them back over a ramp, so that its new connections are opened over some seconds.
 //
@@ -21,10 +23,10 @@
 // The states of a VM.
 const (
 	Connected State = iota
-	// Isolated means that no upstream responds.
+	// Isolated means that no upstream responds, or that no connection can be opened.
 	Isolated
-	// Recovering means that an upstream has responded or accepted a connection since the
-	// VM was isolated. The VM runs a growing fraction of its requests.
+	// Recovering means that an upstream has responded or a connection was opened since
+	// the VM was isolated. The VM runs a growing fraction of its requests.
 	Recovering
 )
 
@@ -46,6 +48,14 @@
 	// response after which the VM is isolated. A VM that resumes after a pause ticks once
 	// before it has read the responses that have arrived.
 	SilentTicks int
+	// UnopenedFraction is the fraction of the instances, and MaxUnopened the number that
+	// is enough of a large fleet of them, to which connections must have failed since one
+	// was last opened for the VM to be isolated. They are more than a service's instances
+	// that end together, or that are full.
+	UnopenedFraction float64
+	MaxUnopened      int
+	// MaxOpenProbes is the largest number of instances that are probed at a time.
+	MaxOpenProbes int
 	// RampTime is the time from Recovering to Connected, and InitialFraction the fraction
 	// of its requests that the VM runs at first.
 	RampTime        time.Duration
@@ -59,6 +69,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		MinInstances: 4, MinSilence: 120 * time.Millisecond, SuspectSilence: 50 * time.Millisecond, SilentTicks: 2,
+		UnopenedFraction: 0.75, MaxUnopened: 32, MaxOpenProbes: 16,
 		RampTime: 2 * time.Second, InitialFraction: 0.1,
 	}
 }
@@ -70,6 +81,9 @@
 	// silent, and Silence the time since the last response.
 	SilentInstances int
 	Silence         time.Duration
+	// UnopenedInstances is the number of instances to which connections have failed since
+	// one was last opened.
+	UnopenedInstances int
 }
 
 // Tracker tracks the state of one VM. It is safe for concurrent use.
@@ -81,8 +95,12 @@
 	state        State
 	instances    int
 	lastResponse time.Time
-	// lastConnected is when an instance last accepted a connection.
-	lastConnected time.Time
+	// lastOpened is when a connection was last opened, and unopened holds the addresses of
+	// the instances to which connections have failed since. openProbing is set while
+	// others are probed.
+	lastOpened  time.Time
+	unopened    map[string]bool
+	openProbing bool
 	// sentAt is when each instance was first sent a request since the last response of
 	// any instance.
 	sentAt       map[string]time.Time
@@ -94,10 +112,10 @@
 // NewTracker returns the tracker of a connected VM. onChange is called with each change
 // of the state; it must not call the tracker.
 func NewTracker(p Policy, now time.Time, onChange func(Change)) *Tracker {
-	return &Tracker{policy: p, onChange: onChange, lastResponse: now, sentAt: map[string]time.Time{}}
+	return &Tracker{policy: p, onChange: onChange, lastResponse: now, sentAt: map[string]time.Time{}, unopened: map[string]bool{}}
 }
 
-// SetInstances sets the number of instances that the metadata store lists.
+// SetInstances sets the number of instances that may be sent requests.
 func (t *Tracker) SetInstances(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -121,7 +139,8 @@
 	delete(t.sentAt, instance)
 }
 
-// Responded records a response of any instance.
+// Responded records a response of any instance. It doesn't end the isolation of a VM that
+// can't open connections, as the response may have come over an open one.
 func (t *Tracker) Responded(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -130,7 +149,9 @@
 	}
 	clear(t.sentAt)
 	t.silentTicks = 0
-	t.startRecovery(now)
+	if !t.opensNone() {
+		t.startRecovery(now)
+	}
 }
 
 // RespondedSince reports whether any instance has responded since a time.
@@ -140,21 +161,6 @@
 	return !t.lastResponse.Before(at)
 }
 
-// Connected records that an instance has accepted a connection.
-func (t *Tracker) Connected(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lastConnected = now
-}
-
-// ReachedSince reports whether any instance has responded or accepted a connection since a
-// time.
-func (t *Tracker) ReachedSince(at time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.lastResponse.Before(at) || !t.lastConnected.Before(at)
-}
-
 // Tick updates the state. It reports whether the caller should open a connection to an
 // instance and pass the outcome to Probed.
 func (t *Tracker) Tick(now time.Time) (probe bool) {
@@ -166,7 +172,7 @@
 		t.silentTicks = 0
 	}
 	switch {
-	case t.state != Isolated && t.silentTicks >= t.policy.SilentTicks:
+	case t.state != Isolated && (t.silentTicks >= t.policy.SilentTicks || t.opensNone()):
 		t.change(now, Isolated)
 	case t.state == Recovering && now.Sub(t.recoveringAt) >= t.policy.RampTime:
 		t.change(now, Connected)
@@ -195,13 +201,14 @@
 	return n
 }
 
-// Probed records whether an instance has accepted a connection after Tick asked for it.
-func (t *Tracker) Probed(now time.Time, accepted bool) {
+// Probed records the end of the probe that Tick asked for, and whether it opened a
+// connection.
+func (t *Tracker) Probed(now time.Time, opened bool) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.probing = false
-	if accepted {
-		t.startRecovery(now)
+	t.mu.Unlock()
+	if opened {
+		t.Opened(now)
 	}
 }
 
@@ -218,7 +225,7 @@
 
 func (t *Tracker) change(now time.Time, s State) {
 	t.state = s
-	t.onChange(Change{State: s, SilentInstances: t.silentInstances(now, t.policy.MinSilence), Silence: now.Sub(t.lastResponse)})
+	t.onChange(Change{State: s, SilentInstances: t.silentInstances(now, t.policy.MinSilence), Silence: now.Sub(t.lastResponse), UnopenedInstances: len(t.unopened)})
 }
 
 // State returns the state.
@@ -228,11 +235,12 @@
 	return t.state
 }
 
-// IsSuspect reports whether so many instances are silent that the VM may be isolated.
+// IsSuspect reports whether the VM may be isolated: so many instances are silent, or
+// connections to so many have failed.
 func (t *Tracker) IsSuspect(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isSilent(now, t.policy.SuspectSilence)
+	return t.isSilent(now, t.policy.SuspectSilence) || t.mayOpenNone()
 }
 
 // LocalFraction returns the fraction of its requests, 0 to 1, that the VM should run
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,7 +19,7 @@
 		return fanout.NoBudget
 	}
 	now := time.Now()
-	if kind != fanout.First && q.handOver(now) {
+	if kind != fanout.First && q.handOver(now, shard) {
 		return fanout.Elsewhere
 	}
 	if q.elsewhere != nil { // this VM adds no attempts to those of the other one
@@ -142,8 +142,14 @@
 // observe records what the end of an attempt shows of the upstream and the request.
 func (q *proxyRequest) observe(u routetable.Upstream, a *upstreamhttp.Result) {
 	now := boottime.Now()
-	if a.Response != nil {
+	switch {
+	case a.Response != nil && a.OnNewConnection:
+		q.g.reachable.Opened(time.Now())
+		q.g.reachable.Responded(time.Now())
+	case a.Response != nil:
 		q.g.reachable.Responded(time.Now())
+	case a.OnNewConnection && a.ConnectionClosed():
+		q.g.reachable.OpenFailed(u.Address)
 	}
 	if a.Response != nil && !a.Info.WrongInstance {
 		q.g.limits.Observe(now, u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -12,12 +12,12 @@
 )
 
 // handOver asks other VMs to run the request in place of an extra attempt if this VM's
-// links may have failed, so that an extra attempt over them would be lost, too. It returns
+// links may have failed, so that an extra attempt at the shard would be lost, too. It returns
 // false if this VM should make the attempt. Attempts in flight go on, and the first
 // response counts.
-func (q *proxyRequest) handOver(now time.Time) bool {
+func (q *proxyRequest) handOver(now time.Time, shard int) bool {
 	in := q.in
-	if in.wasHandedOver || in.othersAsked || !q.linksMayHaveFailed(now) {
+	if in.wasHandedOver || in.othersAsked || !q.linksMayHaveFailed(now, shard) {
 		return false
 	}
 	helpers := q.g.helpers(now)
@@ -53,11 +53,15 @@
 
 // linksMayHaveFailed reports whether no upstream has responded to this VM, not even to
 // other requests, for half of the request's time so far, or several instances couldn't
-// be connected to while none received the request.
-func (q *proxyRequest) linksMayHaveFailed(now time.Time) bool {
+// be connected to while none received the request. If others have received it, several of
+// the shard's own can't be connected to, and this VM may be unable to open connections.
+func (q *proxyRequest) linksMayHaveFailed(now time.Time, shard int) bool {
 	if q.unreachable >= minUnreachable && q.unreachable == q.attempts-q.attemptsInFlight && !q.writes.any() {
 		return true
 	}
+	if q.unreachableOf[shard] >= minUnreachable && q.unreachableOf[shard] == len(q.shardAttempts[shard]) && q.g.reachable.MayOpenNone() {
+		return true
+	}
 	silence := max(now.Sub(q.in.started)/2, minLinkSilence)
 	if q.query.Answered() > 0 || q.g.reachable.RespondedSince(now.Add(-silence)) {
 		return false
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -25,8 +25,8 @@
 // it have ended. Losses at one instance share a check.
 type lossChecker struct {
 	pools *Pools
-	// linksWork reports whether an upstream has responded to this VM or accepted a
-	// connection since a time, or accepts one now.
+	// linksWork reports whether this VM has opened a connection that works since a time,
+	// or opens one now.
 	linksWork func(ctx context.Context, since time.Time) bool
 
 	mu      sync.Mutex
@@ -84,7 +84,7 @@
 
 // linksWork implements lossChecker.linksWork.
 func (g *Gateway) linksWork(ctx context.Context, since time.Time) bool {
-	return g.reachable.ReachedSince(since) || g.Probe(ctx)
+	return g.reachable.OpenedSince(since) || g.Probe(ctx)
 }
 
 // maxLosses is the number of lost connections and earlier crashes from which a request
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,19 +2,52 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/routetable"
+	"ryecourse.example/ryecourse/internal/upstreamhttp"
 )
 
-// Probe opens a connection to a random instance and reports whether the instance accepts
-// it. The connection is kept for requests.
+// Probe opens a connection to a random instance and reports whether it works. The
+// connection is kept for requests.
 func (g *Gateway) Probe(ctx context.Context) bool {
 	instances := randomInstances(g.metadata.View(), 1)
-	return len(instances) > 0 && g.pools.Get(instances[0]).Reconnect(ctx) == nil
+	return len(instances) > 0 && g.open(ctx, instances[0])
+}
+
+// ProbeOthers opens connections to up to n random instances, other than those to which
+// connections have failed since one was last opened. It returns after all of them.
+func (g *Gateway) ProbeOthers(ctx context.Context, n int) {
+	untried := slices.DeleteFunc(randomInstances(g.metadata.View(), math.MaxInt), func(u routetable.Upstream) bool {
+		return g.reachable.IsUnopened(u.Address)
+	})
+	var wg sync.WaitGroup
+	for _, u := range untried[:min(n, len(untried))] {
+		wg.Go(func() { g.open(ctx, u) })
+	}
+	wg.Wait()
+}
+
+// openTime is the time after which a connection counts as opened. A link that accepts
+// connections and resets them does so within a round trip.
+const openTime = 10 * time.Millisecond
+
+// open opens a connection to an instance and reports whether it works.
+func (g *Gateway) open(ctx context.Context, u routetable.Upstream) bool {
+	err := g.pools.Get(u).Reconnect(ctx, openTime)
+	switch {
+	case err == nil:
+		g.reachable.Opened(time.Now())
+	case errors.Is(err, upstreamhttp.ErrClosedAtOnce):
+		g.reachable.OpenFailed(u.Address)
+	}
+	return err == nil
 }
 
 const (
@@ -37,7 +70,7 @@
 	for _, u := range randomInstances(g.metadata.View(), suspicionProbes) {
 		g.reachable.Sent(time.Now(), u.ID)
 		wg.Go(func() {
-			if g.pools.Get(u).Reconnect(ctx) == nil {
+			if g.open(ctx, u) {
 				g.reachable.Withdraw(u.ID)
 			}
 		})
@@ -49,8 +82,8 @@
 	}()
 }
 
-// randomInstances returns up to n distinct instances that may be sent requests.
-func randomInstances(v *metadata.View, n int) []routetable.Upstream {
+// UsableInstances returns the instances that may be sent requests.
+func UsableInstances(v *metadata.View) []routetable.Upstream {
 	if v == nil {
 		return nil
 	}
@@ -62,6 +95,12 @@
 			}
 		}
 	}
+	return out
+}
+
+// randomInstances returns up to n distinct instances that may be sent requests.
+func randomInstances(v *metadata.View, n int) []routetable.Upstream {
+	out := UsableInstances(v)
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(n, len(out))]
 }
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -203,7 +203,7 @@
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 	d.limits.Retain(instances(v))
-	d.reachable.SetInstances(len(instances(v)))
+	d.reachable.SetInstances(len(gateway.UsableInstances(v)))
 }
 
 // instances returns the IDs of all instances of a view.
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -45,6 +45,8 @@
 	Err      error
 	// AnyBytesSent is false only if no byte of the request left this VM.
 	AnyBytesSent bool
+	// OnNewConnection is set if the request was the first on its connection.
+	OnNewConnection bool
 	// SentAt is when the request was handed to a connection; zero before that.
 	SentAt time.Time
 }
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -41,6 +41,7 @@
 	br      *bufio.Reader
 	expires time.Time
 	broken  bool
+	used    bool // a request has been written
 }
 
 func newConn(nc net.Conn) *conn {
@@ -103,7 +104,10 @@
 		return Result{Verdict: verdict.NotRun, Err: ErrNotWritten}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
+	isNew := !c.used
+	c.used = true
 	a := c.doRecovering(p.inspector, r)
+	a.OnNewConnection = isNew
 	if !stop() {
 		c.broken = true
 	}
--- a/internal/upstreamhttp/liveness.go
+++ b/internal/upstreamhttp/liveness.go
@@ -29,7 +29,12 @@
 // ConnectionLost reports whether the upstream closed or reset the connection while it
 // may have been running the request.
 func (r *Result) ConnectionLost() bool {
-	if r.Response != nil || r.Verdict != verdict.MayHaveRun {
+	return r.Verdict == verdict.MayHaveRun && r.ConnectionClosed()
+}
+
+// ConnectionClosed reports whether the connection ended without a response.
+func (r *Result) ConnectionClosed() bool {
+	if r.Response != nil {
 		return false
 	}
 	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -12,6 +12,10 @@
 // the pool is closed.
 var ErrNoConnection = errors.New("upstreamhttp: no connection became available in time")
 
+// ErrClosedAtOnce is returned for a connection that was accepted and then closed before it
+// carried a request.
+var ErrClosedAtOnce = errors.New("upstreamhttp: the connection was closed at once")
+
 // ErrNotWritten is returned for a request that its caller withdrew before it was written.
 var ErrNotWritten = errors.New("upstreamhttp: the request was withdrawn")
 
@@ -124,21 +128,31 @@
 	return nil, w, nil
 }
 
+// openConn opens the connection that reserve has counted.
 func (p *Pool) openConn(ctx context.Context) (*conn, error) {
+	c, err := p.dialConn(ctx)
+	if err != nil {
+		p.release()
+	}
+	return c, err
+}
+
+func (p *Pool) dialConn(ctx context.Context) (*conn, error) {
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
 	nc, err := p.dial(ctx, p.address)
 	if err != nil {
-		p.release()
 		return nil, err
 	}
 	return newConn(nc), nil
 }
 
 // Reconnect opens a connection, in place of an idle one if there is any, and keeps it for
-// requests. It returns ErrNoConnection if all connections are in use.
-func (p *Pool) Reconnect(ctx context.Context) error {
+// requests if it is still open after a time. Otherwise the idle one is kept, as it may
+// work while new ones don't. It returns ErrNoConnection if all connections are in use, and
+// ErrClosedAtOnce if the new one was closed.
+func (p *Pool) Reconnect(ctx context.Context, openFor time.Duration) error {
 	idle, wait, err := p.reserve()
 	switch {
 	case err != nil:
@@ -146,15 +160,27 @@
 	case wait != nil:
 		p.cancelWait(wait)
 		return ErrNoConnection
-	case idle != nil: // its place is taken by the new one
-		idle.close()
 	}
-	c, err := p.openConn(ctx)
-	if err != nil {
-		return err
+	c, err := p.dialConn(ctx)
+	if err == nil {
+		time.Sleep(openFor)
+		if !c.usable(time.Now()) {
+			c.close()
+			err = ErrClosedAtOnce
+		}
+	}
+	switch {
+	case err == nil && idle != nil: // its place is taken by the new one
+		idle.close()
+		p.put(c)
+	case err == nil:
+		p.put(c)
+	case idle != nil:
+		p.put(idle)
+	default:
+		p.release()
 	}
-	p.put(c)
-	return nil
+	return err
 }
 
 // cancelWait removes a waiter from the queue. What it has already received goes
