--- a/Makefile
+++ b/Makefile
@@ -41,10 +41,12 @@
 fuzz:
 	scripts/fuzz.sh $(SECONDS)
 
-# make faults SEED=3 SECONDS=60 VMS=4 runs gateways as processes and injects faults.
+# make faults SEED=3 SECONDS=60 VMS=4 runs gateways as processes and injects faults;
+# BURSTS=true adds bursts of load.
 VMS ?= 4
+BURSTS ?= false
 faults:
-	$(GO) test ./platform/faultsoak -count=1 -v -run TestFaults -timeout $$(($(SECONDS) + 120))s -args -faults.seed=$(SEED) -faults.seconds=$(SECONDS) -faults.vms=$(VMS)
+	$(GO) test ./platform/faultsoak -count=1 -v -run TestFaults -timeout $$(($(SECONDS) + 120))s -args -faults.seed=$(SEED) -faults.seconds=$(SECONDS) -faults.vms=$(VMS) -faults.bursts=$(BURSTS)
 
 # make upgrade SEED=3 VMS=16 replaces the version in production (deploy/system.toml) by this
 # one, VM by VM; ROLLBACK=true does the reverse.
