Reject requests before their first attempt while upstreams are overloaded

Executors that had rejected a query were avoided for 2 s by the asking VM, which then ran its queries itself. Under a burst the service collapsed: 60 to 80 of 1,300 requests in time every two seconds. Change: core/loadshed, a proportional-integral controller by group of services. Its signal is the wait, by the loads that upstreams state, at the slowest service that a kind of request needs, plus the drift of the load of all services, which each response updates. The least urgent kinds go first, then the customers with the most demand. A request is rejected only after a new reading without a free slot. Under overload hedges need a free slot and retries a tolerated wait. Executors decide at Accept; their rejection, with its Retry-After, is final and doesn't make the VM avoid them. A busy executor is replaced by one other, and then the request is rejected, too. fleetrpc carries the customer in Accept and Retry-After in rejections; builds without them behave as before. TestAccept now expects the customer, and checks Retry-After.

--- /dev/null
+++ b/internal/core/loadshed/demand.go
@@ -0,0 +1,121 @@
+package loadshed
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandTime is the time constant of the demand.
+	demandTime = 500 * time.Millisecond
+	// levels is the number of ranks; less urgent priorities share the last.
+	levels = 8
+	// maxCustomers bounds the customers of a level that are told apart.
+	maxCustomers = 64
+	// maxLevelFraction leaves some requests of each rank.
+	maxLevelFraction = 0.99
+)
+
+// demand holds decaying counts of requests by rank and customer.
+type demand struct {
+	decayedAt time.Time
+	level     [levels]levelDemand
+	total     float64
+}
+
+type levelDemand struct {
+	total    float64
+	customer map[string]float64
+}
+
+func newDemand(now time.Time) demand { return demand{decayedAt: now} }
+
+func levelOf(priority int) int { return min(max(priority, 0), levels-1) }
+
+func (d *demand) add(priority int, customer string) {
+	l := &d.level[levelOf(priority)]
+	d.total++
+	l.total++
+	if customer == "" {
+		return
+	}
+	if l.customer == nil {
+		l.customer = map[string]float64{}
+	}
+	if _, known := l.customer[customer]; known || len(l.customer) < maxCustomers {
+		l.customer[customer]++
+	}
+}
+
+// minDemand is the count below which a customer is forgotten.
+const minDemand = 0.05
+
+func (d *demand) decay(now time.Time) {
+	keep := math.Exp(-now.Sub(d.decayedAt).Seconds() / demandTime.Seconds())
+	d.decayedAt = now
+	d.total *= keep
+	for i := range d.level {
+		l := &d.level[i]
+		l.total *= keep
+		for c, n := range l.customer {
+			if n *= keep; n < minDemand {
+				delete(l.customer, c)
+			} else {
+				l.customer[c] = n
+			}
+		}
+	}
+}
+
+// fraction returns the fraction of requests with a priority and customer to reject so
+// that overall is rejected of all requests: the less urgent ranks first, and of a rank
+// the customers with the most requests.
+func (d *demand) fraction(overall float64, priority int, customer string) float64 {
+	excess := overall * d.total
+	for i := levels - 1; i > levelOf(priority); i-- {
+		excess -= min(excess, maxLevelFraction*d.level[i].total)
+	}
+	l := &d.level[levelOf(priority)]
+	if excess < minDemand || l.total <= 0 {
+		return 0
+	}
+	return l.fraction(min(excess/l.total, maxLevelFraction), customer)
+}
+
+// fraction divides what the level admits evenly among its customers: those with less
+// than an even part are not rejected.
+func (l *levelDemand) fraction(overall float64, customer string) float64 {
+	own, known := l.customer[customer]
+	if !known || len(l.customer) < 2 {
+		return overall
+	}
+	var sum float64
+	for _, n := range l.customer {
+		sum += n
+	}
+	limit := l.evenPart((1 - overall) * sum)
+	if own <= limit {
+		return 0
+	}
+	return min(1-limit/own, maxLevelFraction)
+}
+
+// evenPart returns the limit on each customer with which admitted requests remain in all.
+func (l *levelDemand) evenPart(admitted float64) float64 {
+	limit, left, customers := 0.0, admitted, len(l.customer)
+	for {
+		next, fewer := left/float64(customers), 0
+		rest, remaining := admitted, len(l.customer)
+		for _, n := range l.customer {
+			if n <= next {
+				rest -= n
+				remaining--
+				fewer++
+			}
+		}
+		if remaining == 0 || next <= limit+1e-9 {
+			return next
+		}
+		limit, left, customers = next, rest, remaining
+	}
+}
--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -73,10 +73,12 @@
 	inFlight       []*Attempt
 	reportedLoad   float64 // running and queued requests per slot, as last reported
 	loadReportedAt time.Time
-	avoidUntil     time.Time
-	replaced       bool      // another instance has answered at the address
-	coldUntil      time.Time // zero if the instance has never announced that it is cold
-	cold           coldLimiter
+	// work is a moving average of the time that a slot is used for a request.
+	work       time.Duration
+	avoidUntil time.Time
+	replaced   bool      // another instance has answered at the address
+	coldUntil  time.Time // zero if the instance has never announced that it is cold
+	cold       coldLimiter
 }
 
 // Attempt is one attempt in flight at an instance.
--- a/internal/core/routetable/table.go
+++ b/internal/core/routetable/table.go
@@ -4,24 +4,27 @@
 
 // Table is an index of one Config for lookups.
 type Table struct {
-	Config         Config
-	services       map[string]*Service
-	customersByKey map[string]*Customer
-	routesByHost   map[string]map[string]*Route
+	Config          Config
+	services        map[string]*Service
+	customersByKey  map[string]*Customer
+	customersByName map[string]*Customer
+	routesByHost    map[string]map[string]*Route
 }
 
 // NewTable returns a Table of the configuration.
 func NewTable(c Config) *Table {
 	t := &Table{
-		Config:         c,
-		services:       make(map[string]*Service, len(c.Services)),
-		customersByKey: make(map[string]*Customer),
-		routesByHost:   make(map[string]map[string]*Route),
+		Config:          c,
+		services:        make(map[string]*Service, len(c.Services)),
+		customersByKey:  make(map[string]*Customer),
+		customersByName: make(map[string]*Customer, len(c.Customers)),
+		routesByHost:    make(map[string]map[string]*Route),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
 	for i := range c.Customers {
+		t.customersByName[c.Customers[i].Name] = &c.Customers[i]
 		for _, key := range c.Customers[i].Keys {
 			t.customersByKey[key] = &c.Customers[i]
 		}
@@ -64,6 +67,9 @@
 // Customer returns the customer that owns the key, or nil.
 func (t *Table) Customer(key string) *Customer { return t.customersByKey[key] }
 
+// CustomerByName returns the customer with that name, or nil.
+func (t *Table) CustomerByName(name string) *Customer { return t.customersByName[name] }
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/fleetrpc/execute.go
+++ b/internal/fleetrpc/execute.go
@@ -20,8 +20,8 @@
 type QueryRunner interface {
 	// AcceptsQueries reports whether the VM reaches upstreams.
 	AcceptsQueries() bool
-	// AcceptQuery returns nil if the VM would run the request now. Only its ID, route and
-	// versions are set.
+	// AcceptQuery returns nil if the VM would run the request now. Only its ID, route,
+	// versions and customer are set.
 	AcceptQuery(r *executor.Request) error
 	RunQuery(ctx context.Context, r *executor.Request) (executor.Result, error)
 }
@@ -52,10 +52,11 @@
 func (s server) Accept(_ context.Context, req *fleetv1.AcceptRequest) (*fleetv1.AcceptResponse, error) {
 	err := s.exchanger.queries.AcceptQuery(&executor.Request{
 		ID: req.RequestId, Route: req.Route, RouteFingerprint: req.RouteFingerprint, ConfigVersion: req.ConfigVersion,
+		Customer: req.Customer,
 	})
 	var rejected *gateway.RejectedError
 	if errors.As(err, &rejected) {
-		return &fleetv1.AcceptResponse{Rejected: rejected.Reason}, nil
+		return &fleetv1.AcceptResponse{Rejected: rejected.Reason, RetryAfterUs: rejected.RetryAfter.Microseconds()}, nil
 	}
 	return &fleetv1.AcceptResponse{}, err
 }
@@ -66,7 +67,7 @@
 	var rejected *gateway.RejectedError
 	switch {
 	case errors.As(err, &rejected):
-		return &fleetv1.ExecuteResponse{Rejected: rejected.Reason}, nil
+		return &fleetv1.ExecuteResponse{Rejected: rejected.Reason, RetryAfterUs: rejected.RetryAfter.Microseconds()}, nil
 	case err != nil:
 		return nil, connect.NewError(connect.CodeCanceled, err)
 	}
@@ -137,16 +138,21 @@
 	defer cancel()
 	resp, err := e.executeClientFor(address).Accept(ctx, &fleetv1.AcceptRequest{
 		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, ConfigVersion: r.ConfigVersion,
+		Customer: r.Customer,
 	})
 	if err != nil {
 		return err
 	}
 	if resp.Rejected != "" {
-		return &gateway.RejectedError{Reason: resp.Rejected}
+		return rejectedError(resp.Rejected, resp.RetryAfterUs)
 	}
 	return nil
 }
 
+func rejectedError(reason string, retryAfterMicros int64) error {
+	return &gateway.RejectedError{Reason: reason, RetryAfter: time.Duration(max(retryAfterMicros, 0)) * time.Microsecond}
+}
+
 // isDialError reports whether a call ended before it had a connection.
 func isDialError(err error) bool {
 	var op *net.OpError
@@ -168,7 +174,7 @@
 			NotRun: isDialError(err), Err: errors.Join(err, ctx.Err()),
 		}
 	case resp.Rejected != "":
-		return executor.Result{}, &gateway.ExecuteError{NotRun: true, Err: &gateway.RejectedError{Reason: resp.Rejected}}
+		return executor.Result{}, &gateway.ExecuteError{NotRun: true, Err: rejectedError(resp.Rejected, resp.RetryAfterUs)}
 	case resp.Result == nil:
 		return executor.Result{}, &gateway.ExecuteError{Err: errNoResult}
 	}
--- a/internal/fleetrpc/execute_test.go
+++ b/internal/fleetrpc/execute_test.go
@@ -140,6 +140,7 @@
 		want := executor.Request{
 			ID: sampleQuery.ID, Route: sampleQuery.Route,
 			RouteFingerprint: sampleQuery.RouteFingerprint, ConfigVersion: sampleQuery.ConfigVersion,
+			Customer: sampleQuery.Customer,
 		}
 		if !reflect.DeepEqual(*r, want) {
 			t.Errorf("asked for %+v, want %+v", *r, want)
@@ -147,7 +148,7 @@
 		return nil
 	}))
 	rejecting, _ := startExecutor(t, acceptFunc(func(*executor.Request) error {
-		return &gateway.RejectedError{Reason: "busy"}
+		return &gateway.RejectedError{Reason: "overloaded", RetryAfter: 150 * time.Millisecond}
 	}))
 	release := make(chan struct{})
 	silent, _ := startExecutor(t, acceptFunc(func(*executor.Request) error {
@@ -160,8 +161,8 @@
 		t.Errorf("not accepted: %v", err)
 	}
 	var rejected *gateway.RejectedError
-	if err := e.Accept(t.Context(), rejecting, &q, testAcceptTimeout); !errors.As(err, &rejected) || rejected.Reason != "busy" {
-		t.Errorf("the error is %v, want the rejection", err)
+	if err := e.Accept(t.Context(), rejecting, &q, testAcceptTimeout); !errors.As(err, &rejected) || rejected.Reason != "overloaded" || rejected.RetryAfter != 150*time.Millisecond {
+		t.Errorf("the error is %+v, want the rejection", err)
 	}
 	if err := e.Accept(t.Context(), silent, &q, 20*time.Millisecond); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("the error is %v, want a timeout", err)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,6 +19,10 @@
 		return fanout.NoBudget
 	}
 	now := time.Now()
+	if kind != fanout.First && !q.admitsExtra(now, shard, kind) {
+		q.deniedByLoad++
+		return fanout.NoBudget
+	}
 	if kind != fanout.First && q.handOver(now) {
 		return fanout.Elsewhere
 	}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -16,7 +16,12 @@
 
 // RejectedError is the error of another VM's request that this one has not run and never
 // will.
-type RejectedError struct{ Reason string }
+type RejectedError struct {
+	Reason string
+	// RetryAfter is how long the caller should wait; 0 if the rejection says nothing about
+	// it.
+	RetryAfter time.Duration
+}
 
 // Error implements error.
 func (e *RejectedError) Error() string { return "rejected: " + e.Reason }
@@ -36,9 +41,15 @@
 	rejectedOtherRoute = "other_version_of_route"
 )
 
+// isOverload reports whether the VM rejected the request because of load, so that it, or
+// another VM, may accept it later.
+func (e *RejectedError) isOverload() bool {
+	return e.Reason == rejectedBusy || e.Reason == string(ReasonOverloaded)
+}
+
 // isShort reports whether the VM may accept another request now or very soon.
 func (e *RejectedError) isShort() bool {
-	return e.Reason == rejectedOtherRoute || e.Reason == rejectedSuspect || e.Reason == string(ReasonQuarantined)
+	return e.isOverload() || e.Reason == rejectedOtherRoute || e.Reason == rejectedSuspect || e.Reason == string(ReasonQuarantined)
 }
 
 // AcceptsQueries reports whether this VM runs requests of other VMs: it doesn't while it
@@ -56,9 +67,13 @@
 	if g.remoteQueries.Load() >= maxRemoteQueries {
 		return g.reject(r, rejectedBusy)
 	}
-	if reason := g.checkRemote(g.remoteIncoming(r), r); reason != "" {
+	in := g.remoteIncoming(r)
+	if reason := g.checkRemote(in, r); reason != "" {
 		return g.reject(r, reason)
 	}
+	if refused := g.shed(in); refused != nil {
+		return &RejectedError{Reason: string(refused.reason), RetryAfter: refused.retryAfter}
+	}
 	return nil
 }
 
@@ -115,7 +130,9 @@
 		return string(ReasonQuarantined)
 	}
 	if r.Customer != "" {
-		in.customer = &routetable.Customer{Name: r.Customer}
+		if in.customer = in.view.Table.CustomerByName(r.Customer); in.customer == nil {
+			in.customer = &routetable.Customer{Name: r.Customer}
+		}
 	}
 	return ""
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,6 +61,7 @@
 	// earlierCrashes is the number of instances that had ended under such requests
 	// before this one.
 	earlierCrashes  int
+	deniedByLoad    int // extra attempts for which no upstream had a free slot under overload
 	deniedAsSuspect int // extra attempts that could have crashed another instance
 	// writes counts the written attempts, by shard.
 	writes writeCounts
@@ -87,6 +88,11 @@
 	if g.forwardElsewhere(in, w, r) {
 		return
 	}
+	if refused := g.shed(in); refused != nil {
+		g.refuse(w, refused.reason, refused.retryAfter)
+		g.record(in, requestResult{reason: refused.reason, status: statusOf[refused.reason]})
+		return
+	}
 	q := g.newProxyRequest(in, r.Method, g.requestHead(in, r))
 	defer q.cleanup()
 	q.start()
@@ -107,12 +113,7 @@
 func (g *Gateway) newProxyRequest(in *incoming, method string, head []byte) *proxyRequest {
 	q := &proxyRequest{
 		g: g, in: in, method: method, requestHead: head,
-		latency: g.latencyFor(in.route.Name),
-	}
-	if in.route.Sharded != nil {
-		q.services = in.route.Sharded.Shards
-	} else {
-		q.services = []string{g.weights.next(in.route)}
+		latency: g.latencyFor(in.route.Name), services: g.servicesOf(in),
 	}
 	// Each request adds to the retry budget of its services.
 	for _, s := range q.services {
@@ -286,7 +287,7 @@
 func (q *proxyRequest) completeResult(r requestResult) requestResult {
 	r.attempts, r.hedges, r.err = q.attempts, q.hedges, q.lastErr
 	r.deniedByBudget, r.withoutUpstream, r.atLimit = q.deniedByBudget, q.withoutUpstream, q.atLimit
-	r.deniedAsSuspect = q.deniedAsSuspect
+	r.deniedAsSuspect, r.deniedByLoad = q.deniedAsSuspect, q.deniedByLoad
 	r.shards, r.answered = len(q.services), q.query.Answered()
 	if len(q.services) == 1 {
 		for _, picked := range q.shardAttempts[0] {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ryecourse.example/ryecourse/internal/core/fanout"
+	"ryecourse.example/ryecourse/internal/core/loadshed"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/reachability"
@@ -128,6 +129,7 @@
 	limits      LimitObserver
 	quarantine  Quarantine
 	picker      *placement.Picker
+	shedder     *loadshed.Shedder
 	retryBudget *retrybudget.Budget
 	pools       *Pools
 	executors   Executors
@@ -154,8 +156,10 @@
 	Limits     LimitObserver
 	Quarantine Quarantine
 	Picker     *placement.Picker
-	Budget     *retrybudget.Budget
-	Pools      *Pools
+	// Shedder rejects requests while upstreams are overloaded.
+	Shedder *loadshed.Shedder
+	Budget  *retrybudget.Budget
+	Pools   *Pools
 	// Executors run queries for this VM.
 	Executors Executors
 	// Reachability decides whether this VM reaches upstreams.
@@ -169,7 +173,7 @@
 func New(deps Dependencies) *Gateway {
 	g := &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
-		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
+		picker: deps.Picker, shedder: deps.Shedder, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -20,6 +20,7 @@
 	viewAge  time.Duration
 	route    *routetable.Route
 	customer *routetable.Customer
+	services []string // by shard; nil until they are chosen
 	// waitedBefore is how long the caller has waited in earlier tries of this
 	// request.
 	waitedBefore time.Duration
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -23,6 +23,7 @@
 	deniedByBudget     int      // extra attempts that the retry budget didn't allow
 	withoutUpstream    int      // attempts without an available upstream
 	atLimit            int      // attempts that the upstreams' limits didn't admit
+	deniedByLoad       int      // extra attempts for which no upstream had a free slot under overload
 	deniedAsSuspect    int      // extra attempts that could have crashed another instance
 	upstreams          []string // tried by a request to a single service
 	executor           string   // VM that ran the request, if it wasn't this one
@@ -135,6 +136,9 @@
 		e.Int("shards", r.shards).Int("answered", r.answered).Int("attempts", r.attempts).Int("hedges", r.hedges).
 			Int("denied", r.deniedByBudget).Int("unplaced", r.withoutUpstream).Int("at_limit", r.atLimit)
 	}
+	if r.deniedByLoad > 0 {
+		e.Int("denied_by_load", r.deniedByLoad)
+	}
 	if r.deniedAsSuspect > 0 {
 		e.Int("denied_as_suspect", r.deniedAsSuspect)
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,6 +25,9 @@
 	// ReasonUpstreamsAtLimit means that the limits that the upstreams state on the
 	// requests of all VMs didn't admit the request.
 	ReasonUpstreamsAtLimit Reason = "upstreams_at_limit"
+	// ReasonOverloaded means that the request was rejected before its first attempt, as the
+	// upstreams bear less than is sent to them.
+	ReasonOverloaded Reason = "overloaded"
 	// ReasonQuarantined means that upstreams have ended while they ran such requests.
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonUpstreamsFailed Reason = "upstreams_failed"
@@ -44,6 +47,7 @@
 	ReasonNoUpstream:          http.StatusServiceUnavailable,
 	ReasonRejectedByUpstreams: http.StatusServiceUnavailable,
 	ReasonUpstreamsAtLimit:    http.StatusServiceUnavailable,
+	ReasonOverloaded:          http.StatusServiceUnavailable,
 	ReasonQuarantined:         http.StatusServiceUnavailable,
 	ReasonUpstreamsFailed:     http.StatusBadGateway,
 	ReasonTimedOut:            http.StatusGatewayTimeout,
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -76,6 +76,10 @@
 	case isQuarantined(res.err):
 		g.refuse(w, ReasonQuarantined, quarantineRetryAfter)
 		g.record(in, requestResult{reason: ReasonQuarantined, status: statusOf[ReasonQuarantined], executor: res.executor, err: res.err})
+	case isRejectedForLoad(res.err):
+		retryAfter := retryAfterOf(res.err)
+		g.refuse(w, ReasonOverloaded, retryAfter)
+		g.record(in, requestResult{reason: ReasonOverloaded, status: statusOf[ReasonOverloaded], executor: res.executor, err: res.err})
 	case res.notRun:
 		return false
 	default:
@@ -155,7 +159,7 @@
 			g.executors.Avoid(time.Now(), addr)
 		}
 		g.logExecutorFailure(in, addr, res.err)
-		if !res.notRun || isQuarantined(res.err) {
+		if !res.notRun || isQuarantined(res.err) || isOverloaded(res.err) {
 			return res
 		}
 	}
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -24,6 +24,7 @@
 
 	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/fleet"
+	"ryecourse.example/ryecourse/internal/core/loadshed"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/quarantine"
@@ -123,7 +124,8 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker,
+		Shedder: loadshed.New(d.picker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
--- a/internal/servicemodel/vm.go
+++ b/internal/servicemodel/vm.go
@@ -56,7 +56,7 @@
 	// Admit decides on a request before its first attempt; nil runs each.
 	Admit func(now time.Time, k *Kind) Decision
 	// AdmitExtra decides on an extra attempt; nil admits each that the budget allows.
-	AdmitExtra func(now time.Time, service string, kind fanout.Kind) bool
+	AdmitExtra func(now time.Time, k *Kind, service string, kind fanout.Kind) bool
 	// Ended is called with each result; it may be nil.
 	Ended func(now time.Time, r Result)
 	// Observe is called at the end of each attempt; it may be nil.
@@ -130,7 +130,7 @@
 // Send implements fanout.Sender.
 func (r *modelRequest) Send(shard int, kind fanout.Kind) fanout.SendResult {
 	vm, now, service := r.vm, r.vm.clock.Now(), r.kind.Services[shard]
-	if kind != fanout.First && vm.AdmitExtra != nil && !vm.AdmitExtra(now, service, kind) {
+	if kind != fanout.First && vm.AdmitExtra != nil && !vm.AdmitExtra(now, r.kind, service, kind) {
 		return fanout.NoBudget
 	}
 	for _, a := range r.started[shard] {
