--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,10 @@
 	if kind != fanout.First && q.handOver(now, shard) {
 		return fanout.Elsewhere
 	}
+	if kind != fanout.First && !q.admitsExtra(now, shard, kind) {
+		q.deniedByLoad++
+		return fanout.NoBudget
+	}
 	if q.elsewhere != nil { // this VM adds no attempts to those of the other one
 		return fanout.NoBudget
 	}
