Take only a refused connection for the end of an instance, and only if others open

Cause: a VM is cut by resets of connections that are accepted first. The check after a lost request dials the instance; if the reset arrives before the dial returns, the error is ECONNRESET, which counted as the instance's end. An accepted connection or any response counted as proof that the VM's own links work, so that the crash was recorded.

Change: only ECONNREFUSED is the end of an instance. It counts if this VM has opened a connection to another one since the loss that carried a response or stayed open; responses over open connections prove nothing. Up to four others are tried for that, losses share them. If that took more than one check, the instance is asked again, as the refusal may come from the cut.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,7 +173,7 @@
 		retryDetector: retrydetect.NewTracker(),
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
-	g.losses = &lossChecker{pools: deps.Pools, linksWork: g.linksWork, waiting: map[string][]func(upstreamhttp.Liveness){}}
+	g.losses = &lossChecker{pools: deps.Pools, opensConnections: g.opensConnections, waiting: map[string][]func(upstreamhttp.Liveness){}}
 	return g
 }
 
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -25,9 +25,13 @@
 // it have ended. Losses at one instance share a check.
 type lossChecker struct {
 	pools *Pools
-	// linksWork reports whether this VM has opened a connection that works since a time,
-	// or opens one now.
-	linksWork func(ctx context.Context, since time.Time) bool
+	// opensConnections reports whether this VM has opened a connection that works since a
+	// time, or opens one now. Responses show nothing: they may come over open connections
+	// while new ones are refused.
+	opensConnections func(ctx context.Context, since time.Time) bool
+
+	// confirming is held while connections are opened, so that losses share them.
+	confirming sync.Mutex
 
 	mu      sync.Mutex
 	waiting map[string][]func(upstreamhttp.Liveness) // by instance ID
@@ -43,12 +47,7 @@
 	}
 	lostAt := time.Now()
 	time.AfterFunc(livenessDelay, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), livenessTimeout)
-		defer cancel()
-		state := c.pools.Get(u).CheckLiveness(ctx)
-		if state == upstreamhttp.Ended && !c.confirm(lostAt) {
-			state = upstreamhttp.Unknown
-		}
+		state := c.liveness(u, lostAt)
 		c.mu.Lock()
 		waiting := c.waiting[u.ID]
 		delete(c.waiting, u.ID)
@@ -61,30 +60,65 @@
 
 const (
 	// linkCheckInterval is the time between two checks of this VM's own links, and
-	// linkChecks their number. While many instances are down, most checks find one of
-	// them.
-	linkCheckInterval = 100 * time.Millisecond
-	linkChecks        = 10
+	// linkChecks their number. While many instances are down, some checks find none else.
+	linkCheckInterval = 50 * time.Millisecond
+	linkChecks        = 20
+	// linkCheckInstances is the number of instances that a check tries.
+	linkCheckInstances = 4
 )
 
-// confirm reports whether this VM's links have worked since a connection was lost. If
-// they haven't, a refused connection says nothing about the instance.
-func (c *lossChecker) confirm(lostAt time.Time) bool {
-	for range linkChecks {
+// liveness returns whether an instance runs that closed a connection at a time. If this
+// VM can't open connections to others either, a refused one says nothing about the
+// instance. If it couldn't for a while, the instance is checked again, as the refusal may
+// come from that time.
+func (c *lossChecker) liveness(u routetable.Upstream, lostAt time.Time) upstreamhttp.Liveness {
+	check := func() upstreamhttp.Liveness {
 		ctx, cancel := context.WithTimeout(context.Background(), livenessTimeout)
-		works := c.linksWork(ctx, lostAt)
-		cancel()
-		if works {
-			return true
+		defer cancel()
+		return c.pools.Get(u).CheckLiveness(ctx)
+	}
+	state := check()
+	if state != upstreamhttp.Ended {
+		return state
+	}
+	for i := range linkChecks {
+		if !c.confirm(lostAt) {
+			time.Sleep(linkCheckInterval)
+			continue
 		}
-		time.Sleep(linkCheckInterval)
+		if i == 0 {
+			return upstreamhttp.Ended
+		}
+		return check()
 	}
-	return false
+	return upstreamhttp.Unknown
 }
 
-// linksWork implements lossChecker.linksWork.
-func (g *Gateway) linksWork(ctx context.Context, since time.Time) bool {
-	return g.reachable.OpenedSince(since) || g.Probe(ctx)
+// confirm reports whether this VM can open connections.
+func (c *lossChecker) confirm(lostAt time.Time) bool {
+	c.confirming.Lock()
+	defer c.confirming.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), livenessTimeout)
+	defer cancel()
+	return c.opensConnections(ctx, lostAt)
+}
+
+// opensConnections implements lossChecker.opensConnections.
+func (g *Gateway) opensConnections(ctx context.Context, since time.Time) bool {
+	if g.reachable.OpenedSince(since) {
+		return true
+	}
+	opened := make(chan bool, linkCheckInstances)
+	instances := randomInstances(g.metadata.View(), linkCheckInstances)
+	for _, u := range instances {
+		go func() { opened <- g.open(ctx, u) }()
+	}
+	for range instances {
+		if <-opened {
+			return true
+		}
+	}
+	return false
 }
 
 // maxLosses is the number of lost connections and earlier crashes from which a request
--- a/internal/upstreamhttp/liveness.go
+++ b/internal/upstreamhttp/liveness.go
@@ -72,7 +72,7 @@
 	case err == nil:
 		p.put(c)
 		return Alive
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, syscall.ECONNREFUSED): // one that is accepted and then reset isn't
 		return Ended
 	}
 	return Unknown
--- a/internal/upstreamhttp/liveness_test.go
+++ b/internal/upstreamhttp/liveness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -53,6 +55,15 @@
 	}
 }
 
+// TestResetDialIsNotAnEndedInstance guards against innocent requests that are quarantined
+// because something between a VM and an instance accepts connections and resets them.
+func TestResetDialIsNotAnEndedInstance(t *testing.T) {
+	p := NewPool("", 1, func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNRESET }, plainInspector{})
+	if got := p.CheckLiveness(t.Context()); got != Unknown {
+		t.Errorf("an instance whose connections are reset is %v", got)
+	}
+}
+
 // TestTimeoutIsNotALostConnection checks an instance that doesn't answer in time.
 func TestTimeoutIsNotALostConnection(t *testing.T) {
 	addr := startUpstream(t, func(_ net.Conn, br *bufio.Reader) {
