route: a command that tells where a request would go now, and why

Ruled out: a model of the decisions beside them (it would drift); a dry run of the request's own path (it consumes tokens, credits and turns); the key as an argument or in a URL (both get into lists and logs). Change: the operators' listener answers POST /route, `ryecourse route` asks it, as text or JSON, exit code 0 (would be served), 4 (would be refused), 1 (can't say). The deciding code answers on shadows of its state: customerrate.Peek runs Admit's decision on a copy of the account, upstreamlimit.Peek on a copy of the limit, executor.Peek* on a copy of the directory, the fan-out with a sender that sends nothing; placement.Explain uses Pick's predicates and score. findRoute is split off admit, weightsOf and advance off next. gateway.Admission is what admission under load is asked; nil until that part is wired. Tests: what is said is what the next request does, calm (80 requests, weighted and sharded routes) and short (over the rate, at a stated limit, drained, a shard without upstreams, no route, no key); the candidate named first gets the request wherever scores differ by more than chance; the executor named runs the query; questions change no later decision (4,000 admissions, 3,000 picks, 2,000 attempts at a limit, against a twin that wasn't asked where one can be had). Conclusion: a query whose shard has no upstream shows as 502, as its other shards run meanwhile; the tool says what the code does.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,7 +2,7 @@
 // `ryecourse gateway` among its commands.
 //
 // Exit codes: 0 success; 1 the command found problems or failed; 2 the command
-// line is invalid.
+// line is invalid; 4 a request would be refused.
 package cli
 
 import (
@@ -22,6 +22,8 @@
 	ExitOK    = 0
 	ExitError = 1
 	ExitUsage = 2
+	// ExitRefused is that of `ryecourse route` for a request that would be refused.
+	ExitRefused = 4
 )
 
 // Version is the version of the product.
@@ -37,11 +39,12 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Description: "Exit codes: 0 success; 1 problems were found or the command failed;\n" +
-			"2 the command line is wrong.",
+			"2 the command line is wrong; 4 a request would be refused (route).",
 		Commands: []*cli.Command{
 			serveCommand(),
 			gatewayCommand(),
 			explainCommand(),
+			routeCommand(),
 			configcmd.New(),
 			keycmd.New(),
 			statusCommand(),
@@ -59,8 +62,8 @@
 	}
 	fmt.Fprintln(errOut, err)
 	var coder cli.ExitCoder
-	if errors.As(err, &coder) && coder.ExitCode() == ExitError {
-		return ExitError
+	if errors.As(err, &coder) && (coder.ExitCode() == ExitError || coder.ExitCode() == ExitRefused) {
+		return coder.ExitCode()
 	}
 	return ExitUsage
 }
--- a/internal/core/customerrate/admit.go
+++ b/internal/core/customerrate/admit.go
@@ -25,6 +25,39 @@
 	if a == nil || a.rate <= 0 {
 		return true, 0
 	}
+	return l.admit(now, a, late)
+}
+
+// Allowance is what a customer may send now.
+type Allowance struct {
+	// Admits is set if the next request would be admitted; otherwise RetryAfter is how
+	// long it should wait.
+	Admits     bool
+	RetryAfter time.Duration
+	// PoolLeft and OwnLeft are the tokens that this VM may draw on, in requests: of the
+	// pool of all VMs, above its reserve, and of its own bucket.
+	PoolLeft, OwnLeft float64
+}
+
+// Peek returns what Admit would decide about a customer's next request, and takes no
+// token. limited is false if the customer has no rate.
+func (l *Limiter) Peek(now time.Time, customer string, late bool) (a Allowance, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	acc := l.accounts[customer]
+	if acc == nil || acc.rate <= 0 {
+		return Allowance{Admits: true}, false
+	}
+	shadow := *acc // its maps are only read
+	l.refill(&shadow, now)
+	shadow.ownBucket.refill(now)
+	a.PoolLeft, a.OwnLeft = max(shadow.pool-shadow.reserve, 0), max(shadow.ownBucket.tokens, 0)
+	a.Admits, a.RetryAfter = l.admit(now, &shadow, late)
+	return a, true
+}
+
+// admit takes a token of an account. The caller holds mu.
+func (l *Limiter) admit(now time.Time, a *account, late bool) (bool, time.Duration) {
 	a.offered++
 	l.refill(a, now)
 	free := a.pool - a.reserve
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -74,6 +74,13 @@
 	return n
 }
 
+// Left returns the tokens of a service.
+func (b *Budget) Left(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.available(service)
+}
+
 // Take spends a token on a retry after a failed attempt. It returns false if
 // there is none.
 func (b *Budget) Take(service string) bool { return b.take(service, 0) }
--- a/internal/core/upstreamlimit/tracker.go
+++ b/internal/core/upstreamlimit/tracker.go
@@ -185,14 +185,31 @@
 	}
 	l.offered++
 	fraction = t.fraction(l)
+	return l.take(fraction), fraction
+}
+
+// take takes the credit of one attempt if a fraction of the attempts is admitted.
+func (l *limit) take(fraction float64) bool {
 	if fraction >= 1 {
-		return true, 1
+		return true
 	}
 	if l.credit += fraction; l.credit < 1 {
-		return false, fraction
+		return false
 	}
 	l.credit--
-	return true, fraction
+	return true
+}
+
+// Peek returns what Admit would, and counts nothing.
+func (t *Tracker) Peek(instance string) (ok bool, fraction float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.limits[instance]
+	if l == nil {
+		return true, 1
+	}
+	shadow, fraction := *l, t.fraction(l)
+	return shadow.take(fraction), fraction
 }
 
 // Cancel returns an admission whose attempt wasn't sent.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,6 +128,7 @@
 	limits      LimitObserver
 	quarantine  Quarantine
 	picker      *placement.Picker
+	admission   Admission
 	retryBudget *retrybudget.Budget
 	pools       *Pools
 	executors   Executors
@@ -154,8 +155,10 @@
 	Limits     LimitObserver
 	Quarantine Quarantine
 	Picker     *placement.Picker
-	Budget     *retrybudget.Budget
-	Pools      *Pools
+	// Admission explains its decisions; nil without one.
+	Admission Admission
+	Budget    *retrybudget.Budget
+	Pools     *Pools
 	// Executors run queries for this VM.
 	Executors Executors
 	// Reachability decides whether this VM reaches upstreams.
@@ -169,7 +172,7 @@
 func New(deps Dependencies) *Gateway {
 	g := &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
-		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
+		picker: deps.Picker, admission: deps.Admission, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
 		retryDetector: retrydetect.NewTracker(),
 		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -64,21 +64,11 @@
 // admit finds the route and the customer, reads the body and takes a token of
 // the customer's rate. It returns nil if the request is admitted.
 func (g *Gateway) admit(in *incoming, w http.ResponseWriter, r *http.Request) *refusal {
-	in.view, in.viewAge = g.metadata.View(), g.metadata.Age()
-	if in.view == nil {
-		return &refusal{ReasonNoConfig, otherVMRetryAfter}
-	}
-	stale := in.viewAge > g.policy.MaxKeyStaleness
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	in.route = in.view.Table.Route(r.Host, path)
-	if in.route == nil {
-		if stale { // a newer configuration may contain the route
-			return &refusal{ReasonStaleMetadata, otherVMRetryAfter}
-		}
-		return &refusal{reason: ReasonNoRoute}
+	if refused := g.findRoute(in, r.Host, r.RequestURI); refused != nil {
+		return refused
 	}
 	in.waitedBefore = g.retryDetector.Observe(in.route.Name, in.info.Timeout)
-	if refused := g.authenticate(in, stale); refused != nil {
+	if refused := g.authenticate(in, g.isStale(in)); refused != nil {
 		return refused
 	}
 	if refused := readBody(in, w, r); refused != nil {
@@ -96,6 +86,26 @@
 	return nil
 }
 
+// findRoute sets the metadata and the route of a request.
+func (g *Gateway) findRoute(in *incoming, host, uri string) *refusal {
+	in.view, in.viewAge = g.metadata.View(), g.metadata.Age()
+	if in.view == nil {
+		return &refusal{ReasonNoConfig, otherVMRetryAfter}
+	}
+	path, _, _ := strings.Cut(uri, "?")
+	in.route = in.view.Table.Route(host, path)
+	switch {
+	case in.route != nil:
+		return nil
+	case g.isStale(in): // a newer configuration may contain the route
+		return &refusal{ReasonStaleMetadata, otherVMRetryAfter}
+	}
+	return &refusal{reason: ReasonNoRoute}
+}
+
+// isStale reports whether the metadata is too old to refuse a request because of it.
+func (g *Gateway) isStale(in *incoming) bool { return in.viewAge > g.policy.MaxKeyStaleness }
+
 // customerName returns "" for a request without a customer.
 func (in *incoming) customerName() string {
 	if in.customer == nil {
--- a/internal/gateway/weighted.go
+++ b/internal/gateway/weighted.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"ryecourse.example/ryecourse/internal/core/routetable"
@@ -33,6 +34,21 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return r.Targets[advance(r, w.weightsOf(r))].Service
+}
+
+// peek returns what next would, and doesn't advance.
+func (w *weightedRoundRobin) peek(r *routetable.Route) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return r.Targets[advance(r, slices.Clone(w.weightsOf(r)))].Service
+}
+
+// weightsOf returns the current weights of a route. The caller holds mu.
+func (w *weightedRoundRobin) weightsOf(r *routetable.Route) []float64 {
 	weights := w.currentWeights[r.Name]
 	if len(weights) != len(r.Targets) {
 		weights = make([]float64, len(r.Targets))
@@ -41,6 +57,11 @@
 		}
 		w.currentWeights[r.Name] = weights
 	}
+	return weights
+}
+
+// advance chooses the target of a request and updates the weights.
+func advance(r *routetable.Route, weights []float64) int {
 	var total float64
 	best := 0
 	for i, t := range r.Targets {
@@ -51,5 +72,5 @@
 		}
 	}
 	weights[best] -= total
-	return r.Targets[best].Service
+	return best
 }
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -18,7 +18,8 @@
 	return net.JoinHostPort(d.settings.CallerAddr.Addr().String(), strconv.Itoa(metricsPort))
 }
 
-// metricsServer serves counters and histograms in the Prometheus text format.
+// metricsServer is the operators' listener. It serves counters and histograms in the
+// Prometheus text format, and explains where a request would go.
 func (d *Daemon) metricsServer() *http.Server {
 	d.registerGauges()
 	mux := http.NewServeMux()
@@ -26,6 +27,7 @@
 		d.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	mux.HandleFunc(RoutePath, d.explainRoute)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
