placement: a replica that reports to be slow just now gets fewer picks

Cause: upstreams that share their machines report how long work takes at the moment; the figure was carried to the picker and not used. The average of latencies follows it late (a weight of 0.3 a sample) and forgets it late (half-life of 2.5 s), while the figure changes within some hundred milliseconds. Change: the score is multiplied by the reported slowdown, which returns to 1 within some 250 ms. Upstreams without the figure are scored as before. The model's VMs may be farther from some upstreams. When to hedge stays as it is: an attempt at a slow replica ends long before the objective, a paused one reports nothing.

--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -73,6 +73,7 @@
 	inFlight       []*Attempt
 	reportedLoad   float64 // running and queued requests per slot, as last reported
 	loadReportedAt time.Time
+	slowdown       slowdown
 	avoidUntil     time.Time
 	replaced       bool      // another instance has answered at the address
 	coldUntil      time.Time // zero if the instance has never announced that it is cold
@@ -178,7 +179,7 @@
 	if now.Sub(inst.loadReportedAt) < loadMaxAge {
 		busy = max(busy, inst.reportedLoad)
 	}
-	s := inst.slowness*(1+busy) + inst.penalty + inst.rejectPenaltySum*scarcity + random*jitter
+	s := inst.slowness*inst.slowdown.at(now)*(1+busy) + inst.penalty + inst.rejectPenaltySum*scarcity + random*jitter
 	if inst.Announcement.Zone != zone {
 		s += remotePenalty
 	}
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -227,5 +227,6 @@
 	if load != nil && load.Slots > 0 {
 		inst.reportedLoad = float64(load.Running+load.Queued) / float64(load.Slots)
 		inst.loadReportedAt = now
+		inst.slowdown.report(now, load.Slowdown)
 	}
 }
--- a/internal/servicemodel/vm.go
+++ b/internal/servicemodel/vm.go
@@ -61,6 +61,9 @@
 	Ended func(now time.Time, r Result)
 	// Observe is called at the end of each attempt; it may be nil.
 	Observe func(now time.Time, service string, o Outcome, took time.Duration, l placement.Load)
+	// Detour is the one-way time to an upstream beyond that to the nearest ones; nil means
+	// that all are near.
+	Detour func(u *Upstream) time.Duration
 
 	clock     *simclock.Clock
 	rng       *rand.Rand
@@ -162,12 +165,16 @@
 	sentAt := vm.clock.Now()
 	vm.Picker.MarkSent(a, sentAt)
 	r.pending[a] = func() {}
-	vm.clock.After(vm.network, func() {
+	u, oneWay := vm.upstreams[a.Upstream.ID], vm.network
+	if vm.Detour != nil {
+		oneWay += vm.Detour(u)
+	}
+	vm.clock.After(oneWay, func() {
 		if _, ok := r.pending[a]; !ok {
 			return
 		}
-		r.pending[a] = vm.upstreams[a.Upstream.ID].Send(work, func(o Outcome, l placement.Load) {
-			vm.clock.After(vm.network, func() { r.onResult(shard, kind, a, sentAt, o, l) })
+		r.pending[a] = u.Send(work, func(o Outcome, l placement.Load) {
+			vm.clock.After(oneWay, func() { r.onResult(shard, kind, a, sentAt, o, l) })
 		})
 	})
 }
