placement: the price of crossing zones is a time, not a multiple of the work

Cause: instances of other zones had a penalty of 0.6 typical latencies. For requests of 120 ms that is 72 ms against a crossing of 1 to 2 ms: where zones swing against each other, requests waited in a zone at its peak while upstreams of other zones were idle. VMs with few requests don't see the load that would have outweighed it. Change: the penalty is 10 ms over the typical latency, at most 0.6 as before (work up to 17 ms), and at least the jitter of scores, so that the own zone comes first among equal instances. TestIdleZonesKeepTheirRequests: none of 500 picks among idle instances leaves the zone.

--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -35,8 +35,11 @@
 	failurePenalty = 6
 	// maxPenalty bounds the sum of penalties.
 	maxPenalty = 40
-	// remotePenalty is added to the score of instances outside this VM's zone.
-	remotePenalty = 0.6
+	// zoneWait is how long a request may wait in its VM's zone before another zone is
+	// better. It exceeds the time of crossing zones, as crossing also costs bandwidth, and
+	// is short against latency objectives. maxRemotePenalty bounds it for short work.
+	zoneWait         = 10 * time.Millisecond
+	maxRemotePenalty = 0.6
 	// overduePenalty is added to the score while an attempt is overdue, since
 	// the instance may be paused, and while the instance is avoided.
 	overduePenalty = 8
@@ -170,9 +173,19 @@
 	overdueFloor  = 4 * time.Millisecond
 )
 
+// remotePenalty returns what is added to the score of instances outside this VM's zone,
+// in multiples of the typical latency. It is at least jitter, so that an instance of the
+// zone is chosen among equal ones.
+func remotePenalty(typicalLatency time.Duration) float64 {
+	if typicalLatency <= 0 {
+		return maxRemotePenalty
+	}
+	return max(min(zoneWait.Seconds()/typicalLatency.Seconds(), maxRemotePenalty), jitter)
+}
+
 // score returns the expected latency in multiples of the typical latency, plus
 // penalties. Lower is better.
-func (inst *Instance) score(now time.Time, zone string, random, scarcity float64) float64 {
+func (inst *Instance) score(now time.Time, zone string, remotePenalty, random, scarcity float64) float64 {
 	inst.decay(now)
 	slots := float64(max(inst.Announcement.Slots, 1))
 	busy := float64(len(inst.inFlight)) / slots
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -15,6 +15,8 @@
 	zone   string
 	rand   *rand.Rand
 	limits Limits
+	// remotePenalty returns the penalty of instances in other zones, see remotePenalty.
+	remotePenalty func(typicalLatency time.Duration) float64
 
 	mu        sync.Mutex
 	services  map[string][]*Instance
@@ -38,7 +40,7 @@
 
 // NewPicker returns a picker for a VM of the zone. limits may be nil.
 func NewPicker(zone string, r *rand.Rand, limits Limits) *Picker {
-	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}}
+	return &Picker{zone: zone, rand: r, limits: limits, remotePenalty: remotePenalty, services: map[string][]*Instance{}, instances: map[string]*Instance{}}
 }
 
 // Update replaces the instances. Observations of instances that remain are
@@ -131,11 +133,12 @@
 func (p *Picker) best(now time.Time, r Request, skipped []*Instance) *Instance {
 	var best *Instance
 	var bestScore float64
+	remote := p.remotePenalty(r.TypicalLatency)
 	for _, inst := range p.services[r.Service] {
 		if !p.allowed(inst) || slices.Contains(skipped, inst) {
 			continue
 		}
-		s := inst.score(now, p.zone, p.rand.Float64(), r.ExtraAttemptScarcity)
+		s := inst.score(now, p.zone, remote, p.rand.Float64(), r.ExtraAttemptScarcity)
 		if best != nil && s >= bestScore {
 			continue
 		}
--- a/internal/core/placement/uneven_test.go
+++ b/internal/core/placement/uneven_test.go
@@ -39,6 +39,8 @@
 	perSecond float64   // of all zones together
 	// swing is the amplitude of each zone's demand, as a fraction of its mean.
 	swing float64
+	// prepare changes a VM's picker; it may be nil.
+	prepare func(*placement.Picker)
 }
 
 // unevenResult is what callers get.
@@ -87,6 +89,9 @@
 		zone := fmt.Sprint("z", i%unevenZones)
 		p := placement.NewPicker(zone, rand.New(rand.NewPCG(rng.Uint64(), 1)), nil)
 		p.Update(start, announced, nil, nil)
+		if l.prepare != nil {
+			l.prepare(p)
+		}
 		budget := retrybudget.New(clock.Now, 0.17, retrybudget.Limit{Burst: 170 / float64(l.vms)})
 		vm := servicemodel.NewVM(clock, rng, p, budget, upstreams, inZoneDelay)
 		vm.Detour = func(u *servicemodel.Upstream) time.Duration {
@@ -149,6 +154,9 @@
 		{Name: "search", MinShare: 0.95, Work: 15 * time.Millisecond, Spread: 0.35, Objective: 150 * time.Millisecond, Timeout: 800 * time.Millisecond, Attempts: 2},
 		{Name: "alert", MinShare: 0.85, Work: 5 * time.Millisecond, Spread: 0.35, Objective: 60 * time.Millisecond, Timeout: 300 * time.Millisecond, Attempts: 2},
 	}
+	historyKind = []servicemodel.Kind{
+		{Name: "history", MinShare: 1, Work: 120 * time.Millisecond, Spread: 0.5, Objective: 500 * time.Millisecond, Timeout: 3 * time.Second, Attempts: 2},
+	}
 )
 
 // drawSeeds returns the seeds of some plays. Loads that are compared have the same.
@@ -217,3 +225,38 @@
 		})
 	}
 }
+
+// TestZonesAtTheirPeakUseOtherZones guards against long requests that wait in a zone at
+// its peak while the upstreams of other zones are idle. Each VM has few requests, so that
+// it doesn't know the upstreams' load.
+func TestZonesAtTheirPeakUseOtherZones(t *testing.T) {
+	l := unevenLoad{
+		shards: 1, replicas: 8, kinds: historyKind, vms: 72, perSecond: 200, swing: 0.95, speeds: []float64{0.8, 1, 1.3},
+		behavior: servicemodel.Behavior{Slots: 6, QueueLimit: 24},
+	}
+	seeds := drawSeeds(t, 4)
+	after := l.sum(seeds)
+	l.prepare = (*placement.Picker).UseFixedRemotePenalty
+	before := l.sum(seeds)
+	t.Logf("in time %.4f, before %.4f; mean %s, before %s", after.inTimeShare(), before.inTimeShare(), after.mean(), before.mean())
+	if after.inTimeShare() < minInTime || after.inTimeShare() <= before.inTimeShare() {
+		t.Errorf("%.4f of the requests are in time, %.4f before", after.inTimeShare(), before.inTimeShare())
+	}
+}
+
+// TestIdleZonesKeepTheirRequests guards against requests that cross zones without need.
+func TestIdleZonesKeepTheirRequests(t *testing.T) {
+	p := placement.NewPicker("z1", rand.New(rand.NewPCG(rand.Uint64(), 1)), nil)
+	now := time.Unix(1000, 0)
+	announced := map[string][]routetable.Upstream{"s": {{ID: "u0", Service: "s", Zone: "z0", Slots: 6}, {ID: "u1", Service: "s", Zone: "z1", Slots: 6}, {ID: "u2", Service: "s", Zone: "z2", Slots: 6}}}
+	p.Update(now, announced, nil, nil)
+	for _, typical := range []time.Duration{0, time.Millisecond, 15 * time.Millisecond, 120 * time.Millisecond, time.Second} {
+		for range 100 {
+			a, _ := p.Pick(now, placement.Request{Service: "s", TypicalLatency: typical})
+			if a.Upstream.Zone != "z1" {
+				t.Fatalf("typical latency %s: a request goes to %s", typical, a.Upstream.Zone)
+			}
+			p.Done(a, now, placement.Canceled, nil)
+		}
+	}
+}
