--- a/internal/core/placement/explain.go
+++ b/internal/core/placement/explain.go
@@ -70,7 +70,7 @@
 	defer p.mu.Unlock()
 	out := make([]Candidate, 0, len(p.services[r.Service]))
 	for _, inst := range p.services[r.Service] {
-		out = append(out, p.candidate(now, inst, r.ExtraAttemptScarcity))
+		out = append(out, p.candidate(now, inst, &r))
 	}
 	slices.SortStableFunc(out, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(rank(a.Excluded), rank(b.Excluded)), cmp.Compare(a.Score, b.Score))
@@ -87,10 +87,11 @@
 }
 
 // candidate describes an instance. The caller holds mu.
-func (p *Picker) candidate(now time.Time, inst *Instance, scarcity float64) Candidate {
+func (p *Picker) candidate(now time.Time, inst *Instance, r *Request) Candidate {
+	scarcity := r.ExtraAttemptScarcity
 	c := Candidate{
 		Instance: inst.Announcement.ID, Zone: inst.Announcement.Zone, Slots: inst.Announcement.Slots,
-		Score:    inst.score(now, p.zone, 0, scarcity),
+		Score:    inst.score(now, p.zone, p.remotePenalty(r.TypicalLatency), 0, scarcity),
 		Slowness: inst.slowness, Penalty: inst.penalty + inst.rejectPenaltySum*scarcity,
 		InFlight: len(inst.inFlight), ReportedLoad: inst.reportedLoad, LoadAge: now.Sub(inst.loadReportedAt),
 		Avoided: now.Before(inst.avoidUntil), Overdue: inst.overdue(now), IsCold: now.Before(inst.coldUntil),
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -15,6 +15,8 @@
 	zone   string
 	rand   *rand.Rand
 	limits Limits
+	// remotePenalty returns the penalty of instances in other zones, see remotePenalty.
+	remotePenalty func(typicalLatency time.Duration) float64
 
 	mu        sync.Mutex
 	services  map[string][]*Instance
@@ -41,7 +43,7 @@
 
 // NewPicker returns a picker for a VM of the zone. limits may be nil.
 func NewPicker(zone string, r *rand.Rand, limits Limits) *Picker {
-	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}, stated: newStatements()}
+	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}, remotePenalty: remotePenalty, stated: newStatements()}
 }
 
 // Update replaces the instances. Observations of instances that remain are
@@ -140,6 +142,7 @@
 	var best *Instance
 	var bestScore float64
 	coldSkipped := false
+	remote := p.remotePenalty(r.TypicalLatency)
 	for _, inst := range p.services[r.Service] {
 		if !p.allowed(inst) || slices.Contains(skipped, inst) {
 			continue
@@ -150,7 +153,7 @@
 			}
 			continue
 		}
-		s := inst.score(now, p.zone, p.rand.Float64(), r.ExtraAttemptScarcity)
+		s := inst.score(now, p.zone, remote, p.rand.Float64(), r.ExtraAttemptScarcity)
 		if best != nil && s >= bestScore {
 			continue
 		}
@@ -249,5 +252,6 @@
 		if o == Answered {
 			inst.observeWork(took)
 		}
+		inst.slowdown.report(now, load.Slowdown)
 	}
 }
