--- a/internal/core/loadshed/demand.go
+++ b/internal/core/loadshed/demand.go
@@ -1,7 +1,9 @@
 package loadshed
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -110,20 +112,13 @@
 
 // evenPart returns the limit on each customer with which admitted requests remain in all.
 func (l *levelDemand) evenPart(admitted float64) float64 {
-	limit, left, customers := 0.0, admitted, len(l.customer)
-	for {
-		next, fewer := left/float64(customers), 0
-		rest, remaining := admitted, len(l.customer)
-		for _, n := range l.customer {
-			if n <= next {
-				rest -= n
-				remaining--
-				fewer++
-			}
-		}
-		if remaining == 0 || next <= limit+1e-9 {
-			return next
+	counts := slices.Sorted(maps.Values(l.customer))
+	for i, n := range counts {
+		part := admitted / float64(len(counts)-i)
+		if n >= part {
+			return part
 		}
-		limit, left, customers = next, rest, remaining
+		admitted -= n
 	}
+	return math.Inf(1)
 }
--- a/internal/core/loadshed/loadshed_test.go
+++ b/internal/core/loadshed/loadshed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -96,6 +97,16 @@
 	}
 }
 
+// TestEvenPart checks the division of what is admitted among customers.
+func TestEvenPart(t *testing.T) {
+	l := levelDemand{customer: map[string]float64{"a": 1, "b": 2, "c": 9, "d": 9}}
+	for admitted, want := range map[float64]float64{2: 0.5, 4: 1, 7: 2, 11: 4, 21: 9} {
+		if got := l.evenPart(admitted); math.Abs(got-want) > 1e-9 {
+			t.Errorf("of %v requests each customer gets %v at most, want %v", admitted, got, want)
+		}
+	}
+}
+
 // TestNothingIsRejectedWithoutShortage covers free slots, loads that aren't known, and a
 // shard without which the request has an answer.
 func TestNothingIsRejectedWithoutShortage(t *testing.T) {
