loadshed: the most urgent rank isn't rejected while others run

Cause: in a burst of slow work (the fault soak's TestBurst: 80 ms a request, four slots) a single waiting request is more than the tolerated wait, so that the rejected fraction stays at its bound. The other ranks then run by the rule that a request isn't rejected without one waiting, and the most urgent rank, whose share of the demand is small, lost 0.4 of its requests: each overshoot of the controller is a large part of a small rank. Besides, attempts that wait for a connection are in no upstream's report, so that 450 of 1,200 requests ran into their timeout in the VMs' own pools. Ruled out: a lower bound of the fraction (the urgent rank alone may be too much); no rejections of the most urgent rank at all (three times the load of one kind). Change: the most urgent rank's rejected fraction is bounded by the time, up to a second, for which all other ranks have been rejected, less 100 ms for each of them that found a free slot. Pressure counts attempts that wait for a connection. loadshed.Peek follows Decide.

--- a/internal/core/loadshed/demand.go
+++ b/internal/core/loadshed/demand.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// lesserShare returns the fraction of the demand that is rejected if the most urgent rank
+// isn't touched.
+func (d *demand) lesserShare() float64 {
+	if d.total <= 0 {
+		return 0
+	}
+	return max(d.total-d.level[d.mostUrgent()].total, 0) * maxLevelFraction / d.total
+}
+
+// mostUrgent returns the most urgent rank with demand.
+func (d *demand) mostUrgent() int {
+	for i := range d.level {
+		if d.level[i].total >= minDemand {
+			return i
+		}
+	}
+	return levels - 1
+}
+
 // fraction returns the fraction of requests with a rank and customer to reject so
 // that overall is rejected of all requests: the less urgent ranks first, and of a rank
 // the customers with the most requests.
--- a/internal/core/loadshed/group.go
+++ b/internal/core/loadshed/group.go
@@ -26,6 +26,11 @@
 	releaseTime = 300 * time.Millisecond
 	// maxFraction leaves some requests through which the loads become known.
 	maxFraction = 0.98
+	// escalationTime is the time over which the most urgent rank is reached.
+	escalationTime = time.Second
+	// admittedTime is the time by which that is put off for each request of another rank
+	// that has found a free slot.
+	admittedTime = 100 * time.Millisecond
 	// minFraction is the rejected fraction below which nothing is rejected.
 	minFraction = 0.05
 	// idleExcess is the excess below which nothing waits; -1 is that without a wait, 0 that
@@ -65,7 +70,10 @@
 	// excess is the largest of the kinds' waits over their tolerated waits, less 1.
 	excess   float64
 	integral float64
-	fraction float64 // of all requests that is rejected
+	// lesserRejected is for how long all ranks but the most urgent one have been rejected,
+	// up to escalationTime, less admittedTime for each request of them that ran.
+	lesserRejected time.Duration
+	fraction       float64 // of all requests that is rejected
 
 	// isBlind is set while this VM has hardly any recent report, and admittedAt is when it
 	// last admitted a request.
@@ -237,13 +245,47 @@
 	return p.Wait.Seconds()
 }
 
-// control sets the rejected fraction.
+// fractionFor returns the fraction of requests of a rank and customer to reject. While
+// requests of other ranks run, none of the most urgent one are rejected.
+func (g *group) fractionFor(level int, customer string) float64 {
+	f := g.demand.fraction(g.fraction, level, customer)
+	if level == g.demand.mostUrgent() && g.demand.lesserShare() > 0 {
+		f = min(f, g.escalation())
+	}
+	return f
+}
+
+// escalation returns how far the most urgent rank is reached, from 0 to 1.
+func (g *group) escalation() float64 {
+	return min(g.lesserRejected.Seconds()/escalationTime.Seconds(), 1)
+}
+
+// admitLesser records a request of a rank that is being rejected and that found a free
+// slot: while there are some, the most urgent rank isn't rejected.
+func (g *group) admitLesser(level int) {
+	if level > g.demand.mostUrgent() {
+		g.lesserRejected = max(g.lesserRejected-admittedTime, 0)
+	}
+}
+
+// control sets the rejected fraction. While the less urgent ranks are rejected as a whole,
+// what was admitted before still waits for a while; so the most urgent rank is reached
+// only gradually.
 func (g *group) control(dt time.Duration) {
-	g.integral = min(max(g.integral+integralGain*min(g.excess, maxExcess)*dt.Seconds(), 0), maxFraction)
+	limit := maxFraction
+	if lesser := g.demand.lesserShare(); lesser > 0 && lesser < maxFraction {
+		limit = lesser + (maxFraction-lesser)*g.escalation()
+		if g.fraction < lesser {
+			g.lesserRejected = max(g.lesserRejected-dt, 0)
+		} else {
+			g.lesserRejected = min(g.lesserRejected+dt, escalationTime)
+		}
+	}
+	g.integral = min(max(g.integral+integralGain*min(g.excess, maxExcess)*dt.Seconds(), 0), limit)
 	if g.excess < idleExcess {
 		g.integral *= math.Exp(-dt.Seconds() / releaseTime.Seconds())
 	}
-	g.fraction = min(max(g.integral+proportionalGain*g.excess, 0), maxFraction)
+	g.fraction = min(max(g.integral+proportionalGain*g.excess, 0), limit)
 	if g.fraction < minFraction {
 		g.fraction = 0
 	}
--- a/internal/core/loadshed/loadshed.go
+++ b/internal/core/loadshed/loadshed.go
@@ -107,7 +107,7 @@
 	if g.fraction <= 0 {
 		return d
 	}
-	d.Fraction = g.demand.fraction(g.fraction, levelOf(&r), r.Customer)
+	d.Fraction = g.fractionFor(levelOf(&r), r.Customer)
 	if d.Fraction <= 0 || s.rand.Float64() >= d.Fraction || g.probes(now) {
 		g.admittedAt = now
 		return d
@@ -118,6 +118,7 @@
 	p := &g.pressures[slowest]
 	if loadOf(p) <= 1 {
 		g.admittedAt = now
+		g.admitLesser(levelOf(&r))
 		return d
 	}
 	d.Admit = false
@@ -156,7 +157,7 @@
 	if !isKnown(&p) {
 		return true
 	}
-	if hedge && g.demand.fraction(g.fraction, levelOf(r), r.Customer) > 0 {
+	if hedge && g.fractionFor(levelOf(r), r.Customer) > 0 {
 		return p.PerSlot < 1
 	}
 	return p.Wait <= toleratedWait(r.Objective)
--- a/internal/core/loadshed/peek.go
+++ b/internal/core/loadshed/peek.go
@@ -16,8 +16,8 @@
 	if g == nil || g.fraction <= 0 {
 		return d
 	}
-	d.Overall, d.Fraction = g.fraction, g.demand.fraction(g.fraction, r.Priority, r.Customer)
-	if d.Fraction > 0 && d.Load >= 1 {
+	d.Overall, d.Fraction = g.fraction, g.fractionFor(levelOf(&r), r.Customer)
+	if d.Fraction > 0 && d.Load > 1 {
 		d.Admit, d.RetryAfter = false, retryAfter(d.Fraction, 0)
 	}
 	return d
--- a/internal/core/placement/pressure.go
+++ b/internal/core/placement/pressure.go
@@ -84,13 +84,13 @@
 		p.RecentSum += w * inst.reportedLoad
 		p.RecentWeight += w
 	}
-	sentSince := 0
+	unreported := 0 // also those that wait for a connection
 	for _, a := range inst.inFlight {
-		if a.sentAt.After(inst.loadReportedAt) {
-			sentSince++
+		if !a.sent || a.sentAt.After(inst.loadReportedAt) {
+			unreported++
 		}
 	}
-	return inst.reportedLoad + float64(sentSince)/slots
+	return inst.reportedLoad + float64(unreported)/slots
 }
 
 // recentAge is the age from which a report is no longer recent.
