--- a/internal/core/loadshed/group.go
+++ b/internal/core/loadshed/group.go
@@ -18,7 +18,7 @@
 	smoothing = 200 * time.Millisecond
 	// proportionalGain is the rejected fraction for a wait of twice the tolerated one, and
 	// integralGain that which is added each second.
-	proportionalGain = 0.2
+	proportionalGain = 0.3
 	integralGain     = 1.5
 	// maxExcess bounds the excess for the integral.
 	maxExcess = 2
