--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -158,14 +158,16 @@
 // explainPlacement returns the refusal of an admitted request, if upstreams are overloaded
 // or this VM would run it and lacks upstreams.
 func (g *Gateway) explainPlacement(in *incoming, e *Explanation) *refusal {
-	if g.admission != nil {
-		a := g.admission.ExplainAdmission(in.started, AdmissionQuestion{Route: in.route, Services: serviceNames(e.Services), Priority: e.Priority, Customer: in.customerName()})
-		e.Admission = &a
-		switch {
-		case a.RejectedFraction >= 1:
-			return &refusal{a.Reason, millisToDuration(a.RetryAfterMs)}
-		case a.RejectedFraction > 0:
-			e.Verdict = Unknown
+	if services := serviceNames(e.Services); len(services) > 0 {
+		in.services = services
+		r := g.shedRequest(in)
+		r.Priority = e.Priority
+		d := g.shedder.Peek(in.started, r)
+		e.Admission = &AdmissionAnswer{
+			RejectedFraction: d.Fraction, Service: d.Service, Load: d.Load, AgeMs: toMillis(d.Age), RetryAfterMs: toMillis(d.RetryAfter),
+		}
+		if !d.Admit {
+			e.Admission.Reason, e.Verdict = ReasonOverloaded, Unknown
 		}
 	}
 	refused := g.explainStart(in, e.Services)
--- a/internal/gateway/explanation.go
+++ b/internal/gateway/explanation.go
@@ -1,11 +1,6 @@
 package gateway
 
-import (
-	"time"
-
-	"ryecourse.example/ryecourse/internal/core/placement"
-	"ryecourse.example/ryecourse/internal/core/routetable"
-)
+import "ryecourse.example/ryecourse/internal/core/placement"
 
 // Question is a request that Explain is asked about. It isn't sent.
 type Question struct {
@@ -32,25 +27,11 @@
 	Unknown     Verdict = "unknown"
 )
 
-// Admission explains which requests are rejected because of load. It counts none.
-type Admission interface {
-	ExplainAdmission(now time.Time, q AdmissionQuestion) AdmissionAnswer
-}
-
-// AdmissionQuestion is a request that Admission is asked about.
-type AdmissionQuestion struct {
-	Route *routetable.Route
-	// Services are by shard.
-	Services []string
-	Priority int
-	Customer string
-}
-
-// AdmissionAnswer is what an Admission would decide.
+// AdmissionAnswer is which of such requests are rejected because of load.
 type AdmissionAnswer struct {
 	// RejectedFraction is the fraction of such requests, 0 to 1, that are rejected now.
 	RejectedFraction float64 `json:"rejected_fraction"`
-	// Reason is that of the refusal.
+	// Reason is that of the refusal; empty if none is rejected now.
 	Reason Reason `json:"reason,omitempty"`
 	// Service is the one whose load decides, Load its running and queued requests per
 	// slot, and AgeMs the age of what they rest on.
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -24,6 +24,7 @@
 
 	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/fleet"
+	"ryecourse.example/ryecourse/internal/core/loadshed"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/quarantine"
@@ -128,7 +129,8 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker,
+		Shedder: loadshed.New(d.picker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
@@ -208,7 +210,7 @@
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 	d.limits.Retain(instances(v))
-	d.reachable.SetInstances(len(instances(v)))
+	d.reachable.SetInstances(len(gateway.UsableInstances(v)))
 }
 
 // instances returns the IDs of all instances of a view.
