--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/boottime"
@@ -15,6 +16,9 @@
 
 // Send implements fanout.Sender.
 func (q *proxyRequest) Send(shard int, kind fanout.Kind) fanout.SendResult {
+	if slices.Contains(q.leftOut, shard) {
+		return fanout.NoBudget
+	}
 	if kind != fanout.First && q.maySpreadCrash() {
 		q.deniedAsSuspect++
 		return fanout.NoBudget
@@ -79,6 +83,8 @@
 // shards have no upstream for a success.
 func (q *proxyRequest) start() {
 	now := time.Now()
+	r := q.g.shedRequest(q.in)
+	q.leftOut = q.g.shedder.LeaveOut(&r)
 	q.starting = true
 	q.query.Start(now)
 	q.starting = false
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -123,7 +123,7 @@
 	var out []ServiceExplained
 	for _, service := range services {
 		s := ServiceExplained{Service: service, ExtraAttemptsLeft: g.retryBudget.Left(service), Candidates: []CandidateExplained{}}
-		for _, c := range g.picker.Explain(now, placement.Request{Service: service, ExtraAttemptScarcity: g.retryBudget.Scarcity(service)}) {
+		for _, c := range g.picker.Explain(now, placement.Request{Service: service, TypicalLatency: g.latencyFor(in.route.Name).Median(), ExtraAttemptScarcity: g.retryBudget.Scarcity(service)}) {
 			if c.Excluded == placement.Usable {
 				s.Usable++
 			}
