Say that a request hasn't run where no upstream can have received it

Cause: an attempt that was still pending at the end counted as one that may run, also one that waited for a connection; and a query ends as soon as one shard has failed, while the rejections of the others are on their way.

Change: at the end of a request without a response, attempts that wait for a connection are withdrawn, so that they are never written; what counts is whether any written one may have run. A query that fails by a shard waits up to 5 ms for attempts that may still be rejected, if none may have run it so far. Whether a request that was written and not acknowledged has been read can't be known: it goes on to get 502.

Tests: a table of ten ways in which an attempt ends, for requests of both kinds and queries; on "accepts no connections", "is full" and "refuses connections" fail there, and both cases of TestQueryIsCalledNotRunIfNoShardHasRunIt.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -120,6 +120,13 @@
 	return slices.Max(w.count) > 0
 }
 
+// withdraw makes sure that no further attempt is written.
+func (w *writeCounts) withdraw() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.withdrawn = true
+}
+
 // undo records that the upstream hasn't run a written attempt.
 func (w *writeCounts) undo(shard int) {
 	w.mu.Lock()
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -48,17 +48,37 @@
 	return nil
 }
 
-// failureReason returns why there is no response to pass on.
+// failureReason ends the request without a response to pass on, and returns why there is
+// none. Attempts that still wait for a connection are withdrawn.
 func (q *proxyRequest) failureReason() Reason {
+	q.writes.withdraw()
 	if q.query.Outcome() == fanout.TimedOut {
 		return q.refineReason(ReasonTimedOut)
 	}
+	q.awaitRejections()
 	return q.refineReason(ReasonUpstreamsFailed)
 }
 
-// fail responds without an upstream's response. If no attempt may have run the
-// request and none is pending, the response guarantees that it hasn't run; only such
-// responses carry a Retry-After.
+// rejectionTime is the time in which an upstream rejects an attempt that it won't run.
+const rejectionTime = 5 * time.Millisecond
+
+// awaitRejections waits for the attempts of a query that has failed by a shard, if none may
+// have run it so far. If all of them are rejected, the caller knows that it hasn't run.
+func (q *proxyRequest) awaitRejections() {
+	timer := time.NewTimer(rejectionTime)
+	defer timer.Stop()
+	for q.attemptsInFlight > 0 && q.writes.any() && q.query.Verdict() == verdict.NotRun {
+		select {
+		case r := <-q.done:
+			q.handleResult(r)
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// fail responds without an upstream's response. If no upstream may have run the request,
+// the response guarantees that it hasn't run; only such responses carry a Retry-After.
 func (q *proxyRequest) fail(w http.ResponseWriter) requestResult {
 	reason := q.failureReason()
 	q.g.refuse(w, reason, q.refusalRetryAfter(reason))
@@ -73,11 +93,11 @@
 	return otherVMRetryAfter
 }
 
-// refineReason replaces the reason of a request that no attempt may have run and that
-// has none pending, here or on another VM.
+// refineReason replaces the reason of a request that no upstream may have run or will run,
+// here or by another VM.
 func (q *proxyRequest) refineReason(reason Reason) Reason {
 	switch {
-	case q.query.Verdict() != verdict.NotRun || q.attemptsInFlight > 0 || q.runsElsewhere:
+	case q.query.Verdict() != verdict.NotRun || q.runsElsewhere || q.writes.any():
 		return reason
 	case q.rejectedByUpstream:
 		return ReasonRejectedByUpstreams
