Send other VMs a request's crashes at once

Change: when an instance has ended, a VM sends its suspects to the others at once: to all in a small fleet; in a large one to a relay, and the relays pass them on to each other. The message is an exchange without reports, which an older build ignores. One is sent to a peer at a time; what changes meanwhile goes with the next one.

--- a/internal/fleetrpc/exchanger.go
+++ b/internal/fleetrpc/exchanger.go
@@ -96,6 +96,9 @@
 	discovered   bool                              // a report of the VM has been received since this process started
 	// suspectsDigest is that of the VM's suspects in its last message.
 	suspectsDigest uint64
+	// alerting is set while the suspects are being sent at once, alertAgain if they have
+	// changed since.
+	alerting, alertAgain bool
 }
 
 // Size holds the numbers of VMs that limits are divided by.
@@ -144,7 +147,7 @@
 	now := boottime.Now()
 	reports := decodeReports(now, req.Reports)
 	if len(reports) == 0 {
-		return &fleetv1.ExchangeResponse{}, nil
+		return e.onAlert(now, req), nil
 	}
 	sender := reports[0] // a VM's own report comes first, see fleet.Table.ReportsFor
 	e.suspects.Merge(now, decodeSuspects(now, req.Suspects))
--- a/internal/fleetrpc/exchanger_test.go
+++ b/internal/fleetrpc/exchanger_test.go
@@ -156,6 +156,38 @@
 	}
 }
 
+// TestCrashIsSpreadWithoutAnExchange guards against a request that ends upstreams on VMs that
+// learn of it with their next exchange only.
+func TestCrashIsSpreadWithoutAnExchange(t *testing.T) {
+	one, oneUsage, seed := start(t, "a")
+	two, _, addrTwo := start(t, "b", seed)
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, known := oneUsage.report(addrTwo); known {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the VMs don't find each other")
+		}
+	}
+	crash := func(e *Exchanger, instance uint64) {
+		e.suspects.Merge(boottime.Now(), []quarantine.Suspect{{Fingerprint: 7, Crashes: []quarantine.Crash{{Instance: instance, At: boottime.Now()}}}})
+	}
+	crash(two, 2)
+	for i := range uint64(20) {
+		crash(one, 3+i)
+		one.SpreadSuspects()
+	}
+	// Far below the time between two exchanges, in which some of the runs would pass by chance.
+	for deadline := time.Now().Add(ReportInterval / 2); ; time.Sleep(time.Millisecond) {
+		if one.suspects.Digest() == two.suspects.Digest() && len(two.suspects.Suspects()[0].Crashes) == 21 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("suspects are %+v and %+v", one.suspects.Suspects(), two.suspects.Suspects())
+		}
+	}
+}
+
 func TestFollowCarriesChangesAndTheirAge(t *testing.T) {
 	_, _, reader := start(t, "a")
 	exchanger, _, _ := start(t, "a")
--- a/internal/fleetrpc/suspects.go
+++ b/internal/fleetrpc/suspects.go
@@ -1,8 +1,10 @@
 package fleetrpc
 
 import (
+	"context"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/quarantine"
 	fleetv1 "ryecourse.example/ryecourse/internal/gen/fleet/v1"
 )
@@ -65,3 +67,63 @@
 func timeOf(now time.Duration, ageMs uint32) time.Duration {
 	return now - time.Duration(ageMs)*time.Millisecond
 }
+
+// SpreadSuspects sends this VM's suspects to others at once. A request that ends upstreams
+// comes to several VMs within the time to the next exchange.
+func (e *Exchanger) SpreadSuspects() {
+	now := boottime.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, address := range e.members.AlertTargets(now) {
+		p := e.peer(address)
+		if p.alerting {
+			p.alertAgain = true
+			continue
+		}
+		p.alerting = true
+		go e.alert(address, p)
+	}
+}
+
+// alert sends this VM's suspects to a peer, and again if they change meanwhile.
+func (e *Exchanger) alert(address string, p *peer) {
+	for {
+		now := boottime.Now()
+		e.mu.Lock()
+		p.alertAgain = false
+		req := &fleetv1.ExchangeRequest{}
+		req.SuspectsDigest, req.Suspects = e.suspectsFor(now, p.suspectsDigest)
+		e.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		resp, err := p.client.Exchange(ctx, req)
+		cancel()
+		e.mu.Lock()
+		if err == nil {
+			e.suspects.Merge(boottime.Now(), decodeSuspects(boottime.Now(), resp.Suspects))
+			p.suspectsDigest = resp.SuspectsDigest
+		} else {
+			e.log.Event("alert_failed").Str("peer", address).Str("error", err.Error()).Send()
+		}
+		again := p.alertAgain && err == nil
+		p.alerting = again
+		e.mu.Unlock()
+		if !again {
+			return
+		}
+	}
+}
+
+// onAlert handles a request without reports.
+func (e *Exchanger) onAlert(now time.Duration, req *fleetv1.ExchangeRequest) *fleetv1.ExchangeResponse {
+	before := e.suspects.Digest()
+	e.suspects.Merge(now, decodeSuspects(now, req.Suspects))
+	resp := &fleetv1.ExchangeResponse{}
+	resp.SuspectsDigest, resp.Suspects = e.suspectsFor(now, req.SuspectsDigest)
+	e.mu.Lock()
+	passesOn := e.members.PassesAlertsOn(now)
+	e.mu.Unlock()
+	if passesOn && resp.SuspectsDigest != before {
+		e.SpreadSuspects()
+	}
+	return resp
+}
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -123,7 +123,7 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Limits: d.limits, Quarantine: d.quarantine, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Quarantine: spreadingQuarantine{d.quarantine, d.exchanger}, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
@@ -230,6 +230,18 @@
 	e.Send()
 }
 
+// spreadingQuarantine is a quarantine whose crashes other VMs learn of at once.
+type spreadingQuarantine struct {
+	*quarantine.Tracker
+	exchanger *fleetrpc.Exchanger
+}
+
+// AddCrash implements gateway.Quarantine.
+func (s spreadingQuarantine) AddCrash(now time.Duration, fingerprint, instance uint64) {
+	s.Tracker.AddCrash(now, fingerprint, instance)
+	s.exchanger.SpreadSuspects()
+}
+
 // logQuarantine logs the begin or end of a quarantine.
 func (d *Daemon) logQuarantine(c quarantine.Change) {
 	e := d.log.Event("quarantine").Str("fingerprint", fmt.Sprintf("%016x", c.Fingerprint)).Bool("quarantined", c.Quarantined)
