Hedge no query before one of its shards has responded

Change: a query over three shards or more gets no hedge while none of them has responded. All slow at once by chance is unlikely; if the VM's links have failed it is handed over before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,10 @@
 	if kind != fanout.First && q.handOver(now, shard) {
 		return fanout.Elsewhere
 	}
+	if q.awaitsFirstResponse(kind) {
+		q.deniedAsSuspect++
+		return fanout.NoBudget
+	}
 	if q.elsewhere != nil { // this VM adds no attempts to those of the other one
 		return fanout.NoBudget
 	}
--- a/internal/gateway/losses.go
+++ b/internal/gateway/losses.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ryecourse.example/ryecourse/internal/boottime"
+	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/upstreamhttp"
 )
@@ -137,6 +138,19 @@
 	return quarantined
 }
 
+// minAwaitingShards is the number of shards from which it is unlikely that all are slow at
+// once for reasons of their own.
+const minAwaitingShards = 3
+
+// awaitsFirstResponse reports whether a query isn't hedged because none of its shards has
+// responded. Such a query may be about to end the upstreams that run it, before the first
+// of them is known to be lost; hedges would end a second one of each shard. If the VM's
+// links have failed, it is handed over before that.
+func (q *proxyRequest) awaitsFirstResponse(kind fanout.Kind) bool {
+	isHedge := kind == fanout.Hedge || kind == fanout.UrgentHedge
+	return isHedge && len(q.services) >= minAwaitingShards && !q.responded.Load()
+}
+
 // onConnectionLost finds out whether an instance that closed a connection with a request
 // on it has ended, and if so, records the crash.
 func (q *proxyRequest) onConnectionLost(u routetable.Upstream, a *upstreamhttp.Result) {
