--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -20,11 +20,14 @@
 	viewAge  time.Duration
 	route    *routetable.Route
 	customer *routetable.Customer
+	services []string // by shard; nil until they are chosen
 	// waitedBefore is how long the caller has waited in earlier tries of this
 	// request.
 	waitedBefore time.Duration
-	body         []byte
-	fingerprint  Fingerprint
+	// wasLate is set if another VM reports that the caller has waited for too long.
+	wasLate     bool
+	body        []byte
+	fingerprint Fingerprint
 	// softTimeout replaces that of the route unless it is 0: another VM has used a part
 	// of it.
 	softTimeout time.Duration
@@ -64,21 +67,11 @@
 // admit finds the route and the customer, reads the body and takes a token of
 // the customer's rate. It returns nil if the request is admitted.
 func (g *Gateway) admit(in *incoming, w http.ResponseWriter, r *http.Request) *refusal {
-	in.view, in.viewAge = g.metadata.View(), g.metadata.Age()
-	if in.view == nil {
-		return &refusal{ReasonNoConfig, otherVMRetryAfter}
-	}
-	stale := in.viewAge > g.policy.MaxKeyStaleness
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	in.route = in.view.Table.Route(r.Host, path)
-	if in.route == nil {
-		if stale { // a newer configuration may contain the route
-			return &refusal{ReasonStaleMetadata, otherVMRetryAfter}
-		}
-		return &refusal{reason: ReasonNoRoute}
+	if refused := g.findRoute(in, r.Host, r.RequestURI); refused != nil {
+		return refused
 	}
 	in.waitedBefore = g.retryDetector.Observe(in.route.Name, in.info.Timeout)
-	if refused := g.authenticate(in, stale); refused != nil {
+	if refused := g.authenticate(in, g.isStale(in)); refused != nil {
 		return refused
 	}
 	if refused := readBody(in, w, r); refused != nil {
@@ -96,6 +89,26 @@
 	return nil
 }
 
+// findRoute sets the metadata and the route of a request.
+func (g *Gateway) findRoute(in *incoming, host, uri string) *refusal {
+	in.view, in.viewAge = g.metadata.View(), g.metadata.Age()
+	if in.view == nil {
+		return &refusal{ReasonNoConfig, otherVMRetryAfter}
+	}
+	path, _, _ := strings.Cut(uri, "?")
+	in.route = in.view.Table.Route(host, path)
+	switch {
+	case in.route != nil:
+		return nil
+	case g.isStale(in): // a newer configuration may contain the route
+		return &refusal{ReasonStaleMetadata, otherVMRetryAfter}
+	}
+	return &refusal{reason: ReasonNoRoute}
+}
+
+// isStale reports whether the metadata is too old to refuse a request because of it.
+func (g *Gateway) isStale(in *incoming) bool { return in.viewAge > g.policy.MaxKeyStaleness }
+
 // customerName returns "" for a request without a customer.
 func (in *incoming) customerName() string {
 	if in.customer == nil {
@@ -104,6 +117,16 @@
 	return in.customer.Name
 }
 
+// lateFraction is the part of its latency objective from which a caller that has waited
+// for it in earlier tries can hardly be answered in time.
+const lateFraction = 0.5
+
+// canHardlyBeInTime reports whether the caller has waited in earlier tries for so long
+// that the request can hardly be answered within its route's latency objective.
+func (in *incoming) canHardlyBeInTime() bool {
+	return in.wasLate || in.route.Objective > 0 && float64(in.waitedBefore) > lateFraction*float64(in.route.Objective)
+}
+
 // isLate reports whether the caller has waited for its route's latency
 // objective already.
 func (in *incoming) isLate() bool {
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -76,6 +76,10 @@
 	case isQuarantined(res.err):
 		g.refuse(w, ReasonQuarantined, quarantineRetryAfter)
 		g.record(in, requestResult{reason: ReasonQuarantined, status: statusOf[ReasonQuarantined], executor: res.executor, err: res.err})
+	case isRejectedForLoad(res.err):
+		retryAfter := retryAfterOf(res.err)
+		g.refuse(w, ReasonOverloaded, retryAfter)
+		g.record(in, requestResult{reason: ReasonOverloaded, status: statusOf[ReasonOverloaded], executor: res.executor, err: res.err})
 	case res.notRun:
 		return false
 	default:
@@ -155,7 +159,7 @@
 			g.executors.Avoid(time.Now(), addr)
 		}
 		g.logExecutorFailure(in, addr, res.err)
-		if !res.notRun || isQuarantined(res.err) {
+		if !res.notRun || isQuarantined(res.err) || isOverloaded(res.err) {
 			return res
 		}
 	}
@@ -187,7 +191,7 @@
 func (g *Gateway) executorRequest(in *incoming, method string, head []byte) *executor.Request {
 	return &executor.Request{
 		ID: in.info.ID, Route: in.route.Name, RouteFingerprint: in.route.Fingerprint(),
-		ConfigVersion: in.view.Table.Config.Version, Customer: in.customerName(),
+		ConfigVersion: in.view.Table.Config.Version, Customer: in.customerName(), Late: in.canHardlyBeInTime(),
 		Method: method, Head: head, Body: in.body, Fingerprint: uint64(in.fingerprint), MaxRuns: in.route.Attempts,
 	}
 }
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -24,6 +24,7 @@
 
 	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/fleet"
+	"ryecourse.example/ryecourse/internal/core/loadshed"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/quarantine"
@@ -89,6 +90,10 @@
 	// firstStartSourceRead how long those that read from others wait for these.
 	firstStartRead       = 1200 * time.Millisecond
 	firstStartSourceRead = 4 * time.Second
+	// leavingGraceFraction is the part of the users' bound on drains in which the last
+	// replica of a shard gets requests although it leaves. The rest is for requests on
+	// their way to it.
+	leavingGraceFraction = 0.5
 	// spareVMs is the number of VMs that may join before this VM discovers them.
 	spareVMs = 3
 )
@@ -105,6 +110,7 @@
 	d.quarantine = quarantine.NewTracker(quarantine.DefaultPolicy(), d.logQuarantine)
 	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
+	d.picker.SetLeavingGrace(time.Duration(float64(s.Bounds.Drain) * leavingGraceFraction))
 	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{})
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
 	rates := customerrate.DefaultPolicy()
@@ -123,7 +129,8 @@
 	d.exchanger.SetChangeSource(d.follower)
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
-		Limiter: d.limiter, Limits: d.limits, Quarantine: spreadingQuarantine{d.quarantine, d.exchanger}, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker, Budget: d.budget, Pools: d.pools, Log: d.log,
+		Limiter: d.limiter, Limits: d.limits, Quarantine: spreadingQuarantine{d.quarantine, d.exchanger}, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker,
+		Shedder: loadshed.New(d.picker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Budget: d.budget, Pools: d.pools, Log: d.log,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
