--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,10 @@
 	if kind != fanout.First && q.handOver(now, shard) {
 		return fanout.Elsewhere
 	}
+	if q.awaitsFirstResponse(kind) {
+		q.deniedAsSuspect++
+		return fanout.NoBudget
+	}
 	if kind != fanout.First && !q.admitsExtra(now, shard, kind) {
 		q.deniedByLoad++
 		return fanout.NoBudget
