gateway: connections to upstreams are divided so that their sum stays within the cap

Besides, executors had 0.6 of the connections and extra attempts of services without shards, which each VM calls for itself. Ruled out: the first VMs by rank of each instance (a VM then has no replica of one shard in four); rank modulo replicas (half of the VMs change whenever one comes or goes); none beside executors (nobody runs a query while they are lost). Instances without a share are a last resort, over connections that are closed when idle. Services without shards are divided by all VMs, also their extra attempts.

--- a/internal/core/fleet/executors.go
+++ b/internal/core/fleet/executors.go
@@ -28,10 +28,9 @@
 		return nil
 	}
 	largest := t.self.CPUShare
-	vms := map[string]int{t.self.Zone: 1}
+	vms := t.ZoneSizes()
 	for _, m := range t.members {
 		largest = max(largest, m.report.CPUShare)
-		vms[m.report.Zone]++
 	}
 	candidates := map[string][]Report{}
 	add := func(r Report) {
@@ -67,6 +66,15 @@
 	return n
 }
 
+// ZoneSizes returns the number of known VMs of each zone, with this one.
+func (t *Table) ZoneSizes() map[string]int {
+	out := map[string]int{t.self.Zone: 1}
+	for _, m := range t.members {
+		out[m.report.Zone]++
+	}
+	return out
+}
+
 // maxHelperSilence is the age of its last report from which a VM of a small fleet, in
 // which reports take no relay, isn't asked for help.
 const maxHelperSilence = time.Second
--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -166,6 +166,16 @@
 	return false
 }
 
+// isFailing reports whether recent attempts have failed or are overdue, other than because
+// the instance is full.
+func (inst *Instance) isFailing(now time.Time) bool {
+	if now.Sub(inst.loadReportedAt) < loadMaxAge && inst.reportedLoad >= 1 {
+		return false
+	}
+	inst.decay(now)
+	return inst.penalty >= failurePenalty/2 || inst.overdue(now)
+}
+
 const (
 	// overdueFactor and overdueFloor define when an attempt is overdue. The
 	// tail latency of typical requests stays below them.
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -22,6 +22,8 @@
 	services  map[string][]*Instance
 	instances map[string]*Instance // by ID
 	evacuated map[string]bool
+	// unshared are the instances of whose connections this VM has no share.
+	unshared map[string]bool
 }
 
 // ColdRate returns how many requests per second this VM may send to a cold
@@ -72,6 +74,14 @@
 	p.services, p.instances, p.evacuated = services, instances, evacuated
 }
 
+// SetUnshared replaces the instances of whose connections this VM has no share, by ID.
+// They are picked only if the others of their service are tried or failing.
+func (p *Picker) SetUnshared(ids map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unshared = ids
+}
+
 // allowed reports whether the instance may be picked at all. The limit of a cold one
 // is checked by Pick.
 func (p *Picker) allowed(inst *Instance) bool {
@@ -133,19 +143,21 @@
 func (p *Picker) best(now time.Time, r Request, skipped []*Instance) *Instance {
 	var best *Instance
 	var bestScore float64
+	bestIsLast := false
 	remote := p.remotePenalty(r.TypicalLatency)
 	for _, inst := range p.services[r.Service] {
 		if !p.allowed(inst) || slices.Contains(skipped, inst) {
 			continue
 		}
 		s := inst.score(now, p.zone, remote, p.rand.Float64(), r.ExtraAttemptScarcity)
-		if best != nil && s >= bestScore {
+		isLast := len(p.unshared) > 0 && (p.unshared[inst.Announcement.ID] || inst.isFailing(now))
+		if best != nil && (isLast && !bestIsLast || isLast == bestIsLast && s >= bestScore) {
 			continue
 		}
 		if now.Before(inst.coldUntil) && !inst.cold.allow(now) {
 			continue
 		}
-		best, bestScore = inst, s
+		best, bestScore, bestIsLast = inst, s, isLast
 	}
 	return best
 }
--- a/internal/core/retrybudget/retrybudget.go
+++ b/internal/core/retrybudget/retrybudget.go
@@ -19,6 +19,8 @@
 	mu    sync.Mutex
 	ratio float64
 	limit Limit
+	// limits are those of the services whose limit differs.
+	limits map[string]Limit
 	// tokens and earnedAt are by service; earnedAt is when time last earned any.
 	tokens   map[string]float64
 	earnedAt map[string]time.Time
@@ -47,28 +49,46 @@
 }
 
 // SetLimit changes the limit. A budget holds one token at least.
-func (b *Budget) SetLimit(l Limit) {
+func (b *Budget) SetLimit(l Limit) { b.SetLimits(l, nil) }
+
+// SetLimits changes the limit and replaces those of the services whose limit differs.
+func (b *Budget) SetLimits(l Limit, services map[string]Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.limit, b.limits = l.atLeastOne(), map[string]Limit{}
+	for service, limit := range services {
+		b.limits[service] = limit.atLeastOne()
+	}
+}
+
+func (l Limit) atLeastOne() Limit {
 	l.Burst = max(l.Burst, 1)
-	b.limit = l
+	return l
+}
+
+// limitOf returns the limit of a service. The caller holds mu.
+func (b *Budget) limitOf(service string) Limit {
+	if l, ok := b.limits[service]; ok {
+		return l
+	}
+	return b.limit
 }
 
 // AddForRequest credits a request to the service.
 func (b *Budget) AddForRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[service] = min(b.available(service)+b.ratio, b.limit.Burst)
+	b.tokens[service] = min(b.available(service)+b.ratio, b.limitOf(service).Burst)
 }
 
 // available returns the tokens of a service. The caller holds mu.
 func (b *Budget) available(service string) float64 {
-	now := b.now()
+	now, limit := b.now(), b.limitOf(service)
 	n, ok := b.tokens[service]
 	if !ok {
-		n = b.limit.Burst * initialFraction
+		n = limit.Burst * initialFraction
 	} else if dt := now.Sub(b.earnedAt[service]).Seconds(); dt > 0 {
-		n = min(n+dt*b.limit.PerSecond, b.limit.Burst)
+		n = min(n+dt*limit.PerSecond, limit.Burst)
 	}
 	b.tokens[service], b.earnedAt[service] = n, now
 	return n
@@ -103,14 +123,14 @@
 func (b *Budget) Scarcity(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(1-b.available(service)/b.limit.Burst, minScarcity)
+	return max(1-b.available(service)/b.limitOf(service).Burst, minScarcity)
 }
 
 // TakeHedge spends a token on a hedge that its request can succeed without. It
 // leaves up to one token for attempts that their requests need.
 func (b *Budget) TakeHedge(service string) bool {
 	b.mu.Lock()
-	reserved := min(1, (b.limit.Burst-1)/2)
+	reserved := min(1, (b.limitOf(service).Burst-1)/2)
 	b.mu.Unlock()
 	return b.take(service, reserved)
 }
--- a/internal/core/retrybudget/retrybudget_test.go
+++ b/internal/core/retrybudget/retrybudget_test.go
@@ -148,3 +148,28 @@
 		t.Error("a token was spent twice")
 	}
 }
+
+// TestServicesMayHaveLimitsOfTheirOwn checks that a limit of one service leaves the others
+// alone, and that it ends when the limits are replaced.
+func TestServicesMayHaveLimitsOfTheirOwn(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	b := New(func() time.Time { return clock }, 1, Limit{Burst: 2})
+	b.SetLimits(Limit{Burst: 2}, map[string]Limit{"own": {Burst: 5}})
+	spend := func(service string) int {
+		for range 20 {
+			b.AddForRequest(service)
+		}
+		n := 0
+		for b.Take(service) {
+			n++
+		}
+		return n
+	}
+	if own, other := spend("own"), spend("other"); own != 5 || other != 2 {
+		t.Errorf("%d and %d extra attempts, want 5 and 2", own, other)
+	}
+	b.SetLimits(Limit{Burst: 3}, nil)
+	if n := spend("own"); n != 3 {
+		t.Errorf("%d extra attempts without a limit of its own, want 3", n)
+	}
+}
--- a/internal/fleetrpc/exchanger.go
+++ b/internal/fleetrpc/exchanger.go
@@ -204,6 +204,13 @@
 	return e.members.Rank(name)
 }
 
+// ZoneSizes returns the number of known VMs of each zone, with this one.
+func (e *Exchanger) ZoneSizes() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.members.ZoneSizes()
+}
+
 // Leave starts calls that notify other VMs that this VM stops. It doesn't wait for
 // them.
 func (e *Exchanger) Leave(ctx context.Context) { e.tick(ctx, true) }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -15,22 +15,31 @@
 
 	mu    sync.Mutex
 	pools map[string]*instancePool // by instance ID
-	limit func(service string) int
+	limit func(u routetable.Upstream) int
 }
 
 type instancePool struct {
 	upstream routetable.Upstream
 	pool     *upstreamhttp.Pool
+	// isTemporary is set if this VM has no share of the instance's connections. Idle
+	// connections of its extra attempts aren't kept.
+	isTemporary bool
+}
+
+func (np *instancePool) setLimit(limit int) {
+	np.isTemporary = limit == 0
+	np.pool.SetLimit(limit)
 }
 
 // NewPools returns an empty set of pools.
 func NewPools(dial upstreamhttp.Dial, inspector upstreamhttp.Inspector) *Pools {
-	return &Pools{dial: dial, inspector: inspector, pools: map[string]*instancePool{}, limit: func(string) int { return 1 }}
+	return &Pools{dial: dial, inspector: inspector, pools: map[string]*instancePool{}, limit: func(routetable.Upstream) int { return 1 }}
 }
 
 // Update closes the pools of instances that are no longer listed and sets the
-// connection limits of the others.
-func (p *Pools) Update(upstreams map[string][]routetable.Upstream, limit func(service string) int) {
+// connection limits of the others. A limit of 0 means that connections are closed as soon
+// as they are idle.
+func (p *Pools) Update(upstreams map[string][]routetable.Upstream, limit func(u routetable.Upstream) int) {
 	current := map[string]routetable.Upstream{}
 	for _, list := range upstreams {
 		for _, u := range list {
@@ -42,16 +51,32 @@
 	defer p.mu.Unlock()
 	p.limit = limit
 	for id, np := range p.pools {
-		if u, ok := current[id]; !ok || !u.SameInstance(np.upstream) {
+		u, ok := current[id]
+		if !ok || !u.SameInstance(np.upstream) {
 			np.pool.Close()
 			delete(p.pools, id)
 			continue
 		}
-		np.pool.SetLimit(limit(np.upstream.Service))
+		np.setLimit(limit(u))
 		np.pool.CloseExpired(now)
 	}
 }
 
+// CloseTemporary closes idle connections to instances of which this VM has no share.
+func (p *Pools) CloseTemporary() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, np := range p.pools {
+		if !np.isTemporary {
+			continue
+		}
+		if open, idle, _ := np.pool.Stats(); open > 0 && open == idle {
+			np.pool.Close()
+			delete(p.pools, id)
+		}
+	}
+}
+
 // Get returns the pool of an instance, which it creates on first use.
 func (p *Pools) Get(u routetable.Upstream) *upstreamhttp.Pool {
 	p.mu.Lock()
@@ -61,7 +86,9 @@
 		if np != nil {
 			np.pool.Close()
 		}
-		np = &instancePool{upstream: u, pool: upstreamhttp.NewPool(u.Address, p.limit(u.Service), p.dial, p.inspector)}
+		limit := p.limit(u)
+		np = &instancePool{upstream: u, pool: upstreamhttp.NewPool(u.Address, limit, p.dial, p.inspector)}
+		np.isTemporary = limit == 0
 		p.pools[u.ID] = np
 	}
 	return np.pool
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -55,6 +55,7 @@
 	dialer     net.Dialer // of connections to upstreams
 	exchanger  *fleetrpc.Exchanger
 	size       atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
+	unshared   atomic.Int64                  // upstreams to which this VM keeps no connections
 	started    time.Time
 	stopping   chan struct{}
 	stopOnce   sync.Once
@@ -106,7 +107,7 @@
 	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
 	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{})
-	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}))
+	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}, true))
 	rates := customerrate.DefaultPolicy()
 	rates.Slack = s.Bounds.QuotaSlack
 	d.limiter = customerrate.NewLimiter(rates)
@@ -173,26 +174,13 @@
 		size.VMs = max(size.VMs, expectedVMs)
 	}
 	size.VMs = max(size.VMs, minVMs)
+	d.pools.CloseTemporary()
 	if size == *d.size.Swap(&size) {
 		return
 	}
-	d.budget.SetLimit(d.budgetLimit(size))
+	d.budget.SetLimit(d.budgetLimit(size, true))
 	if v := d.follower.View(); v != nil {
-		d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
-	}
-}
-
-// budgetLimit returns this VM's part of the users' retry slack. In a large fleet a
-// part of it is earned with time, as the VMs have few requests of their own.
-func (d *Daemon) budgetLimit(size fleetrpc.Size) retrybudget.Limit {
-	part := d.settings.Bounds.RetrySlack * vmFraction(size, spareVMs)
-	if size.Executors == 0 {
-		return retrybudget.Limit{Burst: part * retrySlackFraction}
-	}
-	earned := part * retrySlackEarnedFraction
-	return retrybudget.Limit{
-		Burst:     part*retrySlackFraction - earned,
-		PerSecond: earned / max(d.settings.Bounds.RetryWindow, time.Second).Seconds(),
+		d.share(v)
 	}
 }
 
@@ -201,7 +189,7 @@
 	d.limiter.Update(time.Now(), v.Table.Config.Customers)
 	d.gateway.Update(v.Table)
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
-	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
+	d.share(v)
 	d.limits.Retain(instances(v))
 	d.reachable.SetInstances(len(instances(v)))
 }
@@ -257,35 +245,6 @@
 	}
 }
 
-// connectionFraction is the fraction of an upstream's connections that the
-// fleet uses. The rest is for VMs that are added or restarted.
-const connectionFraction = 0.8
-
-func (d *Daemon) connectionLimit(v *metadata.View, service string) int {
-	s := v.Table.Service(service)
-	if s == nil {
-		return 1
-	}
-	return max(int(float64(s.MaxConnections)*connectionFraction*vmFraction(*d.size.Load(), 0)), 1)
-}
-
-// executorsFraction is the fraction of the limits on extra attempts and connections
-// that the executors share. The rest is for the VMs that run a query without one.
-const executorsFraction = 0.6
-
-// vmFraction returns this VM's fraction of limits that hold for all VMs together.
-// spare is the number of VMs that may join before this one discovers them.
-func vmFraction(size fleetrpc.Size, spare int) float64 {
-	if size.Executors == 0 {
-		return 1 / float64(size.VMs+spare)
-	}
-	fraction := (1 - executorsFraction) / float64(size.VMs+spare)
-	if size.IsExecutor {
-		fraction += executorsFraction / float64(size.Executors+1)
-	}
-	return fraction
-}
-
 // Run serves until SIGTERM.
 func (d *Daemon) Run(ctx context.Context) error {
 	runtime.GOMAXPROCS(max(d.settings.Cores, 1))
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -48,6 +48,7 @@
 		open, _, _ := d.pools.Stats()
 		return float64(open)
 	})
+	gauge("upstreams_without_share", func() float64 { return float64(d.unshared.Load()) })
 	gauge("upstream_connections_opened", func() float64 {
 		_, _, dials := d.pools.Stats()
 		return float64(dials)
