gateway: malformed load reports are counted, and logged once in ten seconds

Cause: a load report that can't be read was dropped without a trace, so that operators couldn't see why the load of upstreams isn't known. Ruled out: an error for the caller (the answer is whole); a line for each report (an upstream may send one with each answer). Change: the platform's headers state such a report, the gateway counts and logs it; an event tells how many upstreams this VM keeps no connection to whenever the fleet's size changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -145,6 +145,9 @@
 	if a.Response != nil {
 		q.g.reachable.Responded(time.Now())
 	}
+	if a.Info.MalformedLoad != "" {
+		q.g.malformedLoads.add(now, u, a.Info.MalformedLoad)
+	}
 	if a.Response != nil && !a.Info.WrongInstance {
 		q.g.limits.Observe(now, u.ID, a.Info.LimitPerSecond, a.Info.HasLimit)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,13 +136,14 @@
 	log         *eventlog.Log
 	metrics     *Metrics
 
-	stopping      atomic.Bool
-	remoteQueries atomic.Int64 // other VMs' queries that are running
-	probingLinks  atomic.Bool
-	latencies     sync.Map // *fanout.Latency by route name
-	retryDetector *retrydetect.Tracker
-	weights       weightedRoundRobin
-	table         *routetable.Table // of the last Update
+	malformedLoads malformedLoads
+	stopping       atomic.Bool
+	remoteQueries  atomic.Int64 // other VMs' queries that are running
+	probingLinks   atomic.Bool
+	latencies      sync.Map // *fanout.Latency by route name
+	retryDetector  *retrydetect.Tracker
+	weights        weightedRoundRobin
+	table          *routetable.Table // of the last Update
 }
 
 // Dependencies are the settings and collaborators of a Gateway.
@@ -170,8 +171,8 @@
 	g := &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
 		picker: deps.Picker, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
-		retryDetector: retrydetect.NewTracker(),
-		weights:       weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
+		retryDetector: retrydetect.NewTracker(), malformedLoads: malformedLoads{log: deps.Log, metrics: deps.Metrics},
+		weights: weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
 	g.losses = &lossChecker{pools: deps.Pools, linksWork: g.linksWork, waiting: map[string][]func(upstreamhttp.Liveness){}}
 	return g
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -33,6 +33,7 @@
 type Metrics struct {
 	set                 *metrics.Set
 	extraAttemptsDenied *metrics.Counter
+	malformedLoads      *metrics.Counter
 	attempts            *metrics.Counter
 	hedges              *metrics.Counter
 	atLimit             *metrics.Counter
@@ -45,6 +46,7 @@
 	return &Metrics{
 		set:                 set,
 		extraAttemptsDenied: set.NewCounter("ryecourse_gateway_repeats_denied_total"),
+		malformedLoads:      set.NewCounter("ryecourse_gateway_malformed_load_reports_total"),
 		attempts:            set.NewCounter("ryecourse_gateway_attempts_total"),
 		hedges:              set.NewCounter("ryecourse_gateway_hedges_total"),
 		atLimit:             set.NewCounter("ryecourse_gateway_attempts_at_limit_total"),
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -181,6 +181,8 @@
 	d.budget.SetLimit(d.budgetLimit(size, true))
 	if v := d.follower.View(); v != nil {
 		d.share(v)
+		d.log.Event("connection_shares").Int("vms", size.VMs).Int("executors", size.Executors).Bool("is_executor", size.IsExecutor).
+			Int("upstreams", len(instances(v))).Int64("without_share", d.unshared.Load()).Send()
 	}
 }
 
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -63,6 +63,8 @@
 	// Load is valid if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// MalformedLoad is a load report that can't be read; empty if there is none.
+	MalformedLoad string
 	// LimitPerSecond is the limit on the requests of all VMs together that the upstream
 	// states; valid if HasLimit is set.
 	LimitPerSecond float64
