connshare: one connection where the configuration doesn't state a limit

Cause: found on reading: a service that the configuration doesn't name yet, or names without a limit, got no share at any VM, where each had one connection before. Ruled out: an unlimited number; the upstream may have a limit all the same. Change: an unknown limit gives each VM one connection. Test: TestUnknownLimitGivesEachVMAConnection.

--- a/internal/core/connshare/connshare.go
+++ b/internal/core/connshare/connshare.go
@@ -52,8 +52,11 @@
 
 // Shares returns how many connections this VM may open to each replica of a service, by
 // ID. Replicas of which it has no share are absent. limit is the number of connections
-// that a replica accepts.
+// that a replica accepts; 0 if it isn't known.
 func (f *Fleet) Shares(replicas []Replica, limit int, isShard bool) map[string]int {
+	if limit <= 0 {
+		return equalShares(replicas, 1)
+	}
 	usable := float64(limit) * usedFraction
 	vms := max(f.VMs, 1)
 	if !isShard || f.Executors == 0 {
--- a/internal/core/connshare/connshare_test.go
+++ b/internal/core/connshare/connshare_test.go
@@ -207,3 +207,12 @@
 		}
 	}
 }
+
+// TestUnknownLimitGivesEachVMAConnection guards against a service that no VM reaches, as
+// the configuration doesn't state its connections yet.
+func TestUnknownLimitGivesEachVMAConnection(t *testing.T) {
+	f := Fleet{Self: "a", Zone: "z0", VMs: 74, Executors: 8, Rank: 73}
+	if got := f.Shares([]Replica{{ID: "u"}, {ID: "v"}}, 0, true); got["u"] != 1 || got["v"] != 1 {
+		t.Errorf("the shares are %v", got)
+	}
+}
--- a/internal/gatewaydaemon/shares.go
+++ b/internal/gatewaydaemon/shares.go
@@ -58,11 +58,13 @@
 	return out
 }
 
+// maxConnections returns the connections that each upstream of a service accepts; 0 if the
+// configuration doesn't name the service yet.
 func maxConnections(v *metadata.View, service string) int {
 	if s := v.Table.Service(service); s != nil {
 		return s.MaxConnections
 	}
-	return 1
+	return 0
 }
 
 // calledDirectly returns the services that routes without shards name, and no route with
