gatewaydaemon: the division of connections is computed anew only where it changes

Cause: each new view divided the connections of all services, while a view mostly changes one upstream; with 91,000 upstreams that is some 2,000 to 30,000 divisions a view. Ruled out: a division by upstream on demand (Pick would wait for it). Change: a service's division is kept while its instances, their limit and the fleet are the same. Test: TestSharesFollowWhatTheyDependOn. Conclusion: not measured at that size.

--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -55,7 +55,9 @@
 	dialer     net.Dialer // of connections to upstreams
 	exchanger  *fleetrpc.Exchanger
 	size       atomic.Pointer[fleetrpc.Size] // numbers that limits are divided by
-	unshared   atomic.Int64                  // upstreams to which this VM keeps no connections
+	sharesMu   sync.Mutex
+	shares     shareCache   // guarded by sharesMu
+	unshared   atomic.Int64 // upstreams to which this VM keeps no connections
 	started    time.Time
 	stopping   chan struct{}
 	stopOnce   sync.Once
--- a/internal/gatewaydaemon/shares.go
+++ b/internal/gatewaydaemon/shares.go
@@ -1,6 +1,8 @@
 package gatewaydaemon
 
 import (
+	"reflect"
+	"slices"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/connshare"
@@ -15,6 +17,8 @@
 
 // share divides the connections to upstreams and the extra attempts among the VMs.
 func (d *Daemon) share(v *metadata.View) {
+	d.sharesMu.Lock()
+	defer d.sharesMu.Unlock()
 	size, direct := *d.size.Load(), calledDirectly(v.Table)
 	budgets := map[string]retrybudget.Limit{}
 	for service := range direct {
@@ -27,9 +31,10 @@
 		Executors: size.Executors, IsExecutor: size.IsExecutor, Rank: d.exchanger.Rank(connectionRank),
 	}
 	limits, unshared := map[string]int{}, map[string]bool{}
+	known := d.shares.take(f)
 	for service, list := range v.Upstreams {
 		replicas := usableReplicas(v, list)
-		shares := f.Shares(replicas, maxConnections(v, service), !direct[service])
+		shares := d.shares.divide(known, service, division{replicas: replicas, limit: maxConnections(v, service), isShard: !direct[service]})
 		for _, r := range replicas {
 			limits[r.ID] = shares[r.ID]
 			if limits[r.ID] == 0 {
@@ -47,6 +52,42 @@
 	d.unshared.Store(int64(len(unshared)))
 }
 
+// shareCache holds the division of each service's connections, since views change far
+// more often than the instances of one service.
+type shareCache struct {
+	fleet     connshare.Fleet
+	divisions map[string]division
+}
+
+// division is the result for one service and what it follows from.
+type division struct {
+	replicas []connshare.Replica
+	limit    int
+	isShard  bool
+	shares   map[string]int
+}
+
+// take empties the cache for a new view and returns the divisions that still hold.
+func (c *shareCache) take(f connshare.Fleet) map[string]division {
+	known := c.divisions
+	if !reflect.DeepEqual(f, c.fleet) {
+		known = nil
+	}
+	c.fleet, c.divisions = f, map[string]division{}
+	return known
+}
+
+// divide returns the shares of a service.
+func (c *shareCache) divide(known map[string]division, service string, d division) map[string]int {
+	if old, ok := known[service]; ok && old.limit == d.limit && old.isShard == d.isShard && slices.Equal(old.replicas, d.replicas) {
+		d.shares = old.shares
+	} else {
+		d.shares = c.fleet.Shares(d.replicas, d.limit, d.isShard)
+	}
+	c.divisions[service] = d
+	return d.shares
+}
+
 // usableReplicas returns the instances that may be sent requests.
 func usableReplicas(v *metadata.View, list []routetable.Upstream) []connshare.Replica {
 	var out []connshare.Replica
--- a/internal/gatewaydaemon/shares_test.go
+++ b/internal/gatewaydaemon/shares_test.go
@@ -1,9 +1,11 @@
 package gatewaydaemon
 
 import (
+	"maps"
 	"testing"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/connshare"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/fleetrpc"
 	"ryecourse.example/ryecourse/platform"
@@ -43,3 +45,26 @@
 		}
 	}
 }
+
+// TestSharesFollowWhatTheyDependOn guards against a division that is kept after its
+// instances, their limit or the fleet have changed.
+func TestSharesFollowWhatTheyDependOn(t *testing.T) {
+	small := connshare.Fleet{Self: "a", Zone: "z0", VMs: 10, ByZone: map[string]int{"z0": 10}}
+	large := small
+	large.VMs = 20
+	u, v := connshare.Replica{ID: "u", Zone: "z0"}, connshare.Replica{ID: "v", Zone: "z0"}
+	var c shareCache
+	for i, step := range []struct {
+		fleet    connshare.Fleet
+		replicas []connshare.Replica
+		limit    int
+	}{
+		{small, []connshare.Replica{u}, 100}, {small, []connshare.Replica{u}, 100}, {small, []connshare.Replica{u, v}, 100},
+		{small, []connshare.Replica{u, v}, 50}, {large, []connshare.Replica{u, v}, 50}, {small, []connshare.Replica{v}, 50},
+	} {
+		got := c.divide(c.take(step.fleet), "s", division{replicas: step.replicas, limit: step.limit, isShard: true})
+		if want := step.fleet.Shares(step.replicas, step.limit, true); !maps.Equal(got, want) {
+			t.Errorf("step %d: the shares are %v, want %v", i, got, want)
+		}
+	}
+}
