placement tests: VMs that run queries over one replica of each shard

Cause: where executors are lost, each VM has connections to one replica of each shard; nothing showed what callers get then.

--- a/internal/core/placement/uneven_test.go
+++ b/internal/core/placement/uneven_test.go
@@ -262,3 +262,28 @@
 		}
 	}
 }
+
+// TestVMsWithAShareOfOneReplica plays the loss of all executors: each VM runs its own
+// queries, with connections to one replica of each shard. Callers must be served as if it
+// had connections to all.
+func TestVMsWithAShareOfOneReplica(t *testing.T) {
+	l := unevenLoad{shards: 36, replicas: 3, kinds: queryKinds, vms: 66, behavior: noisy, perSecond: 120, swing: 0.55, speeds: []float64{0.8, 1, 1.3}}
+	l.behavior.ReportsSlowdown = true
+	seeds := drawSeeds(t, 4)
+	before := l.sum(seeds)
+	l.prepare = func(p *placement.Picker) {
+		unshared := map[string]bool{}
+		for s := range l.shards {
+			shared := rand.IntN(l.replicas)
+			for r := range l.replicas {
+				unshared[fmt.Sprintf("s%d-%d", s, r)] = r != shared
+			}
+		}
+		p.SetUnshared(unshared)
+	}
+	after := l.sum(seeds)
+	t.Logf("in time %.4f, before %.4f; mean %s, before %s", after.inTimeShare(), before.inTimeShare(), after.mean(), before.mean())
+	if after.inTimeShare() < minInTime || after.inTimeShare() < before.inTimeShare()-maxLoss {
+		t.Errorf("%.4f of the queries are in time, %.4f with all replicas", after.inTimeShare(), before.inTimeShare())
+	}
+}
