servicemodel: lost requests end in the order of their arrivals

Change: requests have the number of their arrival and end in that order; WarmAt returns when the cold time ends.

--- a/internal/servicemodel/upstream.go
+++ b/internal/servicemodel/upstream.go
@@ -4,7 +4,9 @@
 package servicemodel
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/core/placement"
@@ -71,6 +73,7 @@
 }
 
 type request struct {
+	number  int // of the arrival
 	work    time.Duration
 	done    func(Outcome, placement.Load)
 	started bool
@@ -99,9 +102,9 @@
 }
 
 func (u *Upstream) loseAll() {
-	lost := u.active
+	lost := slices.SortedFunc(maps.Keys(u.active), func(a, b *request) int { return a.number - b.number })
 	u.active, u.queue, u.running = map[*request]bool{}, nil, 0
-	for r := range lost {
+	for _, r := range lost {
 		u.Counts.Lost++
 		r.done(Lost, placement.Load{})
 	}
@@ -140,7 +143,7 @@
 		u.clock.After(0, func() { done(Rejected, load) })
 		return func() {}
 	}
-	r := &request{work: work, done: done}
+	r := &request{number: u.Counts.Arrivals, work: work, done: done}
 	u.active[r] = true
 	u.queue = append(u.queue, r)
 	u.startQueued()
@@ -231,3 +234,6 @@
 	}
 	return f
 }
+
+// WarmAt returns when the upstream's cold time ends or has ended.
+func (u *Upstream) WarmAt() time.Time { return u.startedAt.Add(u.Behavior.ColdFor) }
