pace: upstreams that start or recover get their requests back as they answer

A new instance got its whole part at once; one that had failed stayed idle until its penalties had decayed. Ruled out: ramps by time, concurrency, latency gradient, doubled probes, shadow traffic, a fleet-wide rate, one warming VM (docs/design/pace.md). Change: package core/pace finds the fraction of an instance's requests that it bears, from answers, losses, rejections and load reports; the picker asks it for instances that return; stages travel in the reports' field paces. Limits of cold instances, stated limits and the retry budget hold as before.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -40,6 +40,17 @@
 	Demand float64
 }
 
+// UpstreamPace is a stage of the return of an instance that a VM found, see package pace.
+type UpstreamPace struct {
+	Instance string
+	// Stage is the encoded stage.
+	Stage uint32
+	// PerSecond is the rate of the instance's good answers to the VM at the stage before.
+	PerSecond float64
+	// FoundAt is when the VM found it, on this VM's clock.
+	FoundAt time.Duration
+}
+
 // State is the part of a VM's report that changes.
 type State struct {
 	Leaving bool
@@ -50,6 +61,8 @@
 	Usage map[uint32]Usage
 	// Limits is sorted by instance.
 	Limits []UpstreamLimit
+	// Paces is sorted by time, the newest first.
+	Paces []UpstreamPace
 }
 
 // Report is one VM's report about itself.
@@ -68,9 +81,10 @@
 	CPUShare float64
 	// At is when the VM wrote the report, converted to this VM's clock.
 	At time.Duration
-	// Usage and Limits are as in State.
+	// Usage, Limits and Paces are as in State.
 	Usage  map[uint32]Usage
 	Limits []UpstreamLimit
+	Paces  []UpstreamPace
 }
 
 // Policy holds the sizes and time limits of a Table.
@@ -154,7 +168,7 @@
 // UpdateSelf replaces the VM's own report.
 func (t *Table) UpdateSelf(now time.Duration, s State) {
 	t.self.Sequence++
-	t.self.At, t.self.Usage, t.self.Limits = now, s.Usage, s.Limits
+	t.self.At, t.self.Usage, t.self.Limits, t.self.Paces = now, s.Usage, s.Limits, s.Paces
 	t.self.Leaving, t.self.Isolated = s.Leaving, s.Isolated
 }
 
--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -77,6 +77,10 @@
 	replaced       bool      // another instance has answered at the address
 	coldUntil      time.Time // zero if the instance has never announced that it is cold
 	cold           coldLimiter
+	// returning and answers are the pace's, at paceVersion.
+	returning, answers bool
+	paceVersion        uint64
+	pickedAt           time.Time // of the last attempt
 }
 
 // Attempt is one attempt in flight at an instance.
@@ -171,7 +175,7 @@
 
 // score returns the expected latency in multiples of the typical latency, plus
 // penalties. Lower is better.
-func (inst *Instance) score(now time.Time, zone string, random, scarcity float64) float64 {
+func (inst *Instance) score(now time.Time, zone string, random, scarcity float64, pace paceState) float64 {
 	inst.decay(now)
 	slots := float64(max(inst.Announcement.Slots, 1))
 	busy := float64(len(inst.inFlight)) / slots
@@ -179,6 +183,12 @@
 		busy = max(busy, inst.reportedLoad)
 	}
 	s := inst.slowness*(1+busy) + inst.penalty + inst.rejectPenaltySum*scarcity + random*jitter
+	switch pace {
+	case admittable: // the pace takes the place of what was observed
+		s = 1 + busy + random*jitter
+	case heldBack:
+		s += heldBackPenalty
+	}
 	if inst.Announcement.Zone != zone {
 		s += remotePenalty
 	}
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -15,11 +15,13 @@
 	zone   string
 	rand   *rand.Rand
 	limits Limits
+	pace   Pace // nil for none
 
 	mu        sync.Mutex
 	services  map[string][]*Instance
 	instances map[string]*Instance // by ID
 	evacuated map[string]bool
+	firstView bool // until instances are known
 }
 
 // ColdRate returns how many requests per second this VM may send to a cold
@@ -38,7 +40,7 @@
 
 // NewPicker returns a picker for a VM of the zone. limits may be nil.
 func NewPicker(zone string, r *rand.Rand, limits Limits) *Picker {
-	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}}
+	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}, firstView: true}
 }
 
 // Update replaces the instances. Observations of instances that remain are
@@ -50,12 +52,14 @@
 	for service, list := range upstreams {
 		for _, u := range list {
 			inst := p.instances[u.ID]
-			if inst == nil || !inst.Announcement.SameInstance(u) {
+			isNew := inst == nil || !inst.Announcement.SameInstance(u)
+			if isNew {
 				inst = newInstance(u, now)
 			}
 			// The cold period counts from the announcement. An unchanged time is
 			// taken for that of an earlier one, and must not extend the period. An
 			// announcement of 0 doesn't end the period early.
+			wasColdUntil := inst.coldUntil
 			if u.Cold > 0 && u.Cold != inst.Announcement.Cold || u.Cold > 0 && inst.coldUntil.IsZero() {
 				inst.coldUntil = now.Add(u.Cold)
 			}
@@ -63,11 +67,13 @@
 			if cold != nil && u.Cold > 0 {
 				inst.cold.rate, inst.cold.limited = cold(u)
 			}
+			p.begin(now, inst, isNew, wasColdUntil)
 			instances[u.ID] = inst
 			services[service] = append(services[service], inst)
 		}
 	}
 	p.services, p.instances, p.evacuated = services, instances, evacuated
+	p.firstView = p.firstView && len(instances) == 0
 }
 
 // allowed reports whether the instance may be picked at all. The limit of a cold one
@@ -102,15 +108,17 @@
 
 // Pick starts an attempt at the instance with the lowest score. It skips those in
 // Tried, draining or replaced ones, those in evacuated zones, cold ones to which this
-// VM may not send at now, and those whose limit doesn't admit the attempt. It returns
-// nil if none is left.
+// VM may not send at now, and those whose limit doesn't admit the attempt. Returning ones
+// whose pace doesn't admit it come later for first attempts, and get no hedges. It returns nil if none is left.
 func (p *Picker) Pick(now time.Time, r Request) (*Attempt, Shortage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var shortage Shortage
+	var held []*Instance
+	paced, isHedge, isRetry := p.updateReturning(r.Service), len(r.Tried) > 0, r.RetryTried
 	skipped := r.Tried
 	for {
-		best := p.best(now, r, skipped)
+		best := p.best(now, r, skipped, held, paced, isRetry)
 		if best == nil && r.RetryTried {
 			r.RetryTried, skipped = false, skipped[len(r.Tried):]
 			continue
@@ -118,6 +126,14 @@
 		if best == nil {
 			return nil, shortage
 		}
+		if paced && !isRetry && !slices.Contains(held, best) && p.isHeldBack(now, best) {
+			if isHedge {
+				skipped = append(slices.Clip(skipped), best)
+			} else {
+				held = append(held, best)
+			}
+			continue
+		}
 		ok, fraction := p.admit(best)
 		if ok {
 			return p.start(now, best, r.TypicalLatency), Shortage{}
@@ -127,15 +143,21 @@
 	}
 }
 
-// best returns the instance with the lowest score, or nil. The caller holds mu.
-func (p *Picker) best(now time.Time, r Request, skipped []*Instance) *Instance {
+// best returns the instance with the lowest score, or nil. held are those that their pace
+// holds back; paced is set if some instances of the service are returning and others
+// aren't. The caller holds mu.
+func (p *Picker) best(now time.Time, r Request, skipped, held []*Instance, paced, isRetry bool) *Instance {
 	var best *Instance
 	var bestScore float64
 	for _, inst := range p.services[r.Service] {
 		if !p.allowed(inst) || slices.Contains(skipped, inst) {
 			continue
 		}
-		s := inst.score(now, p.zone, p.rand.Float64(), r.ExtraAttemptScarcity)
+		pace := noPace
+		if paced {
+			pace = inst.paceState(isRetry, slices.Contains(held, inst))
+		}
+		s := inst.score(now, p.zone, p.rand.Float64(), r.ExtraAttemptScarcity, pace)
 		if best != nil && s >= bestScore {
 			continue
 		}
@@ -160,6 +182,7 @@
 	}
 	a := &Attempt{Instance: inst, Upstream: inst.Announcement, sentAt: now, typicalLatency: typicalLatency}
 	inst.inFlight = append(inst.inFlight, a)
+	inst.pickedAt = now
 	return a
 }
 
@@ -224,6 +247,7 @@
 	case WrongInstance:
 		inst.replaced = true
 	}
+	p.observePace(a, now, o, load)
 	if load != nil && load.Slots > 0 {
 		inst.reportedLoad = float64(load.Running+load.Queued) / float64(load.Slots)
 		inst.loadReportedAt = now
--- a/internal/fleetrpc/exchanger.go
+++ b/internal/fleetrpc/exchanger.go
@@ -43,6 +43,15 @@
 	RemoveVM(address string)
 }
 
+// PaceTracker tracks the paces of returning upstreams, see pace.Tracker. bootNow is the
+// time on the clock of the reports.
+type PaceTracker interface {
+	// Tick returns the paces that this VM reports.
+	Tick(now time.Time, bootNow time.Duration) []fleet.UpstreamPace
+	// ApplyReport applies a report of another VM.
+	ApplyReport(now time.Time, bootNow time.Duration, r fleet.Report)
+}
+
 const (
 	// ReportInterval is the time between two ticks, in which a VM updates its
 	// report and calls other VMs. VMs adapt to a change in a customer's demand on
@@ -63,6 +72,7 @@
 type Exchanger struct {
 	usage    UsageTracker
 	limits   LimitTracker
+	paces    PaceTracker // nil for none
 	suspects SuspectTracker
 	log      *eventlog.Log
 	client   *http.Client
@@ -131,6 +141,9 @@
 // VMs. It must be called before Run.
 func (e *Exchanger) SetChangeSource(source ChangeSource) { e.changes = source }
 
+// SetPaces sets the tracker of paces. It must be called before Run.
+func (e *Exchanger) SetPaces(paces PaceTracker) { e.paces = paces }
+
 // Handler returns the path and handler of the FleetService.
 func (e *Exchanger) Handler() (string, http.Handler) {
 	return fleetv1connect.NewFleetServiceHandler(server{e}, connect.WithReadMaxBytes(maxMessageBytes))
@@ -165,6 +178,9 @@
 	for _, r := range e.members.Merge(reports, sender) {
 		e.usage.ApplyReport(now, r)
 		e.limits.ApplyReport(boottime.Now(), r)
+		if e.paces != nil {
+			e.paces.ApplyReport(now, boottime.Now(), r)
+		}
 		p := e.peer(r.Address)
 		if !p.discovered {
 			p.discovered = true
@@ -211,6 +227,9 @@
 func (e *Exchanger) tick(ctx context.Context, leaving bool) {
 	now := boottime.Now()
 	state := fleet.State{Leaving: leaving, Usage: e.usage.Tick(time.Now(), now), Limits: e.limits.Tick(now)}
+	if e.paces != nil {
+		state.Paces = e.paces.Tick(time.Now(), now)
+	}
 	state.Isolated = e.queries != nil && !e.queries.AcceptsQueries()
 	e.suspects.Tick(now)
 	e.mu.Lock()
--- a/internal/fleetrpc/exchanger_test.go
+++ b/internal/fleetrpc/exchanger_test.go
@@ -59,6 +59,15 @@
 
 func (fakeLimits) RemoveVM(string) {}
 
+// fakePaces reports one pace.
+type fakePaces struct{}
+
+func (fakePaces) Tick(_ time.Time, now time.Duration) []fleet.UpstreamPace {
+	return []fleet.UpstreamPace{{Instance: "i-1", Stage: 0x1234, FoundAt: now}}
+}
+
+func (fakePaces) ApplyReport(time.Time, time.Duration, fleet.Report) {}
+
 func newSuspects() *quarantine.Tracker {
 	return quarantine.NewTracker(quarantine.DefaultPolicy(), func(quarantine.Change) {})
 }
@@ -88,6 +97,7 @@
 	log := eventlog.New(&bytes.Buffer{}, address)
 	exchanger := New(fleet.Report{Address: address, Zone: zone, Incarnation: 1}, seeds, u, fakeLimits{}, newSuspects(), log, func(Size) {})
 	exchanger.SetChangeSource(fakeChangeSource{})
+	exchanger.SetPaces(fakePaces{})
 	mux := http.NewServeMux()
 	mux.Handle(exchanger.Handler())
 	srv := &http.Server{Handler: mux}
@@ -109,7 +119,7 @@
 	for {
 		a, okA := one.report(addrTwo)
 		_, okB := two.report(addrOne)
-		if okA && okB && a.Usage[7].Admitted == 3 && a.Usage[7].Demand == 2.5 && a.Zone == "c" {
+		if okA && okB && a.Usage[7].Admitted == 3 && a.Usage[7].Demand == 2.5 && a.Zone == "c" && len(a.Paces) == 1 {
 			return
 		}
 		if time.Now().After(deadline) {
@@ -132,6 +142,23 @@
 	}
 }
 
+// TestReportsCarryPaces checks that the age of a pace survives the transport, and that
+// reports of a build without paces are read.
+func TestReportsCarryPaces(t *testing.T) {
+	now := 30 * time.Second
+	sent := fleet.Report{Address: "a:1", At: now, Paces: []fleet.UpstreamPace{{Instance: "i-1", Stage: 0x1234, PerSecond: 2.5, FoundAt: now - 300*time.Millisecond}}}
+	later := now + time.Second
+	got := decodeReports(later, encodeReports(now, []fleet.Report{sent, {Address: "b:1", At: now}}))
+	want := sent.Paces[0]
+	want.FoundAt += time.Second
+	if len(got[0].Paces) != 1 || got[0].Paces[0] != want {
+		t.Errorf("%+v are received, want %+v", got[0].Paces, want)
+	}
+	if got[1].Paces != nil {
+		t.Errorf("%+v are received of a report without paces", got[1].Paces)
+	}
+}
+
 // TestSuspectsReachAllVMs checks that VMs that know of different crashes, and one that
 // joins later, come to know the same.
 func TestSuspectsReachAllVMs(t *testing.T) {
--- a/internal/fleetrpc/wire.go
+++ b/internal/fleetrpc/wire.go
@@ -32,6 +32,7 @@
 			m.Usage = append(m.Usage, &fleetv1.Usage{Customer: customer, Demand: float32(u.Demand), Admitted: u.Admitted})
 		}
 		m.Limits = encodeLimits(now, r.Limits)
+		m.Paces = encodePaces(now, r.Paces)
 		out = append(out, m)
 	}
 	return out
@@ -63,6 +64,26 @@
 	return out
 }
 
+func encodePaces(now time.Duration, paces []fleet.UpstreamPace) []*fleetv1.UpstreamPace {
+	var out []*fleetv1.UpstreamPace
+	for _, p := range paces {
+		out = append(out, &fleetv1.UpstreamPace{
+			Instance: p.Instance, Stage: p.Stage, PerSecond: float32(p.PerSecond), AgeMs: ageMs(now, p.FoundAt),
+		})
+	}
+	return out
+}
+
+func decodePaces(now time.Duration, paces []*fleetv1.UpstreamPace) []fleet.UpstreamPace {
+	var out []fleet.UpstreamPace
+	for _, m := range paces {
+		out = append(out, fleet.UpstreamPace{
+			Instance: m.Instance, Stage: m.Stage, PerSecond: float64(m.PerSecond), FoundAt: timeOf(now, m.AgeMs),
+		})
+	}
+	return out
+}
+
 func decodeReports(now time.Duration, reports []*fleetv1.Report) []fleet.Report {
 	out := make([]fleet.Report, 0, len(reports))
 	for _, m := range reports {
@@ -76,6 +97,7 @@
 			r.Usage[u.Customer] = fleet.Usage{Demand: float64(u.Demand), Admitted: u.Admitted}
 		}
 		r.Limits = decodeLimits(now, m.Limits)
+		r.Paces = decodePaces(now, m.Paces)
 		out = append(out, r)
 	}
 	return out
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -25,11 +25,11 @@
 	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/metadata"
+	"ryecourse.example/ryecourse/internal/core/pace"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/quarantine"
 	"ryecourse.example/ryecourse/internal/core/reachability"
 	"ryecourse.example/ryecourse/internal/core/retrybudget"
-	"ryecourse.example/ryecourse/internal/core/routetable"
 	"ryecourse.example/ryecourse/internal/core/upstreamlimit"
 	"ryecourse.example/ryecourse/internal/eventlog"
 	"ryecourse.example/ryecourse/internal/fleetrpc"
@@ -50,6 +50,8 @@
 	gateway    *gateway.Gateway
 	limiter    *customerrate.Limiter
 	limits     *upstreamlimit.Tracker
+	pace       *pace.Tracker
+	paceLog    paceLog
 	quarantine *quarantine.Tracker
 	reachable  *reachability.Tracker
 	dialer     net.Dialer // of connections to upstreams
@@ -114,6 +116,7 @@
 	d.exchanger = fleetrpc.New(fleet.Report{
 		Address: s.PeerAddr.String(), Zone: s.Zone, Incarnation: rand.Uint64(), CPUShare: s.CPUShare,
 	}, seedAddresses(s), d.limiter, d.limits, d.quarantine, d.log, d.resize)
+	d.initPace()
 	store := platform.NewStore(s.StoreAddr.String(), storeClient())
 	syncPolicy := metadatasync.DefaultPolicy()
 	if s.FirstStart {
@@ -173,6 +176,7 @@
 		size.VMs = max(size.VMs, expectedVMs)
 	}
 	size.VMs = max(size.VMs, minVMs)
+	d.pace.SetVMs(size.VMs)
 	if size == *d.size.Swap(&size) {
 		return
 	}
@@ -203,6 +207,7 @@
 	d.picker.Update(time.Now(), v.Upstreams, v.Evacuated, d.coldRate(v))
 	d.pools.Update(v.Upstreams, func(service string) int { return d.connectionLimit(v, service) })
 	d.limits.Retain(instances(v))
+	d.pace.Retain(instances(v))
 	d.reachable.SetInstances(len(instances(v)))
 }
 
@@ -239,24 +244,6 @@
 	e.Send()
 }
 
-// coldLimitFraction is the fraction of a cold upstream's limit that the fleet
-// uses, as VMs may differ in the members that they have discovered.
-const coldLimitFraction = 0.8
-
-// coldRate returns this VM's rate limit for cold upstreams whose service has a
-// limit.
-func (d *Daemon) coldRate(v *metadata.View) placement.ColdRate {
-	b := d.settings.Bounds
-	return func(u routetable.Upstream) (float64, bool) {
-		s := v.Table.Service(u.Service)
-		if s == nil || s.WarmupPerSecond <= 0 {
-			return 0, false
-		}
-		limit := (s.WarmupPerSecond*b.WarmupOverage + b.WarmupSlack) * coldLimitFraction
-		return placement.ColdShare(limit, d.size.Load().VMs, d.exchanger.Rank(u.ID)), true
-	}
-}
-
 // connectionFraction is the fraction of an upstream's connections that the
 // fleet uses. The rest is for VMs that are added or restarted.
 const connectionFraction = 0.8
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -21,6 +21,7 @@
 // metricsServer serves counters and histograms in the Prometheus text format.
 func (d *Daemon) metricsServer() *http.Server {
 	d.registerGauges()
+	d.registerPaceMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		d.metrics.WritePrometheus(w)
