pace: one VM reports a stage that several found

Ruled out by estimate, not measured: picks and answers. Change: a VM that hears of an earlier finder of its stage stops reporting it, but for the first stage of a return, which needs two reporters.

--- a/internal/core/pace/report.go
+++ b/internal/core/pace/report.go
@@ -65,6 +65,9 @@
 func (t *Tracker) apply(now, foundAt time.Time, peer string, p fleet.UpstreamPace) {
 	s := DecodeStage(p.Stage)
 	e := t.entries[p.Instance]
+	if e != nil && s == e.stage && s != (Stage{Generation: 1}) && foundAt.Before(e.enteredAt) {
+		e.found = false // one report of a stage is enough, but for the first, see confirmed
+	}
 	if e != nil && e.stage.Generation > 0 {
 		if s.exceeds(e.stage) && !t.contradicts(e, foundAt) {
 			t.adopt(now, foundAt, e, s, peer)
