--- a/internal/core/placement/explain.go
+++ b/internal/core/placement/explain.go
@@ -91,7 +91,7 @@
 	scarcity := r.ExtraAttemptScarcity
 	c := Candidate{
 		Instance: inst.Announcement.ID, Zone: inst.Announcement.Zone, Slots: inst.Announcement.Slots,
-		Score:    inst.score(now, p.zone, p.remotePenalty(r.TypicalLatency), 0, scarcity),
+		Score:    inst.score(now, p.zone, p.remotePenalty(r.TypicalLatency), 0, scarcity, noPace),
 		Slowness: inst.slowness, Penalty: inst.penalty + inst.rejectPenaltySum*scarcity,
 		InFlight: len(inst.inFlight), ReportedLoad: inst.reportedLoad, LoadAge: now.Sub(inst.loadReportedAt),
 		Avoided: now.Before(inst.avoidUntil), Overdue: inst.overdue(now), IsCold: now.Before(inst.coldUntil),
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -17,6 +17,7 @@
 	limits Limits
 	// remotePenalty returns the penalty of instances in other zones, see remotePenalty.
 	remotePenalty func(typicalLatency time.Duration) float64
+	pace          Pace // nil for none
 
 	mu        sync.Mutex
 	services  map[string][]*Instance
@@ -26,7 +27,8 @@
 	// leavingGrace is as in SetLeavingGrace.
 	leavingGrace time.Duration
 	// unshared are the instances of whose connections this VM has no share.
-	unshared map[string]bool
+	unshared  map[string]bool
+	firstView bool // until instances are known
 }
 
 // ColdRate returns how many requests per second this VM may send to a cold
@@ -45,7 +47,7 @@
 
 // NewPicker returns a picker for a VM of the zone. limits may be nil.
 func NewPicker(zone string, r *rand.Rand, limits Limits) *Picker {
-	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}, remotePenalty: remotePenalty, stated: newStatements()}
+	return &Picker{zone: zone, rand: r, limits: limits, services: map[string][]*Instance{}, instances: map[string]*Instance{}, remotePenalty: remotePenalty, stated: newStatements(), firstView: true}
 }
 
 // Update replaces the instances. Observations of instances that remain are
@@ -57,12 +59,14 @@
 	for service, list := range upstreams {
 		for _, u := range list {
 			inst := p.instances[u.ID]
-			if inst == nil || !inst.Announcement.SameInstance(u) {
+			isNew := inst == nil || !inst.Announcement.SameInstance(u)
+			if isNew {
 				inst = newInstance(u, now)
 			}
 			// The cold period counts from the announcement. An unchanged time is
 			// taken for that of an earlier one, and must not extend the period. An
 			// announcement of 0 doesn't end the period early.
+			wasColdUntil := inst.coldUntil
 			if u.Cold > 0 && u.Cold != inst.Announcement.Cold || u.Cold > 0 && inst.coldUntil.IsZero() {
 				inst.coldUntil = now.Add(u.Cold)
 			}
@@ -70,11 +74,13 @@
 			if cold != nil && u.Cold > 0 {
 				inst.cold.rate, inst.cold.limited = cold(u)
 			}
+			p.begin(now, inst, isNew, wasColdUntil)
 			instances[u.ID] = inst
 			services[service] = append(services[service], inst)
 		}
 	}
 	p.services, p.instances, p.evacuated = services, instances, evacuated
+	p.firstView = p.firstView && len(instances) == 0
 	p.stated.prune(now, instances)
 }
 
@@ -121,15 +127,18 @@
 
 // Pick starts an attempt at the instance with the lowest score. It skips those in
 // Tried, draining or replaced ones, those in evacuated zones, those that have stated that
-// they leave or take no requests, cold ones to which this VM may not send now, and those whose limit doesn't admit the attempt. It returns
-// nil if none is left.
+// they leave or take no requests, cold ones to which this VM may not send now, and those
+// whose limit doesn't admit the attempt. Returning ones whose pace doesn't admit it come
+// later for first attempts, and get no hedges. It returns nil if none is left.
 func (p *Picker) Pick(now time.Time, r Request) (*Attempt, Shortage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var shortage Shortage
+	var held []*Instance
+	paced, isHedge, isRetry := p.updateReturning(r.Service), len(r.Tried) > 0, r.RetryTried
 	skipped := r.Tried
 	for {
-		best := p.best(now, r, skipped, &shortage)
+		best := p.best(now, r, skipped, held, paced, isRetry, &shortage)
 		if best == nil && r.RetryTried {
 			r.RetryTried, skipped = false, skipped[len(r.Tried):]
 			continue
@@ -137,6 +146,14 @@
 		if best == nil {
 			return nil, shortage
 		}
+		if paced && !isRetry && !slices.Contains(held, best) && p.isHeldBack(now, best) {
+			if isHedge {
+				skipped = append(slices.Clip(skipped), best)
+			} else {
+				held = append(held, best)
+			}
+			continue
+		}
 		ok, fraction := p.admit(best)
 		if ok {
 			return p.start(now, best, r.TypicalLatency), Shortage{}
@@ -147,8 +164,10 @@
 }
 
 // best returns the instance with the lowest score, or nil. It adds the instances that take
-// no requests of this VM to the shortage. The caller holds mu.
-func (p *Picker) best(now time.Time, r Request, skipped []*Instance, shortage *Shortage) *Instance {
+// no requests of this VM to the shortage. held are those that their pace holds back; paced
+// is set if some instances of the service are returning and others aren't. The caller
+// holds mu.
+func (p *Picker) best(now time.Time, r Request, skipped, held []*Instance, paced, isRetry bool, shortage *Shortage) *Instance {
 	var best *Instance
 	var bestScore float64
 	coldSkipped := false
@@ -164,7 +183,11 @@
 			}
 			continue
 		}
-		s := inst.score(now, p.zone, remote, p.rand.Float64(), r.ExtraAttemptScarcity)
+		pace := noPace
+		if paced {
+			pace = inst.paceState(isRetry, slices.Contains(held, inst))
+		}
+		s := inst.score(now, p.zone, remote, p.rand.Float64(), r.ExtraAttemptScarcity, pace)
 		isLast := len(p.unshared) > 0 && (p.unshared[inst.Announcement.ID] || inst.isFailing(now))
 		if best != nil && (isLast && !bestIsLast || isLast == bestIsLast && s >= bestScore) {
 			continue
@@ -194,6 +217,7 @@
 	}
 	a := &Attempt{Instance: inst, Upstream: inst.Announcement, sentAt: now, typicalLatency: typicalLatency}
 	inst.inFlight = append(inst.inFlight, a)
+	inst.pickedAt = now
 	return a
 }
 
@@ -258,6 +282,7 @@
 	case WrongInstance:
 		inst.replaced = true
 	}
+	p.observePace(a, now, o, load)
 	if load != nil && load.Slots > 0 {
 		inst.reportedLoad = float64(load.Running+load.Queued) / float64(load.Slots)
 		inst.loadReportedAt = now
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -22,6 +22,7 @@
 // Prometheus text format, and explains where a request would go.
 func (d *Daemon) metricsServer() *http.Server {
 	d.registerGauges()
+	d.registerPaceMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		d.metrics.WritePrometheus(w)
