--- a/internal/cli/route_test.go
+++ b/internal/cli/route_test.go
@@ -15,7 +15,7 @@
 	"ryecourse.example/ryecourse/internal/gatewaydaemon"
 )
 
-// TestRouteExitCodesAndOutput checks that the exit code tells the verdict, and that a key
+// TestRouteExitCodesAndOutput checks that the exit code follows the verdict, and that a key
 // is sent and never printed.
 func TestRouteExitCodesAndOutput(t *testing.T) {
 	const key = "secret-key"
--- a/internal/core/connshare/connshare_test.go
+++ b/internal/core/connshare/connshare_test.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// TestSharesStayWhenVMsLeave guards against connections that are closed and opened anew on
+// TestSharesStayWhenVMsLeave guards against connections that are closed and opened again on
 // all VMs whenever one comes or goes.
 func TestSharesStayWhenVMsLeave(t *testing.T) {
 	c := fleetCases["74 VMs"]
--- a/internal/core/loadshed/demand.go
+++ b/internal/core/loadshed/demand.go
@@ -13,7 +13,7 @@
 	// levels is the number of ranks, two for each priority; less urgent priorities share the
 	// last.
 	levels = 16
-	// maxCustomers bounds the customers of a level that are told apart.
+	// maxCustomers bounds the customers of a level that are counted one by one.
 	maxCustomers = 64
 	// maxLevelFraction leaves some requests of each rank.
 	maxLevelFraction = 0.99
--- a/internal/core/loadshed/peek_test.go
+++ b/internal/core/loadshed/peek_test.go
@@ -8,7 +8,7 @@
 
 // TestPeekAgreesWithDecide plays rising and falling load. A request of which Peek says that
 // none is rejected isn't, each rejected one was said to be possible, and questions change no
-// decision. Priorities beyond the ranks that are told apart are asked about, too.
+// decision. It includes priorities beyond the number of ranks.
 func TestPeekAgreesWithDecide(t *testing.T) {
 	rng := rand.New(rand.NewPCG(8, 1))
 	loads := &fixedLoads{pressure: idle()}
--- a/internal/core/pace/load_test.go
+++ b/internal/core/pace/load_test.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// restart takes an upstream down for d, after which it starts anew as an instance that is
+// restart takes an upstream down for d, after which it starts again as an instance that is
 // announced, if it is.
 func (w *world) restart(u *servicemodel.Upstream, d time.Duration, announced bool) {
 	u.Stop(d)
--- a/internal/core/placement/explain.go
+++ b/internal/core/placement/explain.go
@@ -58,7 +58,7 @@
 	LoadMaxAge = loadMaxAge
 )
 
-// limitPeeker is implemented by Limits that can tell what Admit would decide.
+// limitPeeker is implemented by Limits that can return what Admit would decide.
 type limitPeeker interface {
 	Peek(instance string) (ok bool, fraction float64)
 }
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -11,12 +11,12 @@
 	"ryecourse.example/ryecourse/internal/core/verdict"
 )
 
-// ratePeeker is a Limiter that tells what Admit would decide, and takes no token.
+// ratePeeker is a Limiter that can return what Admit would decide, without taking a token.
 type ratePeeker interface {
 	Peek(now time.Time, customer string, late bool) (a customerrate.Allowance, limited bool)
 }
 
-// executorPeeker tells which VMs Executors would name next, and takes no turn.
+// executorPeeker returns the VMs that Executors would name next, without taking a turn.
 type executorPeeker interface {
 	PeekCandidates(now time.Time, zones map[string]bool) []string
 	PeekHelpers(now time.Time) []string
@@ -142,7 +142,7 @@
 	}
 }
 
-// explainRunsOn tells which VM would run the request.
+// explainRunsOn returns the VMs that would run the request.
 func (g *Gateway) explainRunsOn(in *incoming) RunsOn {
 	out := RunsOn{Here: g.reachable.LocalFraction(in.started), Reachability: g.reachable.State().String()}
 	peeker, ok := g.executors.(executorPeeker)
--- a/internal/gateway/explanation.go
+++ b/internal/gateway/explanation.go
@@ -70,7 +70,7 @@
 	TimeoutMs   float64 `json:"timeout_ms"`
 	ObjectiveMs float64 `json:"objective_ms"`
 	Shards      int     `json:"shards"`
-	MinShare    float64 `json:"min_share"`
+	MinShare    float64 `json:"min_coverage"`
 }
 
 // CustomerExplained describes the rate of a customer, in requests.
--- a/internal/servicemodel/upstream.go
+++ b/internal/servicemodel/upstream.go
@@ -88,13 +88,13 @@
 	return u
 }
 
-// Restart makes the upstream start anew: it loses its requests and is cold again.
+// Restart restarts the upstream: it loses its requests and is cold again.
 func (u *Upstream) Restart() {
 	u.loseAll()
 	u.startedAt, u.downUntil = u.clock.Now(), time.Time{}
 }
 
-// Stop takes the upstream down for d. It loses its requests and starts anew after it.
+// Stop takes the upstream down for d. It loses its requests and starts again after it.
 func (u *Upstream) Stop(d time.Duration) {
 	u.loseAll()
 	u.downUntil = u.clock.Now().Add(d)
