--- a/review/standin/leaf.go
+++ b/review/standin/leaf.go
@@ -42,6 +42,9 @@
 	// secondAnswers is set while the leaf sends a copy of some of its answers, late: at the
 	// point where the next answer on the connection is expected.
 	secondAnswers atomic.Bool
+	// hangs is set while the leaf leaves some requests without an answer.
+	hangs    atomic.Bool
+	maxConns int
 
 	mu      sync.Mutex
 	fault   fault
@@ -56,7 +59,7 @@
 
 func (w *world) newLeaf(service, zone string, n, slots int, work time.Duration) *leaf {
 	l := &leaf{
-		w: w, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zone, slots: slots, queue: 16, work: work,
+		w: w, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zone, slots: slots, queue: 16, work: work, maxConns: maxConns,
 		born: time.Now().UnixMilli(), free: make(chan struct{}, slots),
 	}
 	for range slots {
@@ -97,7 +100,7 @@
 		}
 		l.mu.Lock()
 		l.conns++
-		full := l.conns > maxConns
+		full := l.conns > l.maxConns
 		l.mu.Unlock()
 		go func() {
 			defer func() {
@@ -160,6 +163,15 @@
 	if r.target != "" && r.target != l.id {
 		return l.answer(c, r, 421, "X-Ryecourse-Not-Executed: 1\r\n", nil)
 	}
+	if l.w.onArrival != nil {
+		l.w.onArrival(l, r)
+	}
+	if l.hangs.Load() && rand.Float64() < hungShare {
+		l.w.logf("no answer to request=%s leaf=%s", r.id, l.id)
+		var b [1]byte
+		_, _ = c.Read(b[:]) // until the caller closes the connection
+		return false
+	}
 	l.mu.Lock()
 	if l.waiting >= l.queue {
 		l.mu.Unlock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -37,6 +37,9 @@
 	started  time.Time
 	stopping atomic.Bool
 	onRan    func(l *leaf, r *received)
+	// onArrival is called for each request that reaches a leaf, other than those that
+	// name another leaf.
+	onArrival func(l *leaf, r *received)
 
 	storeAddress string
 	zones        []string
