--- a/review/standin/evacuate.go
+++ b/review/standin/evacuate.go
@@ -23,7 +23,7 @@
 	batchRequesters  = 1200
 	batchTimeBudget  = 5 * time.Second
 	batchWork        = 20 * time.Millisecond
-	batchLeafs       = 4
+	batchLeafs       = 2
 	evacuationRounds = 2
 )
 
@@ -46,13 +46,13 @@
 	}
 	w.heartbeats()
 	zone := w.zones[0]
-	var confirmedAt, late atomic.Int64 // the time in ms, 0 while the zone isn't evacuated
+	var confirmedAt, late atomic.Int64 // the time in ns, 0 while the zone isn't evacuated
 	w.onArrival = func(l *leaf, r *received) {
 		at := confirmedAt.Load()
 		if at == 0 || l.zone != zone {
 			return
 		}
-		if since := time.Since(time.UnixMilli(at)); since > evacuateBound {
+		if since := time.Since(time.Unix(0, at)); since > evacuateBound {
 			late.Add(1)
 			w.sayf("EVAC: request %s reaches leaf %s %d ms after the evacuation of its zone was confirmed", r.id, l.id, since.Milliseconds())
 		}
@@ -93,7 +93,7 @@
 		}
 		time.Sleep(evacuatedAfter)
 		w.store.put("op/evacuate/"+zone, map[string]any{})
-		confirmedAt.Store(time.Now().UnixMilli())
+		confirmedAt.Store(time.Now().UnixNano())
 		w.sayf("the evacuation of zone %s is confirmed", zone)
 		time.Sleep(hungFor - evacuatedAfter)
 		for _, l := range w.leafs {
