--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -238,6 +238,8 @@
 	if written && a.Verdict == verdict.NotRun {
 		q.writes.undo(shard)
 	}
+	dropUnsigned(&a)
+	q.observeInvalid(u, &a)
 	q.observeStatements(picked, &a)
 	q.observe(u, &a)
 	q.done <- attemptResult{shard: shard, kind: kind, attempt: picked, upstreamResult: a}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// AppendAttempt appends the headers of one attempt. remaining is the time until
 	// its deadline.
 	AppendAttempt(dst []byte, remaining time.Duration, instance string) []byte
+	// Signature returns the upstream's signature in the headers of a response; empty if
+	// there is none.
+	Signature(h http.Header) string
 	// CopyResponseHeaders copies an upstream's headers to the caller's response.
 	CopyResponseHeaders(dst http.Header, src *fasthttp.ResponseHeader)
 	// WriteMergedHeaders writes the headers of a response that was merged from
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -36,6 +36,7 @@
 	set                 *metrics.Set
 	extraAttemptsDenied *metrics.Counter
 	malformedLoads      *metrics.Counter
+	strayResponses      *metrics.Counter
 	attempts            *metrics.Counter
 	hedges              *metrics.Counter
 	atLimit             *metrics.Counter
@@ -52,6 +53,7 @@
 		set:                 set,
 		extraAttemptsDenied: set.NewCounter("ryecourse_gateway_repeats_denied_total"),
 		malformedLoads:      set.NewCounter("ryecourse_gateway_malformed_load_reports_total"),
+		strayResponses:      set.NewCounter("ryecourse_gateway_stray_responses_total"),
 		attempts:            set.NewCounter("ryecourse_gateway_attempts_total"),
 		hedges:              set.NewCounter("ryecourse_gateway_hedges_total"),
 		atLimit:             set.NewCounter("ryecourse_gateway_attempts_at_limit_total"),
@@ -63,6 +65,11 @@
 	}
 }
 
+// invalidResponse returns the counter of invalid responses for a reason.
+func (m *Metrics) invalidResponse(reason string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`ryecourse_gateway_invalid_responses_total{reason="` + reason + `"}`)
+}
+
 // outcome returns the result's label in logs and metrics.
 func (r *requestResult) outcome() string {
 	switch {
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -140,6 +141,9 @@
 		res.executor = addr
 		if res.err = g.executors.Accept(ctx, addr, req, others.acceptTimeout); res.err == nil {
 			res.result, res.err = g.executors.Execute(ctx, addr, req)
+			if res.err == nil {
+				res.err = g.checkRemoteResult(&res.result)
+			}
 			if res.err == nil {
 				res.notRun = res.result.NotRun
 				if others.areHelpers && i+1 < len(others.addresses) && hasNoUpstream(&res.result) {
@@ -244,9 +248,7 @@
 // writePassedOn sends an upstream's response that another VM has received.
 func (g *Gateway) writePassedOn(w http.ResponseWriter, res executor.Result) error {
 	h := w.Header()
-	for _, header := range res.Headers {
-		h.Add(header.Name, header.Value)
-	}
+	maps.Copy(h, httpHeader(res.Headers))
 	h.Set("Content-Length", strconv.Itoa(len(res.Body)))
 	g.closeIfStopping(h)
 	w.WriteHeader(res.Status)
--- a/internal/gateway/remote_test.go
+++ b/internal/gateway/remote_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"ryecourse.example/ryecourse/internal/core/executor"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/routetable"
@@ -48,6 +51,44 @@
 	}
 }
 
+// Signature implements Headers.
+func (retryAfterHeaders) Signature(h http.Header) string { return h.Get("Signature") }
+
+// TestUnsignedResultOfAnotherVM guards against a success without an upstream's signature that
+// a VM with an older build has passed on.
+func TestUnsignedResultOfAnotherVM(t *testing.T) {
+	signed := []executor.Header{{Name: "Signature", Value: "s"}}
+	for name, test := range map[string]struct {
+		result executor.Result
+		valid  bool
+	}{
+		"signed":             {executor.Result{Status: 200, Headers: signed}, true},
+		"merged":             {executor.Result{Signatures: []string{"s"}}, true},
+		"server error":       {executor.Result{Status: 500}, true},
+		"failure":            {executor.Result{Failure: string(ReasonTimedOut)}, true},
+		"unsigned":           {executor.Result{Status: 200}, false},
+		"unsigned denial":    {executor.Result{Status: 404}, false},
+		"merged of nothing":  {executor.Result{}, false},
+		"status below 200":   {executor.Result{Status: 99, Headers: signed}, false},
+		"status above 599":   {executor.Result{Status: 600, Headers: signed}, false},
+		"guarantee, not run": {executor.Result{Status: 503, Headers: signed}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{headers: retryAfterHeaders{}, metrics: NewMetrics(metrics.NewSet())}
+			err := g.checkRemoteResult(&test.result)
+			var failure *ExecuteError
+			switch {
+			case test.valid && err != nil:
+				t.Errorf("a valid result is rejected: %v", err)
+			case !test.valid && !errors.As(err, &failure):
+				t.Errorf("an invalid result is accepted: %v", err)
+			case !test.valid && failure.NotRun:
+				t.Error("the request is said not to have run")
+			}
+		})
+	}
+}
+
 // TestShardZones checks which zones' executors may be asked.
 func TestShardZones(t *testing.T) {
 	in := func(zones ...string) []routetable.Upstream {
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -13,7 +13,7 @@
 
 // Request is one attempt at one upstream.
 type Request struct {
-	// ID identifies the request. Responses that echo another ID are dropped.
+	// ID identifies the request. Responses that don't echo it are dropped.
 	ID string
 	// Head holds the request line and the headers, without Content-Length and
 	// the final empty line.
@@ -47,6 +47,8 @@
 	AnyBytesSent bool
 	// OnNewConnection is set if the request was the first on its connection.
 	OnNewConnection bool
+	// StrayResponses is the number of responses to other requests that came first.
+	StrayResponses int
 	// SentAt is when the request was handed to a connection; zero before that.
 	SentAt time.Time
 }
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
 	"ryecourse.example/ryecourse/internal/core/verdict"
@@ -25,9 +24,6 @@
 	// defaultMaxBodyBytes bounds the body of a response to a request without
 	// MaxBodyBytes. A faulty upstream may send for as long as it is read.
 	defaultMaxBodyBytes = 16 << 20
-	// maxStrayResponses is the number of responses to other requests that are
-	// skipped before a connection is closed.
-	maxStrayResponses = 2
 	// defaultIdleTimeout applies to upstreams that don't report theirs.
 	defaultIdleTimeout = 30 * time.Second
 	// idleMargin is subtracted from the upstream's idle timeout, so that a
@@ -154,7 +150,8 @@
 		written <- w
 	}
 	a.AnyBytesSent, a.Verdict = true, verdict.MayHaveRun
-	resp, info, err := c.read(inspector, r)
+	resp, info, strays, err := c.read(inspector, r)
+	a.StrayResponses = strays
 	if err != nil {
 		a.Err, c.broken = err, true
 		c.close()
@@ -215,42 +212,6 @@
 	return append(head, "\r\n"...)
 }
 
-// MismatchError reports that a connection carried only responses to other
-// requests.
-type MismatchError struct{ Got string }
-
-// Error implements error.
-func (e *MismatchError) Error() string {
-	return fmt.Sprintf("upstreamhttp: got a response to request %q instead", e.Got)
-}
-
-// read reads responses until the one to the request. A late response to an
-// earlier request may come first.
-func (c *conn) read(inspector Inspector, r *Request) (*fasthttp.Response, ResponseInfo, error) {
-	limit := r.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	var err error
-	for range maxStrayResponses + 1 {
-		resp := fasthttp.AcquireResponse()
-		resp.SkipBody = r.NoResponseBody
-		if err = resp.ReadLimitBody(c.br, limit); err != nil {
-			fasthttp.ReleaseResponse(resp)
-			return nil, ResponseInfo{}, err
-		}
-		info := inspector.Inspect(&resp.Header)
-		if info.RequestID == r.ID || info.RequestID == "" {
-			c.setIdleTimeout(info.IdleTimeout)
-			return resp, info, nil
-		}
-		fasthttp.ReleaseResponse(resp)
-		c.broken = true
-		err = &MismatchError{Got: info.RequestID}
-	}
-	return nil, ResponseInfo{}, err
-}
-
 func (c *conn) setIdleTimeout(idle time.Duration) {
 	if idle <= 0 {
 		idle = defaultIdleTimeout
--- /dev/null
+++ b/internal/upstreamhttp/response.go
@@ -0,0 +1,155 @@
+package upstreamhttp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxStrayResponses is the number of responses to other requests that are
+	// skipped before a connection is closed.
+	maxStrayResponses = 2
+	// maxInterimResponses is the number of 1xx responses that may precede a response.
+	maxInterimResponses = 5
+	// maxBlankLines is the number of empty lines that may precede a status line.
+	maxBlankLines = 2
+)
+
+// MismatchError reports that a connection carried only responses to other
+// requests.
+type MismatchError struct{ Got string }
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("upstreamhttp: got a response to request %q instead", e.Got)
+}
+
+// MalformedError reports bytes that are no HTTP response.
+type MalformedError struct{ Err error }
+
+// Error implements error.
+func (e *MalformedError) Error() string { return "upstreamhttp: malformed response: " + e.Err.Error() }
+
+// Unwrap returns the parser's error.
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+// malformed wraps an error of the parser, and returns one of the connection as it is.
+func malformed(err error) error {
+	var netErr net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, fasthttp.ErrTimeout) {
+		return err
+	}
+	return &MalformedError{Err: err}
+}
+
+// read reads responses until the one to the request, and returns how many others it has
+// skipped. A late response to an earlier request may come first.
+func (c *conn) read(inspector Inspector, r *Request) (resp *fasthttp.Response, info ResponseInfo, strays int, err error) {
+	for range maxStrayResponses + 1 {
+		resp, err = c.readNext(r)
+		if err != nil {
+			return nil, ResponseInfo{}, strays, err
+		}
+		info = inspector.Inspect(&resp.Header)
+		if info.RequestID == r.ID {
+			c.setIdleTimeout(info.IdleTimeout)
+			return resp, info, strays, nil
+		}
+		fasthttp.ReleaseResponse(resp)
+		c.broken = true
+		if info.RequestID == "" {
+			return nil, ResponseInfo{}, strays, &MalformedError{Err: errNoRequestID}
+		}
+		strays++
+		err = &MismatchError{Got: info.RequestID}
+	}
+	return nil, ResponseInfo{}, strays, err
+}
+
+// readNext reads the next response, which may be to any request.
+func (c *conn) readNext(r *Request) (*fasthttp.Response, error) {
+	limit := r.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	resp := fasthttp.AcquireResponse()
+	err := skipInterimResponses(c.br)
+	if err == nil {
+		resp.SkipBody = r.NoResponseBody
+		err = resp.ReadLimitBody(c.br, limit)
+	}
+	if err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return nil, malformed(err)
+	}
+	return resp, nil
+}
+
+// skipInterimResponses reads up to the status line of the next final response, which it
+// leaves unread.
+func skipInterimResponses(br *bufio.Reader) error {
+	for range maxInterimResponses + 1 {
+		status, err := peekStatus(br)
+		if err != nil || status >= http.StatusOK {
+			return err
+		}
+		if status == http.StatusSwitchingProtocols { // not asked for
+			return statusLineError(br)
+		}
+		var h fasthttp.ResponseHeader
+		if err := h.Read(br); err != nil {
+			return err
+		}
+	}
+	return errTooManyInterimResponses
+}
+
+var (
+	errTooManyInterimResponses = errors.New("too many interim responses")
+	errNoRequestID             = errors.New("response without a request ID")
+)
+
+// statusLineStart is the form of a status line up to the character after the status code.
+const statusLineStart = "HTTP/1.x 200 "
+
+// peekStatus checks the next status line and returns its status code, without reading it.
+// fasthttp takes each number of three digits for a status code, and reports 000 as 200.
+func peekStatus(br *bufio.Reader) (int, error) {
+	for range maxBlankLines {
+		if b, err := br.Peek(2); err == nil && string(b) == "\r\n" {
+			br.Discard(2) // can't fail after Peek
+		}
+	}
+	line, err := br.Peek(len(statusLineStart))
+	switch {
+	case err == io.EOF && len(line) > 0:
+		return 0, io.ErrUnexpectedEOF
+	case err != nil:
+		return 0, err
+	}
+	version, code, end := line[:9], line[9:12], line[12]
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	if err != nil || status < 100 || status > 599 || end != ' ' && end != '\r' && end != '\n' ||
+		!bytes.Equal(version, []byte("HTTP/1.1 ")) && !bytes.Equal(version, []byte("HTTP/1.0 ")) {
+		return 0, statusLineError(br)
+	}
+	return int(status), nil
+}
+
+// maxQuotedBytes bounds what an error quotes of a malformed response.
+const maxQuotedBytes = 64
+
+// statusLineError returns an error that quotes the next line.
+func statusLineError(br *bufio.Reader) error {
+	b, _ := br.Peek(min(br.Buffered(), maxQuotedBytes)) // buffered already
+	line, _, _ := bytes.Cut(b, []byte{'\n'})
+	return fmt.Errorf("status line %q", line)
+}
