--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"ryecourse.example/ryecourse/internal/core/verdict"
@@ -38,6 +40,25 @@
 	expires time.Time
 	broken  bool
 	used    bool // a request has been written
+	// carried holds the hashes of the IDs of the last requests.
+	carried [carriedRequests]uint64
+	next    int // index into carried
+}
+
+// carriedRequests is the number of requests that a connection remembers.
+const carriedRequests = 16
+
+func hashID(requestID string) uint64 { return xxhash.Sum64String(requestID) }
+
+// hasCarried reports whether one of the last requests had the ID. A response to it may still
+// arrive twice, and would pass for the response to another attempt of that request.
+func (c *conn) hasCarried(id uint64) bool { return slices.Contains(c.carried[:], id) }
+
+// carry records a request that is about to be written.
+func (c *conn) carry(id uint64) {
+	c.used = true
+	c.carried[c.next] = id
+	c.next = (c.next + 1) % len(c.carried)
 }
 
 func newConn(nc net.Conn) *conn {
@@ -87,7 +108,7 @@
 func (p *Pool) Do(ctx context.Context, r *Request, mayWrite func() bool) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	c, err := p.get(ctx)
+	c, err := p.get(ctx, r.ID)
 	if err != nil {
 		return Result{Verdict: verdict.NotRun, Err: err}
 	}
@@ -101,7 +122,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
 	isNew := !c.used
-	c.used = true
+	c.carry(hashID(r.ID))
 	a := c.doRecovering(p.inspector, r)
 	a.OnNewConnection = isNew
 	if !stop() {
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -73,11 +74,13 @@
 	}
 }
 
-// get returns a free connection. A waiter that receives nil instead of a
-// connection tries again, since it may now be able to open one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns a free connection that hasn't carried the request. A waiter that receives nil
+// instead of a connection tries again, since it may now be able to open one.
+func (p *Pool) get(ctx context.Context, requestID string) (*conn, error) {
+	id := hashID(requestID)
+	isNew := func(c *conn) bool { return !c.hasCarried(id) }
 	for {
-		c, wait, err := p.reserve()
+		c, wait, err := p.reserve(isNew)
 		if err != nil {
 			return nil, err
 		}
@@ -96,9 +99,14 @@
 			if !ok {
 				return nil, ErrNoConnection
 			}
-			if c != nil {
+			if c == nil {
+				continue
+			}
+			if isNew(c) && c.usable(time.Now()) {
 				return c, nil
 			}
+			c.close()
+			return p.openConn(ctx) // in its place
 		case <-ctx.Done():
 			p.cancelWait(wait)
 			return nil, ErrNoConnection
@@ -107,22 +115,29 @@
 }
 
 // reserve returns an idle connection, a channel to wait on, or neither if the
-// pool may open a new connection.
-func (p *Pool) reserve() (*conn, chan *conn, error) {
+// pool may open a new connection. suits is nil if any connection does. If no idle one does,
+// a new one takes the place of one of them.
+func (p *Pool) reserve(suits func(*conn) bool) (*conn, chan *conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, nil, ErrNoConnection
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return c, nil, nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; suits == nil || suits(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil, nil
+		}
 	}
 	if p.open < p.limit {
 		p.open++
 		return nil, nil, nil
 	}
+	if n := len(p.idle); n > 0 {
+		p.idle[n-1].close()
+		p.idle = p.idle[:n-1]
+		return nil, nil, nil
+	}
 	w := make(chan *conn, 1)
 	p.waiters = append(p.waiters, w)
 	return nil, w, nil
@@ -153,7 +168,7 @@
 // work while new ones don't. It returns ErrNoConnection if all connections are in use, and
 // ErrClosedAtOnce if the new one was closed.
 func (p *Pool) Reconnect(ctx context.Context, openFor time.Duration) error {
-	idle, wait, err := p.reserve()
+	idle, wait, err := p.reserve(nil)
 	switch {
 	case err != nil:
 		return err
--- a/internal/upstreamhttp/pool_test.go
+++ b/internal/upstreamhttp/pool_test.go
@@ -325,8 +325,8 @@
 	})
 	p := NewPool(addr, 2, dial, plainInspector{})
 	results := make(chan Result, 20)
-	for range cap(results) {
-		go func() { results <- p.Do(context.Background(), request("a"), func() bool { return true }) }()
+	for i := range cap(results) {
+		go func() { results <- p.Do(context.Background(), request(itoa(i)), func() bool { return true }) }()
 	}
 	for range cap(results) {
 		expectBody(t, <-results, "x")
