gateway: attempts that waited for a connection are decided on again (EVAC)

Cause: the write asked again only for what the upstream itself had stated, not whether it drains, is gone or replaced, or whether its zone is evacuated.

Ruled out: the VM learns of the evacuation within a second (knowledge line), and Pick places nothing in an evacuated zone.

A withdrawn attempt has not run; it is placed again, or the caller gets 503 at once. The same wait could outlast other decisions, which are made again now: the quarantine, the limits of cold upstreams and those that upstreams state, the retry budget, and whether the request is still wanted (an attempt was written up to 250 ms after its request had ended). These were found by reading, no run showed their rules broken. Requests that wait at an instance that is gone no longer count as unreachable. ryecourse_gateway_attempts_waiting and ..._attempts_withdrawn_total{reason} are new; the attempt_failed line has the reason and the wait.

TestClosedInstanceGetsNoRequests and TestLastReplicaIsUsedForAWhileThoughItLeaves ask the new function for the reason where they asked MaySend for a yes or no.

--- a/internal/core/placement/cold.go
+++ b/internal/core/placement/cold.go
@@ -14,9 +14,17 @@
 	return !l.limited || l.rate > 0 && !now.Before(l.next)
 }
 
+// spacing returns the least time between two requests.
+func (l *coldLimiter) spacing() time.Duration {
+	if !l.limited || l.rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / l.rate)
+}
+
 func (l *coldLimiter) recordSend(now time.Time) {
 	if l.limited && l.rate > 0 {
-		l.next = now.Add(time.Duration(float64(time.Second) / l.rate))
+		l.next = now.Add(l.spacing())
 	}
 }
 
--- a/internal/core/placement/explain.go
+++ b/internal/core/placement/explain.go
@@ -110,16 +110,21 @@
 	return c
 }
 
+// notAllowed returns why an instance isn't allowed.
+func (p *Picker) notAllowed(inst *Instance) Exclusion {
+	switch {
+	case inst.replaced:
+		return Replaced
+	case inst.Announcement.Draining:
+		return Draining
+	}
+	return Evacuated
+}
+
 // exclusion returns why Pick would skip an instance. The caller holds mu.
 func (p *Picker) exclusion(now time.Time, inst *Instance) (e Exclusion, opensIn time.Duration) {
 	if !p.allowed(inst) {
-		switch {
-		case inst.replaced:
-			return Replaced, 0
-		case inst.Announcement.Draining:
-			return Draining, 0
-		}
-		return Evacuated, 0
+		return p.notAllowed(inst), 0
 	}
 	if open, opensIn := p.isOpen(now, inst); !open {
 		return Closed, opensIn
--- a/internal/core/placement/instance.go
+++ b/internal/core/placement/instance.go
@@ -94,8 +94,10 @@
 	Instance *Instance
 	// Upstream is the instance's announcement at the time of the pick.
 	Upstream routetable.Upstream
-	sentAt   time.Time
-	sent     bool // MarkSent was called
+	sentAt   time.Time // of the pick until MarkSent
+	sent     bool      // MarkSent was called
+	// pickedCold is set if the pick counts for the limit of a cold instance.
+	pickedCold bool
 	// typicalLatency is the typical latency of such requests; 0 if unknown.
 	typicalLatency time.Duration
 }
--- a/internal/core/placement/picker.go
+++ b/internal/core/placement/picker.go
@@ -212,10 +212,11 @@
 }
 
 func (p *Picker) start(now time.Time, inst *Instance, typicalLatency time.Duration) *Attempt {
+	a := &Attempt{Instance: inst, Upstream: inst.Announcement, sentAt: now, typicalLatency: typicalLatency}
 	if now.Before(inst.coldUntil) {
 		inst.cold.recordSend(now)
+		a.pickedCold = true
 	}
-	a := &Attempt{Instance: inst, Upstream: inst.Announcement, sentAt: now, typicalLatency: typicalLatency}
 	inst.inFlight = append(inst.inFlight, a)
 	inst.pickedAt = now
 	return a
--- a/internal/core/placement/statement.go
+++ b/internal/core/placement/statement.go
@@ -75,18 +75,6 @@
 	return d
 }
 
-// MaySend reports whether an attempt may still be written. Its instance may have stated
-// that it is leaving or closed while the attempt waited for a connection.
-func (p *Picker) MaySend(a *Attempt, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Before(p.stated.closedUntil[runOf(a.Upstream)]) {
-		return false
-	}
-	since, leaving := p.stated.leavingSince[runOf(a.Upstream)]
-	return !leaving || p.isLastReplica(a.Instance) && now.Sub(since) < p.leavingGrace
-}
-
 // SetLeavingGrace sets how long an instance that is leaving still gets requests if its
 // service has no other one. Without it, callers would get no response until another
 // instance starts.
--- a/internal/core/placement/statement_test.go
+++ b/internal/core/placement/statement_test.go
@@ -44,7 +44,7 @@
 	p.SetLeavingGrace(time.Second)
 	a := pick(t, p, 0)
 	p.MarkLeaving(a, at(0))
-	if b := pick(t, p, 900); !p.MaySend(b, at(950)) || p.MaySend(b, at(1000)) {
+	if b := pick(t, p, 900); p.Excluded(b, at(950)) != Usable || p.Excluded(b, at(1000)) != Closed {
 		t.Error("the grace doesn't end at 1 s")
 	}
 	if b, _ := p.Pick(at(1000), Request{Service: "s"}); b != nil {
@@ -90,8 +90,12 @@
 				}
 			}
 			for _, w := range waiting {
-				if p.MaySend(w, now) == now.Before(until[w.Upstream.ID]) {
-					t.Fatalf("attempt at %s that waited: MaySend is %t", w.Upstream.ID, p.MaySend(w, now))
+				want := Usable
+				if now.Before(until[w.Upstream.ID]) {
+					want = Closed
+				}
+				if got := p.Excluded(w, now); got != want {
+					t.Fatalf("attempt at %s that waited is %q, want %q", w.Upstream.ID, got, want)
 				}
 			}
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -31,7 +32,7 @@
 		q.deniedAsSuspect++
 		return fanout.NoBudget
 	}
-	if kind != fanout.First && !q.admitsExtra(now, shard, kind) {
+	if kind != fanout.First && !q.replacesUnsent(shard, kind) && !q.admitsExtra(now, shard, kind) {
 		q.deniedByLoad++
 		return fanout.NoBudget
 	}
@@ -58,7 +59,7 @@
 		q.withoutUpstream++
 		return fanout.NoUpstream
 	}
-	if !q.replacesUnreachable(shard, kind) && !q.takeBudget(service, kind) {
+	if !q.replacesUnsent(shard, kind) && !q.takeBudget(service, kind) {
 		q.g.picker.Done(picked, now, placement.Canceled, nil)
 		q.deniedByBudget++
 		q.g.metrics.extraAttemptsDenied.Inc()
@@ -133,10 +134,10 @@
 	q.retryAfter = max(q.retryAfter, time.Duration(float64(s.OpensIn)*(1+closedSpread*rand.Float64())))
 }
 
-// replacesUnreachable reports whether a retry is the first attempt of its shard to reach an
+// replacesUnsent reports whether a retry is the first attempt of its shard to be sent to an
 // upstream, so that it is no extra attempt at the service.
-func (q *proxyRequest) replacesUnreachable(shard int, kind fanout.Kind) bool {
-	return kind == fanout.Retry && q.unreachableOf[shard] == len(q.shardAttempts[shard])
+func (q *proxyRequest) replacesUnsent(shard int, kind fanout.Kind) bool {
+	return kind == fanout.Retry && q.unreachableOf[shard]+q.withdrawnOf[shard] == len(q.shardAttempts[shard])
 }
 
 // takeBudget takes the cost of an attempt of that kind from the retry budget
@@ -174,10 +175,12 @@
 	}
 	u, now := picked.Upstream, time.Now()
 	if a.Info.Leaving && q.g.picker.MarkLeaving(picked, now) {
+		q.g.pools.Get(u).WithdrawWaiting()
 		q.g.log.Event("upstream_leaving").Str("service", u.Service).Str("upstream", u.ID).Str("request", q.in.info.ID).Send()
 	}
 	if a.Info.NotRun && a.Info.RetryAfter > 0 {
 		closedFor := q.g.picker.MarkClosed(picked, now, a.Info.RetryAfter)
+		q.g.pools.Get(u).WithdrawWaiting()
 		q.g.log.Event("upstream_closed").Str("service", u.Service).Str("upstream", u.ID).Str("request", q.in.info.ID).
 			Dur("stated_ms", a.Info.RetryAfter).Dur("closed_ms", closedFor).Send()
 	}
@@ -226,16 +229,17 @@
 	if q.in.route.Sharded != nil {
 		req.MaxBodyBytes = maxShardBodyBytes
 	}
-	written := false
-	q.g.reachable.Sent(time.Now(), u.ID)
+	begun, reason := time.Now(), Withdrawal("")
+	req.IsWanted = func() bool { return q.withdrawal(picked, time.Now()) == "" }
+	q.g.reachable.Sent(begun, u.ID)
 	a := q.g.pools.Get(u).Do(q.ctx, req, func() bool {
-		written = q.g.picker.MaySend(picked, time.Now()) && q.writes.begin(shard)
-		if written {
-			q.g.picker.MarkSent(picked, time.Now())
-		}
-		return written
+		reason = q.beginWrite(shard, kind, picked, begun)
+		return reason == ""
 	})
-	if written && a.Verdict == verdict.NotRun {
+	switch {
+	case errors.Is(a.Err, upstreamhttp.ErrNotWritten):
+		q.recordWithdrawn(&a, picked, reason, time.Since(begun))
+	case !a.SentAt.IsZero() && a.Verdict == verdict.NotRun:
 		q.writes.undo(shard)
 	}
 	dropUnsigned(&a)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -51,6 +51,7 @@
 	withoutUpstream int           // attempts without an available upstream
 	unreachable     int           // attempts whose instances couldn't be connected to
 	unreachableOf   []int         // the same by shard
+	withdrawnOf     []int         // attempts that were withdrawn unwritten, by shard
 	atLimit         int           // attempts that the upstreams' limits didn't admit
 	retryAfter      time.Duration // of a refusal because of limits
 	lastErr         error
@@ -129,7 +130,7 @@
 	q.shardAttempts = make([][]*placement.Attempt, n)
 	q.shardResults = make([]upstreamhttp.Result, n)
 	q.writes.count = make([]int, n)
-	q.unreachableOf = make([]int, n)
+	q.unreachableOf, q.withdrawnOf = make([]int, n), make([]int, n)
 	q.done = make(chan attemptResult, n)
 	// Attempts may outlive the handler by Policy.Linger, so they don't use its context.
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -264,6 +265,7 @@
 		outcome = placement.Answered
 	case errors.Is(r.upstreamResult.Err, upstreamhttp.ErrNotWritten):
 		outcome = placement.Canceled
+		q.withdrawnOf[r.shard]++
 	case r.upstreamResult.Info.WrongInstance:
 		outcome = placement.WrongInstance
 	case r.upstreamResult.Info.NotRun:
@@ -298,9 +300,10 @@
 	return r
 }
 
-// cleanup releases the responses. Pending attempts go on for up to Policy.Linger, and
-// their responses are dropped.
+// cleanup releases the responses. Pending attempts that have been written go on for up to
+// Policy.Linger, and their responses are dropped.
 func (q *proxyRequest) cleanup() {
+	q.writes.withdraw()
 	if q.cancelElsewhere != nil {
 		q.cancelElsewhere()
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -127,6 +127,13 @@
 	w.withdrawn = true
 }
 
+// isWithdrawn reports whether no further attempt is written.
+func (w *writeCounts) isWithdrawn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.withdrawn
+}
+
 // undo records that the upstream hasn't run a written attempt.
 func (w *writeCounts) undo(shard int) {
 	w.mu.Lock()
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -36,8 +36,9 @@
 	return &Pools{dial: dial, inspector: inspector, pools: map[string]*instancePool{}, limit: func(routetable.Upstream) int { return 1 }}
 }
 
-// Update closes the pools of instances that are no longer listed and sets the
-// connection limits of the others. A limit of 0 means that connections are closed as soon
+// Update closes the pools of instances that are no longer listed, sets the
+// connection limits of the others, and withdraws the attempts that wait for a connection
+// and may no longer be written. A limit of 0 means that connections are closed as soon
 // as they are idle.
 func (p *Pools) Update(upstreams map[string][]routetable.Upstream, limit func(u routetable.Upstream) int) {
 	current := map[string]routetable.Upstream{}
@@ -59,6 +60,7 @@
 		}
 		np.setLimit(limit(u))
 		np.pool.CloseExpired(now)
+		np.pool.WithdrawWaiting()
 	}
 }
 
@@ -94,6 +96,17 @@
 	return np.pool
 }
 
+// Waiting returns the number of attempts that wait for a connection.
+func (p *Pools) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, np := range p.pools {
+		n += np.pool.Waiting()
+	}
+	return n
+}
+
 // Stats returns the totals over all pools.
 func (p *Pools) Stats() (open, idle int, dials uint64) {
 	p.mu.Lock()
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -70,6 +70,11 @@
 	return m.set.GetOrCreateCounter(`ryecourse_gateway_invalid_responses_total{reason="` + reason + `"}`)
 }
 
+// withdrawnAttempts returns the counter of withdrawn attempts for a reason.
+func (m *Metrics) withdrawnAttempts(w Withdrawal) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`ryecourse_gateway_attempts_withdrawn_total{reason="` + string(w) + `"}`)
+}
+
 // outcome returns the result's label in logs and metrics.
 func (r *requestResult) outcome() string {
 	switch {
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -31,6 +31,9 @@
 	// MaxBodyBytes limits the body of the response; 0 means a default. An attempt with
 	// a longer one fails.
 	MaxBodyBytes int
+	// IsWanted reports whether the request may still be written. It is called while the
+	// request waits for a connection, also by other goroutines; nil means that it may.
+	IsWanted func() bool
 	// Deadline ends the attempt.
 	Deadline time.Time
 }
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -108,7 +108,7 @@
 func (p *Pool) Do(ctx context.Context, r *Request, mayWrite func() bool) Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	c, err := p.get(ctx, r.ID)
+	c, err := p.get(ctx, r)
 	if err != nil {
 		return Result{Verdict: verdict.NotRun, Err: err}
 	}
--- a/internal/upstreamhttp/liveness.go
+++ b/internal/upstreamhttp/liveness.go
@@ -49,7 +49,7 @@
 // would be closed if it had ended, or by opening one, which is then kept for use.
 func (p *Pool) CheckLiveness(ctx context.Context) Liveness {
 	for {
-		c, wait, err := p.reserve(nil)
+		c, wait, err := p.reserve(nil, nil)
 		switch {
 		case err != nil:
 			return Unknown
--- a/internal/upstreamhttp/liveness_test.go
+++ b/internal/upstreamhttp/liveness_test.go
@@ -38,7 +38,7 @@
 	if open, idle, _ := p.Stats(); open != 1 || idle != 1 {
 		t.Errorf("%d connections, %d of them idle, want the one of the check", open, idle)
 	}
-	c, _, err := p.reserve(nil)
+	c, _, err := p.reserve(nil, nil)
 	if err != nil || c == nil {
 		t.Fatal("no connection", err)
 	}
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -9,15 +9,15 @@
 	"time"
 )
 
-// ErrNoConnection is returned if no connection became available in time, or if
-// the pool is closed.
+// ErrNoConnection is returned if no connection became available in time.
 var ErrNoConnection = errors.New("upstreamhttp: no connection became available in time")
 
 // ErrClosedAtOnce is returned for a connection that was accepted and then closed before it
 // carried a request.
 var ErrClosedAtOnce = errors.New("upstreamhttp: the connection was closed at once")
 
-// ErrNotWritten is returned for a request that its caller withdrew before it was written.
+// ErrNotWritten is returned for a request that was withdrawn before it was written, by its
+// caller or because its pool was closed.
 var ErrNotWritten = errors.New("upstreamhttp: the request was withdrawn")
 
 // Dial opens a connection to an address.
@@ -33,11 +33,19 @@
 	limit   int
 	open    int // connections that are idle, in use or being opened
 	idle    []*conn
-	waiters []chan *conn
+	waiters []waiter
 	closed  bool
 	dials   uint64
 }
 
+// waiter is a request that waits for a connection.
+type waiter struct {
+	// ready receives a connection, or nil if one may be opened. It is closed if the request
+	// is withdrawn.
+	ready    chan *conn
+	isWanted func() bool
+}
+
 // NewPool returns a pool without connections.
 func NewPool(address string, limit int, dial Dial, inspector Inspector) *Pool {
 	return &Pool{address: address, limit: max(limit, 1), dial: dial, inspector: inspector}
@@ -59,6 +67,13 @@
 	return p.open, len(p.idle), p.dials
 }
 
+// Waiting returns the number of requests that wait for a connection.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters)
+}
+
 // Close closes idle connections. Those in use are closed when they become free.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -70,17 +85,42 @@
 		c.close()
 	}
 	for _, w := range waiters {
-		close(w)
+		close(w.ready)
+	}
+}
+
+// WithdrawWaiting withdraws the requests that wait for a connection and are no longer wanted.
+func (p *Pool) WithdrawWaiting() {
+	p.mu.Lock()
+	waiters := slices.Clone(p.waiters)
+	p.mu.Unlock()
+	for _, w := range waiters {
+		if w.isWanted != nil && !w.isWanted() && p.removeWaiter(w.ready) {
+			close(w.ready)
+		}
 	}
 }
 
+// removeWaiter removes a waiter from the queue and returns false if it isn't in it.
+func (p *Pool) removeWaiter(ready chan *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.waiters {
+		if p.waiters[i].ready == ready {
+			p.waiters = slices.Delete(p.waiters, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
 // get returns a free connection that hasn't carried the request. A waiter that receives nil
 // instead of a connection tries again, since it may now be able to open one.
-func (p *Pool) get(ctx context.Context, requestID string) (*conn, error) {
-	id := hashID(requestID)
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
+	id := hashID(r.ID)
 	isNew := func(c *conn) bool { return !c.hasCarried(id) }
 	for {
-		c, wait, err := p.reserve(isNew)
+		c, wait, err := p.reserve(isNew, r.IsWanted)
 		if err != nil {
 			return nil, err
 		}
@@ -94,10 +134,15 @@
 		if wait == nil {
 			return p.openConn(ctx)
 		}
+		// A change before the request was in the queue has withdrawn nothing.
+		if r.IsWanted != nil && !r.IsWanted() {
+			p.cancelWait(wait)
+			return nil, ErrNotWritten
+		}
 		select {
 		case c, ok := <-wait:
 			if !ok {
-				return nil, ErrNoConnection
+				return nil, ErrNotWritten
 			}
 			if c == nil {
 				continue
@@ -117,11 +162,11 @@
 // reserve returns an idle connection, a channel to wait on, or neither if the
 // pool may open a new connection. suits is nil if any connection does. If no idle one does,
 // a new one takes the place of one of them.
-func (p *Pool) reserve(suits func(*conn) bool) (*conn, chan *conn, error) {
+func (p *Pool) reserve(suits func(*conn) bool, isWanted func() bool) (*conn, chan *conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, nil, ErrNoConnection
+		return nil, nil, ErrNotWritten
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; suits == nil || suits(c) {
@@ -138,9 +183,9 @@
 		p.idle = p.idle[:n-1]
 		return nil, nil, nil
 	}
-	w := make(chan *conn, 1)
+	w := waiter{ready: make(chan *conn, 1), isWanted: isWanted}
 	p.waiters = append(p.waiters, w)
-	return nil, w, nil
+	return nil, w.ready, nil
 }
 
 // openConn opens the connection that reserve has counted.
@@ -168,7 +213,7 @@
 // work while new ones don't. It returns ErrNoConnection if all connections are in use, and
 // ErrClosedAtOnce if the new one was closed.
 func (p *Pool) Reconnect(ctx context.Context, openFor time.Duration) error {
-	idle, wait, err := p.reserve(nil)
+	idle, wait, err := p.reserve(nil, nil)
 	switch {
 	case err != nil:
 		return err
@@ -201,15 +246,9 @@
 // cancelWait removes a waiter from the queue. What it has already received goes
 // to the next waiter.
 func (p *Pool) cancelWait(w chan *conn) {
-	p.mu.Lock()
-	for i, other := range p.waiters {
-		if other == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			p.mu.Unlock()
-			return
-		}
+	if p.removeWaiter(w) {
+		return
 	}
-	p.mu.Unlock()
 	if c, ok := <-w; ok {
 		if c != nil {
 			p.put(c)
@@ -231,7 +270,7 @@
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
 		p.mu.Unlock()
-		w <- c
+		w.ready <- c
 		return
 	}
 	p.idle = append(p.idle, c)
@@ -259,7 +298,7 @@
 	if len(p.waiters) > 0 && p.open < p.limit {
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
-		w <- nil
+		w.ready <- nil
 	}
 }
 
--- a/internal/upstreamhttp/repeat_test.go
+++ b/internal/upstreamhttp/repeat_test.go
@@ -79,17 +79,13 @@
 	if first := do(t, p, request("a")); first.Verdict != verdict.NotRun {
 		t.Fatalf("the first attempt isn't rejected: %+v", first)
 	}
-	c, _, err := p.reserve(nil)
+	c, _, err := p.reserve(nil, nil)
 	if err != nil || c == nil {
 		t.Fatal("no idle connection", err)
 	}
 	repeat := make(chan Result)
 	go func() { repeat <- do(t, p, request("a")) }()
-	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
-		p.mu.Lock()
-		waiting = len(p.waiters)
-		p.mu.Unlock()
-	}
+	awaitWaiters(p, 1)
 	p.put(c)
 	expectBody(t, <-repeat, "right")
 	if n := ran.Load(); n != 1 {
@@ -123,17 +119,13 @@
 	})
 	p := NewPool(addr, 1, dial, plainInspector{})
 	expectBody(t, do(t, p, request("a")), "right")
-	c, _, err := p.reserve(nil)
+	c, _, err := p.reserve(nil, nil)
 	if err != nil || c == nil {
 		t.Fatal("no idle connection", err)
 	}
 	next := make(chan Result)
 	go func() { next <- do(t, p, request("b")) }()
-	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
-		p.mu.Lock()
-		waiting = len(p.waiters)
-		p.mu.Unlock()
-	}
+	awaitWaiters(p, 1)
 	stray <- struct{}{}
 	<-stray
 	for c.usable(time.Now()) { // until the bytes have arrived
