--- a/internal/core/fanout/fanout.go
+++ b/internal/core/fanout/fanout.go
@@ -120,7 +120,7 @@
 	Success
 	// Unanswerable means that too many shards have failed for a success.
 	Unanswerable
-	// TimedOut means that the deadline has passed.
+	// TimedOut means that the deadline has passed, or that End was called.
 	TimedOut
 )
 
@@ -289,6 +289,17 @@
 	}
 }
 
+// End ends a running request before its deadline, with the answers so far if they suffice.
+func (q *Query) End() {
+	switch {
+	case q.outcome != Running:
+	case q.sufficient(q.answered):
+		q.outcome = Success
+	default:
+		q.outcome = TimedOut
+	}
+}
+
 // NextTimer returns when OnTimer is due.
 func (q *Query) NextTimer(now time.Time) time.Time {
 	next := q.policy.Deadline
--- a/internal/core/fanout/fanout_test.go
+++ b/internal/core/fanout/fanout_test.go
@@ -284,3 +284,17 @@
 	q.OnTimer(at(1000))
 	expectOutcome(t, q, TimedOut)
 }
+
+// TestEndedRequestKeepsASufficientAnswer checks what a request gets that is ended early, as its
+// VM stops.
+func TestEndedRequestKeepsASufficientAnswer(t *testing.T) {
+	for answers, want := range map[int]Outcome{0: TimedOut, 1: TimedOut, 2: Success, 3: Success} {
+		q := New(policy(3, 0.6), &scriptedSender{})
+		q.Start(start)
+		for i := range answers {
+			q.OnResult(at(5), i, true, verdict.Ran)
+		}
+		q.End()
+		expectOutcome(t, q, want)
+	}
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -115,7 +115,7 @@
 // without it.
 func (g *Gateway) checkRemote(in *incoming, r *executor.Request) string {
 	switch {
-	case g.stopping.Load():
+	case g.isDraining():
 		return rejectedStopping
 	case in.view == nil || in.viewAge > g.policy.MaxKeyStaleness:
 		return string(ReasonStaleMetadata)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -75,6 +75,7 @@
 	cancelElsewhere context.CancelFunc
 	remote          *elsewhereResult
 
+	wasEnded           bool // the VM's own end is near
 	rejectedByUpstream bool // an upstream reported that it didn't run an attempt
 }
 
@@ -172,12 +173,9 @@
 // timeouts returns the time after which the request is given up, and that after which
 // a sufficient partial response is returned.
 func (g *Gateway) timeouts(in *incoming) (timeout, soft time.Duration) {
-	timeout = g.policy.DefaultTimeout
-	if in.info.HasTimeout {
-		timeout = in.info.Timeout
-	}
-	if in.route.Timeout > 0 {
-		timeout = min(timeout, in.route.Timeout)
+	timeout = g.timeout(in)
+	if left, draining := g.timeLeft(in.started); draining {
+		timeout = min(timeout, left)
 	}
 	soft = max(in.route.Objective-g.policy.CallerOverhead, in.route.Objective/2)
 	if in.softTimeout > 0 {
@@ -186,6 +184,19 @@
 	return timeout, soft
 }
 
+// timeout returns the time after which the request is given up, by its caller's and its route's
+// timeout.
+func (g *Gateway) timeout(in *incoming) time.Duration {
+	timeout := g.policy.DefaultTimeout
+	if in.info.HasTimeout {
+		timeout = in.info.Timeout
+	}
+	if in.route.Timeout > 0 {
+		timeout = min(timeout, in.route.Timeout)
+	}
+	return timeout
+}
+
 // runUntilDone handles results and timers until the request has an outcome. It
 // returns true if the caller disconnected first.
 func (q *proxyRequest) runUntilDone(caller context.Context) bool {
@@ -199,6 +210,10 @@
 			if q.onElsewhereResult(r) {
 				return false
 			}
+		case <-q.g.drain.ended.Done():
+			q.wasEnded = true
+			q.query.End()
+			return false
 		case <-timer.C:
 			q.query.OnTimer(time.Now())
 		case <-caller.Done():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 	metrics     *Metrics
 
 	malformedLoads malformedLoads
-	stopping       atomic.Bool
+	drain          *drain
 	remoteQueries  atomic.Int64 // other VMs' queries that are running
 	probingLinks   atomic.Bool
 	latencies      sync.Map // *fanout.Latency by route name
@@ -178,6 +178,7 @@
 	g := &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
 		picker: deps.Picker, shedder: deps.Shedder, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
+		drain:         newDrain(),
 		retryDetector: retrydetect.NewTracker(), malformedLoads: malformedLoads{log: deps.Log, metrics: deps.Metrics},
 		weights: weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
@@ -185,9 +186,6 @@
 	return g
 }
 
-// StartDraining makes all further responses close the caller's connection.
-func (g *Gateway) StartDraining() { g.stopping.Store(true) }
-
 // Update drops the state of routes that are not in the new configuration. It
 // must not be called concurrently with itself.
 func (g *Gateway) Update(t *routetable.Table) {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -77,6 +77,9 @@
 	if refused := readBody(in, w, r); refused != nil {
 		return refused
 	}
+	if refused := g.refuseIfTooLate(in); refused != nil {
+		return refused
+	}
 	in.fingerprint = fingerprintOf(r.Method, r.Host, r.RequestURI, in.customerName(), in.body)
 	if left, ok := g.quarantine.Quarantined(boottime.Now(), uint64(in.fingerprint)); ok {
 		return &refusal{ReasonQuarantined, left}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -32,6 +32,11 @@
 	ReasonQuarantined     Reason = "quarantined"
 	ReasonUpstreamsFailed Reason = "upstreams_failed"
 	ReasonTimedOut        Reason = "timed_out"
+	// ReasonStopping means that the VM is stopping and may end before the request would.
+	ReasonStopping Reason = "stopping"
+	// ReasonStopped means that the VM has ended the request, which may have run, because the
+	// VM's own end is near.
+	ReasonStopped Reason = "stopped"
 	// ReasonExecutorLost means that the VM that ran the query was lost.
 	ReasonExecutorLost Reason = "executor_lost"
 )
@@ -51,6 +56,8 @@
 	ReasonQuarantined:         http.StatusServiceUnavailable,
 	ReasonUpstreamsFailed:     http.StatusBadGateway,
 	ReasonTimedOut:            http.StatusGatewayTimeout,
+	ReasonStopping:            http.StatusServiceUnavailable,
+	ReasonStopped:             http.StatusGatewayTimeout,
 	ReasonExecutorLost:        http.StatusBadGateway,
 }
 
@@ -68,13 +75,7 @@
 	body := string(reason) + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	g.closeIfStopping(h)
+	g.closeIfDraining(h)
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(body)) // the caller may have disconnected
 }
-
-func (g *Gateway) closeIfStopping(h http.Header) {
-	if g.stopping.Load() {
-		h.Set("Connection", "close")
-	}
-}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -68,7 +68,9 @@
 		return false
 	}
 	in.othersAsked = true
-	res := g.runElsewhere(r.Context(), others, g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
+	ctx, cancel := g.withDrain(r.Context())
+	defer cancel()
+	res := g.runElsewhere(ctx, others, g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
 	switch {
 	case r.Context().Err() != nil:
 		g.record(in, requestResult{callerDisconnected: true, executor: res.executor, err: res.err})
@@ -86,7 +88,10 @@
 	default:
 		// The other VM may have sent the request to as many upstreams as the route allows.
 		reason := ReasonExecutorLost
-		if errors.Is(res.err, context.DeadlineExceeded) {
+		switch {
+		case g.isEnded():
+			reason = ReasonStopped
+		case errors.Is(res.err, context.DeadlineExceeded):
 			reason = ReasonTimedOut
 		}
 		g.refuse(w, reason, 0)
@@ -250,7 +255,7 @@
 	h := w.Header()
 	maps.Copy(h, httpHeader(res.Headers))
 	h.Set("Content-Length", strconv.Itoa(len(res.Body)))
-	g.closeIfStopping(h)
+	g.closeIfDraining(h)
 	w.WriteHeader(res.Status)
 	_, err := w.Write(res.Body)
 	return err
--- a/internal/gateway/remote_test.go
+++ b/internal/gateway/remote_test.go
@@ -38,7 +38,7 @@
 		"failure of a release": {executor.Result{Failure: "of another release", NotRun: true}, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := &Gateway{headers: retryAfterHeaders{}}
+			g := &Gateway{headers: retryAfterHeaders{}, drain: newDrain()}
 			in := &incoming{route: &routetable.Route{Sharded: &routetable.Sharded{}}}
 			w := httptest.NewRecorder()
 			if r := g.respondRemote(in, w, "10.0.0.1:1", test.result); w.Code != test.status || r.status != test.status {
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -52,7 +52,10 @@
 // none. Attempts that still wait for a connection are withdrawn.
 func (q *proxyRequest) failureReason() Reason {
 	q.writes.withdraw()
-	if q.query.Outcome() == fanout.TimedOut {
+	switch {
+	case q.wasEnded:
+		return q.refineReason(ReasonStopped)
+	case q.query.Outcome() == fanout.TimedOut:
 		return q.refineReason(ReasonTimedOut)
 	}
 	q.awaitRejections()
@@ -99,6 +102,8 @@
 	switch {
 	case q.query.Verdict() != verdict.NotRun || q.runsElsewhere || q.writes.any():
 		return reason
+	case q.wasEnded:
+		return ReasonStopping
 	case q.rejectedByUpstream:
 		return ReasonRejectedByUpstreams
 	case q.atLimit > 0:
@@ -122,7 +127,7 @@
 	q.g.headers.CopyResponseHeaders(h, &resp.Header)
 	body := resp.Body()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	q.g.closeIfStopping(h)
+	q.g.closeIfDraining(h)
 	w.WriteHeader(resp.StatusCode())
 	_, err := w.Write(body)
 	return q.completeResult(requestResult{status: resp.StatusCode(), writeErr: err})
@@ -152,7 +157,7 @@
 	g.headers.WriteMergedHeaders(h, id, signatures, missing)
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	g.closeIfStopping(h)
+	g.closeIfDraining(h)
 	w.WriteHeader(http.StatusOK)
 	_, err := w.Write(body)
 	return err
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -82,6 +82,7 @@
 		t.Run(name, func(t *testing.T) {
 			h, e := &shedHeaders{}, &rejectingExecutors{errs: test.errs}
 			g := &Gateway{
+				drain:   newDrain(),
 				headers: h, executors: e, metrics: NewMetrics(metrics.NewSet()), log: eventlog.New(io.Discard, "vm"),
 				reachable: reachability.NewTracker(reachability.DefaultPolicy(), time.Now(), func(reachability.Change) {}),
 				policy:    Policy{DefaultTimeout: time.Second},
@@ -121,6 +122,7 @@
 		Customers: []routetable.Customer{{Name: "urgent", Priority: &urgent}, {Name: "usual"}},
 	})
 	g := &Gateway{
+		drain:    newDrain(),
 		metadata: fixedMetadata{&metadata.View{Table: table}}, quarantine: noQuarantine{},
 		metrics: NewMetrics(metrics.NewSet()), log: eventlog.New(io.Discard, "vm"), policy: Policy{MaxKeyStaleness: time.Minute},
 		reachable: reachability.NewTracker(reachability.DefaultPolicy(), time.Now(), func(reachability.Change) {}),
--- a/internal/gateway/withdraw_test.go
+++ b/internal/gateway/withdraw_test.go
@@ -60,7 +60,7 @@
 			}
 			picker := placement.NewPicker("a", rand.New(rand.NewPCG(1, 2)), nil)
 			picker.Update(time.Now(), map[string][]routetable.Upstream{"s": {{ID: "u", Service: "s", Zone: "a", Slots: 1}}}, nil, nil)
-			g := &Gateway{picker: picker, quarantine: hold, retryBudget: budget, metrics: NewMetrics(metrics.NewSet())}
+			g := &Gateway{drain: newDrain(), picker: picker, quarantine: hold, retryBudget: budget, metrics: NewMetrics(metrics.NewSet())}
 			q := &proxyRequest{g: g, in: &incoming{}, services: []string{"s"}, writes: writeCounts{count: make([]int, 1)}, ctx: context.Background()}
 			picked, _ := picker.Pick(time.Now(), placement.Request{Service: "s"})
 			if test.prepare != nil {
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -62,8 +62,10 @@
 	shares     shareCache   // guarded by sharesMu
 	unshared   atomic.Int64 // upstreams to which this VM keeps no connections
 	started    time.Time
-	stopping   chan struct{}
-	stopOnce   sync.Once
+	// callerConns is set up by Run.
+	callerConns callerConns
+	stopping    chan struct{}
+	stopOnce    sync.Once
 }
 
 const (
@@ -282,9 +284,12 @@
 	if err := listen(d.settings.PeerAddr.String(), peers, errs); err != nil {
 		return err
 	}
-	if err := listen(d.settings.CallerAddr.String(), callers, errs); err != nil {
-		return err
+	l, err := net.Listen("tcp", d.settings.CallerAddr.String())
+	if err != nil {
+		return fmt.Errorf("listen on %v: %w", d.settings.CallerAddr, err)
 	}
+	d.callerConns.listener = l
+	serve(callerListener{l}, callers, errs)
 	// Readiness is served last, as callers may be routed to the VM from then on.
 	if err := listen(d.settings.ReadinessAddr.String(), ready, errs); err != nil {
 		return err
@@ -306,12 +311,16 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	serve(l, s, errs)
+	return nil
+}
+
+func serve(l net.Listener, s *http.Server, errs chan<- error) {
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			errs <- err
 		}
 	}()
-	return nil
 }
 
 // waitForShutdown waits for a signal to stop or an error of a listener, and
--- a/internal/gatewaydaemon/listeners.go
+++ b/internal/gatewaydaemon/listeners.go
@@ -1,8 +1,6 @@
 package gatewaydaemon
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -19,12 +17,6 @@
 	// maxHeaderBytes exceeds the limit that callers keep to.
 	maxHeaderBytes = 64 << 10
 
-	// drainTime is how long a stopping VM keeps accepting requests. The load
-	// balancer removes it after two failed checks, one per second.
-	drainTime = 3500 * time.Millisecond
-	// shutdownMargin is the time reserved before the end of the grace period.
-	shutdownMargin = 400 * time.Millisecond
-
 	// maxReadyAge is the metadata age above which a VM isn't ready, so that
 	// callers with keys are routed to VMs that can serve them.
 	maxReadyAge = 3500 * time.Millisecond
@@ -33,6 +25,7 @@
 func (d *Daemon) callerServer() *http.Server {
 	return &http.Server{
 		Handler:           d.gateway,
+		ConnState:         d.callerConns.onState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -59,28 +52,6 @@
 	return d.follower.View() != nil && d.follower.Age() < maxReadyAge
 }
 
-// shutdown reports that the VM isn't ready, serves for drainTime, and then
-// waits for running requests until the end of the grace period.
-func (d *Daemon) shutdown(callers, peers *http.Server) {
-	began := time.Now()
-	d.log.Event("stop").Str("phase", "draining").Send()
-	d.stopOnce.Do(func() { close(d.stopping) })
-	d.gateway.StartDraining()
-	d.exchanger.StartDraining()
-	grace := d.settings.Bounds.ShutdownGrace
-	time.Sleep(min(drainTime, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-shutdownMargin))
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	d.exchanger.Leave(ctx)
-	err = errors.Join(err, peers.Shutdown(ctx)) // queries of other VMs end first
-	e := d.log.Event("stop").Str("phase", "ended").Dur("took_ms", time.Since(began))
-	if err != nil {
-		e.Str("error", err.Error())
-	}
-	e.Send()
-}
-
 const (
 	// dialTimeout is far above the time of a handshake within the region.
 	dialTimeout = 400 * time.Millisecond
--- /dev/null
+++ b/internal/gatewaydaemon/shutdown.go
@@ -0,0 +1,111 @@
+package gatewaydaemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// drainTime is how long a stopping VM accepts connections. The load
+	// balancer removes it after two failed checks, one per second.
+	drainTime = 3500 * time.Millisecond
+	// shutdownMargin is the time reserved before the end of the grace period, and
+	// lastResponsesMargin the time before that in which the running requests are ended, for
+	// the way of their responses.
+	shutdownMargin      = 400 * time.Millisecond
+	lastResponsesMargin = 200 * time.Millisecond
+	// idlePollInterval is the time between two checks for connections with a request.
+	idlePollInterval = 20 * time.Millisecond
+)
+
+// shutdown reports that the VM isn't ready, accepts connections for drainTime, and then
+// waits for running requests. Those that run until the end of the grace period get an error
+// before it.
+func (d *Daemon) shutdown(callers, peers *http.Server) {
+	began := time.Now()
+	d.log.Event("stop").Str("phase", "draining").Send()
+	d.stopOnce.Do(func() { close(d.stopping) })
+	grace := d.settings.Bounds.ShutdownGrace
+	end := began.Add(grace - shutdownMargin)
+	d.gateway.StartDraining(end.Add(-lastResponsesMargin))
+	d.exchanger.StartDraining()
+	time.Sleep(min(drainTime, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	cut := d.callerConns.drain(ctx, callers)
+	err := callers.Close()
+	d.exchanger.Leave(ctx)
+	err = errors.Join(err, peers.Shutdown(ctx)) // queries of other VMs end first
+	e := d.log.Event("stop").Str("phase", "ended").Dur("took_ms", time.Since(began)).Int64("busy_connections", cut)
+	if err != nil {
+		e.Str("error", err.Error())
+	}
+	e.Send()
+}
+
+// callerConns counts the callers' connections with a request, or without any yet.
+type callerConns struct {
+	listener net.Listener
+	busy     atomic.Int64
+}
+
+// callerConn is a caller's connection.
+type callerConn struct {
+	net.Conn
+	busy atomic.Bool
+}
+
+// CloseWrite closes the sending side, as net/http does before it closes a connection whose
+// request it hasn't read to the end.
+func (c *callerConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+// callerListener accepts callers' connections.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c}, nil
+}
+
+// onState implements http.Server.ConnState.
+func (t *callerConns) onState(c net.Conn, s http.ConnState) {
+	isBusy := s == http.StateNew || s == http.StateActive
+	if cc, ok := c.(*callerConn); ok && cc.busy.Swap(isBusy) != isBusy {
+		if isBusy {
+			t.busy.Add(1)
+		} else {
+			t.busy.Add(-1)
+		}
+	}
+}
+
+// drain closes the listener and idle connections, and waits until no connection has a request.
+// It returns the number of those that have one when ctx ends. http.Server.Shutdown would close
+// connections whose first request arrives now without a response to it.
+func (t *callerConns) drain(ctx context.Context, s *http.Server) int64 {
+	t.listener.Close()
+	s.SetKeepAlivesEnabled(false)
+	tick := time.NewTicker(idlePollInterval)
+	defer tick.Stop()
+	for t.busy.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return t.busy.Load()
+		}
+	}
+	return 0
+}
