gateway: a request whose body took long is authenticated again

With a body that arrives slowly, a request ran with a key that had been withdrawn, or on a route that was gone, for as long as the body took.

Change: once the body is complete, route and key are looked up again if the metadata has changed since, or has become too old to prove anything.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -77,6 +77,9 @@
 	if refused := readBody(in, w, r); refused != nil {
 		return refused
 	}
+	if refused := g.recheck(in, r); refused != nil {
+		return refused
+	}
 	if refused := g.refuseIfTooLate(in); refused != nil {
 		return refused
 	}
@@ -92,6 +95,18 @@
 	return nil
 }
 
+// recheck decides again on a request whose body took so long that the metadata has changed.
+func (g *Gateway) recheck(in *incoming, r *http.Request) *refusal {
+	if r.ContentLength == 0 || g.metadata.View() == in.view && g.metadata.Age() <= g.policy.MaxKeyStaleness {
+		return nil
+	}
+	in.customer = nil
+	if refused := g.findRoute(in, r.Host, r.RequestURI); refused != nil {
+		return refused
+	}
+	return g.authenticate(in, g.isStale(in))
+}
+
 // findRoute sets the metadata and the route of a request.
 func (g *Gateway) findRoute(in *incoming, host, uri string) *refusal {
 	in.view, in.viewAge = g.metadata.View(), g.metadata.Age()
