--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/placement"
 	"ryecourse.example/ryecourse/internal/core/routetable"
@@ -242,17 +240,15 @@
 	// respond passes it on if no attempt succeeds.
 	if shardWasOpen && (usable || len(q.services) == 1 && r.upstreamResult.Response != nil) {
 		q.storeResponse(r.shard, r.upstreamResult)
-	} else if r.upstreamResult.Response != nil {
-		fasthttp.ReleaseResponse(r.upstreamResult.Response)
+	} else {
+		r.upstreamResult.Release()
 	}
 }
 
 // storeResponse stores the shard's response, which is passed on to the caller or
 // merged, and releases the one it replaces.
 func (q *proxyRequest) storeResponse(shard int, a upstreamhttp.Result) {
-	if old := q.shardResults[shard].Response; old != nil {
-		fasthttp.ReleaseResponse(old)
-	}
+	q.shardResults[shard].Release()
 	q.shardResults[shard] = a
 }
 
@@ -323,9 +319,7 @@
 		q.cancelElsewhere()
 	}
 	for i := range q.shardResults {
-		if resp := q.shardResults[i].Response; resp != nil {
-			fasthttp.ReleaseResponse(resp)
-		}
+		q.shardResults[i].Release()
 	}
 	if q.attemptsInFlight == 0 {
 		q.cancel()
@@ -343,9 +337,7 @@
 	for ; q.attemptsInFlight > 0; q.attemptsInFlight-- {
 		r := <-q.done
 		outcome := placement.Canceled
-		if r.upstreamResult.Response != nil {
-			fasthttp.ReleaseResponse(r.upstreamResult.Response)
-		}
+		r.upstreamResult.Release()
 		q.g.picker.Done(r.attempt, time.Now(), outcome, loadOf(&r.upstreamResult))
 	}
 }
--- a/internal/gateway/invalid.go
+++ b/internal/gateway/invalid.go
@@ -34,8 +34,8 @@
 		return
 	}
 	a.Err = &UnsignedError{Status: a.Response.StatusCode()}
-	fasthttp.ReleaseResponse(a.Response)
-	a.Response, a.Info, a.Verdict = nil, upstreamhttp.ResponseInfo{}, verdict.MayHaveRun
+	a.Release()
+	a.Info, a.Verdict = upstreamhttp.ResponseInfo{}, verdict.MayHaveRun
 }
 
 // invalidReason returns why the bytes that an upstream sent aren't a response to the
@@ -53,6 +53,10 @@
 		return "other_request"
 	case a.AnyBytesSent && errors.Is(a.Err, io.ErrUnexpectedEOF):
 		return "incomplete"
+	case errors.Is(a.Err, fasthttp.ErrBodyTooLarge):
+		return "too_long"
+	case errors.Is(a.Err, upstreamhttp.ErrOverMemory):
+		return "over_memory"
 	}
 	return ""
 }
--- a/internal/gateway/losses_test.go
+++ b/internal/gateway/losses_test.go
@@ -40,7 +40,7 @@
 				ours, theirs := net.Pipe()
 				t.Cleanup(func() { theirs.Close() })
 				return ours, nil
-			}, nil)
+			}, nil, nil)
 			checks := 0
 			c := &lossChecker{pools: pools, opensConnections: func(context.Context, time.Time) bool {
 				checks++
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -12,6 +12,7 @@
 type Pools struct {
 	dial      upstreamhttp.Dial
 	inspector upstreamhttp.Inspector
+	memory    *upstreamhttp.Memory
 
 	mu    sync.Mutex
 	pools map[string]*instancePool // by instance ID
@@ -31,9 +32,9 @@
 	np.pool.SetLimit(limit)
 }
 
-// NewPools returns an empty set of pools.
-func NewPools(dial upstreamhttp.Dial, inspector upstreamhttp.Inspector) *Pools {
-	return &Pools{dial: dial, inspector: inspector, pools: map[string]*instancePool{}, limit: func(routetable.Upstream) int { return 1 }}
+// NewPools returns an empty set of pools. memory bounds that of all responses; nil for no bound.
+func NewPools(dial upstreamhttp.Dial, inspector upstreamhttp.Inspector, memory *upstreamhttp.Memory) *Pools {
+	return &Pools{dial: dial, inspector: inspector, memory: memory, pools: map[string]*instancePool{}, limit: func(routetable.Upstream) int { return 1 }}
 }
 
 // Update closes the pools of instances that are no longer listed, sets the
@@ -91,6 +92,7 @@
 		limit := p.limit(u)
 		np = &instancePool{upstream: u, pool: upstreamhttp.NewPool(u.Address, limit, p.dial, p.inspector)}
 		np.isTemporary = limit == 0
+		np.pool.ShareMemory(p.memory)
 		p.pools[u.ID] = np
 	}
 	return np.pool
@@ -107,6 +109,9 @@
 	return n
 }
 
+// MemoryUsed returns the memory of the responses that haven't been released, in bytes.
+func (p *Pools) MemoryUsed() int64 { return p.memory.Used() }
+
 // Stats returns the totals over all pools.
 func (p *Pools) Stats() (open, idle int, dials uint64) {
 	p.mu.Lock()
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -27,7 +27,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	p := NewPools(dial, nil)
+	p := NewPools(dial, nil, nil)
 	limits := map[string]int{"shared": 1, "unshared": 0}
 	upstreams := map[string][]routetable.Upstream{"s": {
 		{ID: "shared", Service: "s", Address: l.Addr().String()}, {ID: "unshared", Service: "s", Address: l.Addr().String()},
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -36,6 +36,7 @@
 	"ryecourse.example/ryecourse/internal/fleetrpc"
 	"ryecourse.example/ryecourse/internal/gateway"
 	"ryecourse.example/ryecourse/internal/metadatasync"
+	"ryecourse.example/ryecourse/internal/upstreamhttp"
 	"ryecourse.example/ryecourse/platform"
 )
 
@@ -72,6 +73,9 @@
 	// memoryLimitFraction is the runtime's soft memory limit as a fraction of the
 	// process's limit. Near it the garbage collector runs more often.
 	memoryLimitFraction = 0.6
+	// responseMemoryFraction is the fraction of the process's limit that the responses of
+	// upstreams may take together. Their callers' copies and garbage take as much again.
+	responseMemoryFraction = 0.125
 	// retryRatioFraction is the fraction of the users' retry ratio that a VM's
 	// retry budget earns, so that the fleet stays within the ratio in the users'
 	// counting windows, which differ from its own.
@@ -118,7 +122,7 @@
 	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
 	d.picker.SetLeavingGrace(time.Duration(float64(s.Bounds.Drain) * leavingGraceFraction))
-	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{})
+	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{}, responseMemory(s))
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}, true))
 	rates := customerrate.DefaultPolicy()
 	rates.Slack = s.Bounds.QuotaSlack
@@ -147,6 +151,15 @@
 	return d
 }
 
+// responseMemory returns the bound on the memory of upstreams' responses; nil without a limit of
+// the process.
+func responseMemory(s platform.Settings) *upstreamhttp.Memory {
+	if s.MemoryMB <= 0 {
+		return nil
+	}
+	return upstreamhttp.NewMemory(int64(float64(s.MemoryMB<<20) * responseMemoryFraction))
+}
+
 func seedAddresses(s platform.Settings) []string {
 	var out []string
 	for _, a := range s.Seeds {
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -52,6 +52,7 @@
 		return float64(open)
 	})
 	gauge("attempts_waiting", func() float64 { return float64(d.pools.Waiting()) })
+	gauge("response_memory_bytes", func() float64 { return float64(d.pools.MemoryUsed()) })
 	gauge("upstreams_without_share", func() float64 { return float64(d.unshared.Load()) })
 	gauge("upstream_connections_opened", func() float64 {
 		_, _, dials := d.pools.Stats()
--- a/internal/upstreamhttp/codec.go
+++ b/internal/upstreamhttp/codec.go
@@ -41,7 +41,7 @@
 // Result is the outcome of an attempt.
 type Result struct {
 	// Response is nil if there is no complete response. Whoever receives the
-	// Result must release it.
+	// Result must call Release.
 	Response *fasthttp.Response
 	Info     ResponseInfo
 	Verdict  verdict.Verdict
@@ -54,6 +54,28 @@
 	StrayResponses int
 	// SentAt is when the request was handed to a connection; zero before that.
 	SentAt time.Time
+
+	charge charge
+}
+
+// Release releases the response, if there is one, and its memory.
+func (r *Result) Release() {
+	if r.Response == nil {
+		return
+	}
+	releaseResponse(r.Response)
+	r.Response = nil
+	r.charge.release()
+}
+
+// maxPooledBytes is the size up to which the buffers of bodies are reused.
+const maxPooledBytes = 64 << 10
+
+func releaseResponse(resp *fasthttp.Response) {
+	if len(resp.Body()) > maxPooledBytes {
+		resp.SwapBody(nil)
+	}
+	fasthttp.ReleaseResponse(resp)
 }
 
 // ResponseInfo holds what the headers of a response report.
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -36,7 +36,10 @@
 // conn is one connection. One goroutine owns it at a time.
 type conn struct {
 	nc      net.Conn
+	meter   *meter
 	br      *bufio.Reader
+	memory  *Memory // nil: no bound
+	charge  charge  // for the response that is being read
 	expires time.Time
 	broken  bool
 	used    bool // a request has been written
@@ -61,8 +64,9 @@
 	c.next = (c.next + 1) % len(c.carried)
 }
 
-func newConn(nc net.Conn) *conn {
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), expires: time.Now().Add(defaultIdleTimeout)}
+func newConn(nc net.Conn, memory *Memory) *conn {
+	m := &meter{r: nc}
+	return &conn{nc: nc, meter: m, br: bufio.NewReaderSize(m, readBufferBytes), memory: memory, expires: time.Now().Add(defaultIdleTimeout)}
 }
 
 // close closes the connection. A broken one is reset, which discards the data
@@ -147,6 +151,7 @@
 	defer func() {
 		if v := recover(); v != nil {
 			c.broken = true
+			c.charge.release()
 			a = Result{Verdict: verdict.MayHaveRun, AnyBytesSent: true, SentAt: a.SentAt, Err: &PanicError{Value: v}}
 		}
 	}()
@@ -182,6 +187,7 @@
 		return a
 	}
 	a.Response, a.Info, a.Verdict = resp, info, verdict.Ran
+	a.charge, c.charge = c.charge, charge{}
 	if info.NotRun || info.WrongInstance {
 		a.Verdict = verdict.NotRun
 	}
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -28,6 +28,7 @@
 	address   string
 	dial      Dial
 	inspector Inspector
+	memory    *Memory
 
 	mu      sync.Mutex
 	limit   int
@@ -51,6 +52,10 @@
 	return &Pool{address: address, limit: max(limit, 1), dial: dial, inspector: inspector}
 }
 
+// ShareMemory bounds the memory of the pool's responses together with those of other pools. It
+// must be called before the first request.
+func (p *Pool) ShareMemory(m *Memory) { p.memory = m }
+
 // SetLimit changes the largest number of connections. Those above it are closed
 // when they become free.
 func (p *Pool) SetLimit(limit int) {
@@ -205,7 +210,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	return newConn(nc, p.memory), nil
 }
 
 // Reconnect opens a connection, in place of an idle one if there is any, and keeps it for
--- a/internal/upstreamhttp/response.go
+++ b/internal/upstreamhttp/response.go
@@ -44,7 +44,7 @@
 // malformed wraps an error of the parser, and returns one of the connection as it is.
 func malformed(err error) error {
 	var netErr net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, fasthttp.ErrTimeout) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrOverMemory) || errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &netErr) || errors.Is(err, fasthttp.ErrTimeout) {
 		return err
 	}
 	return &MalformedError{Err: err}
@@ -63,7 +63,8 @@
 			c.setIdleTimeout(info.IdleTimeout)
 			return resp, info, strays, nil
 		}
-		fasthttp.ReleaseResponse(resp)
+		releaseResponse(resp)
+		c.charge.release()
 		c.broken = true
 		if info.RequestID == "" {
 			return nil, ResponseInfo{}, strays, &MalformedError{Err: errNoRequestID}
@@ -74,25 +75,54 @@
 	return nil, ResponseInfo{}, strays, err
 }
 
-// readNext reads the next response, which may be to any request.
+// readNext reads the next response, which may be to any request, and charges for its memory.
 func (c *conn) readNext(r *Request) (*fasthttp.Response, error) {
-	limit := r.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
 	resp := fasthttp.AcquireResponse()
 	err := skipInterimResponses(c.br)
 	if err == nil {
-		resp.SkipBody = r.NoResponseBody
-		err = resp.ReadLimitBody(c.br, limit)
+		err = resp.Header.Read(c.br)
+	}
+	if status := resp.Header.StatusCode(); err == nil && !r.NoResponseBody && status != http.StatusNoContent && status != http.StatusNotModified {
+		c.charge = charge{memory: c.memory}
+		err = c.readBody(resp, r.MaxBodyBytes)
 	}
 	if err != nil {
-		fasthttp.ReleaseResponse(resp)
+		releaseResponse(resp)
+		c.charge.release()
 		return nil, malformed(err)
 	}
 	return resp, nil
 }
 
+// readBody reads the body of a response whose head has been read.
+func (c *conn) readBody(resp *fasthttp.Response, limit int) error {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	length := resp.Header.ContentLength()
+	switch {
+	case length > limit:
+		return fasthttp.ErrBodyTooLarge
+	case length >= 0: // its buffer is allocated before it is read
+		if !c.charge.raise(int64(length)) {
+			return ErrOverMemory
+		}
+	default:
+		c.meter.charge, c.meter.read = &c.charge, int64(c.br.Buffered())
+		defer func() { c.meter.charge = nil }()
+	}
+	err := resp.ReadBody(c.br, limit)
+	if err == nil && length == -1 { // chunked
+		if err = resp.Header.ReadTrailer(c.br); err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	if c.meter.refused {
+		return ErrOverMemory
+	}
+	return err
+}
+
 // skipInterimResponses reads up to the status line of the next final response, which it
 // leaves unread.
 func skipInterimResponses(br *bufio.Reader) error {
