metadata: a VM that starts has its configuration confirmed (CONFIG, revoke_strict)

Cause: it took the store's copy for the newest configuration, though the VMs with which it exchanges know better. They didn't pass the newer one on either: kept over the beginning of an era it has no revision there, and revisions decided what another VM lacks.

Ruled out: the running VMs going back; a stale age (the copy was read anew).

Change: a VM that starts serves at once and asks up to three VMs within 0.6 s for their configuration; until one has confirmed or replaced its own, or none could, it refuses keys. VMs that are starting themselves don't confirm (field 6 of FollowResponse; absent from older builds). A full answer has the configuration also without a revision, and a higher version counts at any revision. start_confirmed and start_unconfirmed say what happened.

Tried first: the first metadata from another VM, the store only if none has any.

--- a/internal/core/metadata/era_test.go
+++ b/internal/core/metadata/era_test.go
@@ -73,6 +73,41 @@
 	}
 }
 
+// TestVMThatStartsGetsWhatOthersHaveKept guards against a VM that starts after the store has come
+// back from an older copy and gets no configuration from the others, as theirs has no revision
+// in the new era.
+func TestVMThatStartsGetsWhatOthersHaveKept(t *testing.T) {
+	old := NewState(outageThreshold, holdPeriod)
+	old.Apply(time.Second, Batch{Era: 1, Full: true, Revision: 20, Changes: []Change{config(7, 10), upstream("a", 11)}})
+	old.Apply(2*time.Second, Batch{Era: 1, Revision: 30, Changes: []Change{config(8, 30)}})
+	copied := Batch{Era: 2, Full: true, Revision: 21, Changes: []Change{config(7, 10), upstream("a", 11)}}
+	old.Apply(3*time.Second, copied)
+
+	started := NewState(outageThreshold, holdPeriod)
+	started.Apply(4*time.Second, old.ChangesSince(4*time.Second, Position{}))
+	expect := func(when string, s *State, version int64) {
+		t.Helper()
+		if v := s.View(); v == nil || v.Table.Config.Version != version || len(ids(v)) != 1 {
+			t.Fatalf("%s the view is %+v, want version %d", when, v, version)
+		}
+	}
+	expect("from another VM", started, 8)
+	started.Apply(5*time.Second, copied)
+	expect("after a full read of the copy", started, 8)
+
+	// One that has read the copy before takes the higher version, too.
+	misled := NewState(outageThreshold, holdPeriod)
+	misled.Apply(4*time.Second, copied)
+	expect("from the copy", misled, 7)
+	misled.Apply(5*time.Second, old.ChangesSince(5*time.Second, Position{}))
+	expect("from the copy and another VM", misled, 8)
+	for _, s := range []*State{old, started, misled} {
+		s.Apply(6*time.Second, Batch{Era: 2, Revision: 24, Changes: []Change{config(8, 24)}})
+		s.Apply(7*time.Second, Batch{Era: 2, Revision: 25, Changes: []Change{config(9, 25)}})
+		expect("after the next version", s, 9)
+	}
+}
+
 // rewindingStore is a store that can come back from an older copy. Its writers know what
 // is true and write it again.
 type rewindingStore struct {
--- a/internal/core/metadata/since.go
+++ b/internal/core/metadata/since.go
@@ -76,7 +76,7 @@
 	if b.Full {
 		after = 0
 	}
-	if s.table != nil && s.configRev > after {
+	if s.table != nil && (s.configRev > after || b.Full) {
 		c := s.table.Config
 		b.Changes = append(b.Changes, Change{Subject: SubjectConfig, Revision: s.configRev, Config: &c})
 	}
--- a/internal/core/metadata/state.go
+++ b/internal/core/metadata/state.go
@@ -84,6 +84,9 @@
 	// Age is the time since the source last confirmed its data with the store;
 	// 0 for the store itself.
 	Age time.Duration
+	// Unconfirmed is set if the sender has started and doesn't know whether its configuration
+	// is the newest.
+	Unconfirmed bool
 	// FromFallbackPeer is set if the sender is a fallback peer, which is read
 	// when the store has failed. The batch then proves only that the store
 	// responded Age ago. A batch of the store or of a reader counts as a sign
@@ -209,7 +212,10 @@
 }
 
 func (s *State) applyConfig(c Change, events []Event) []Event {
-	if c.Revision <= s.configRev || c.Deleted {
+	// A VM that has kept its configuration over the beginning of an era has no revision for
+	// it, so that a higher version counts at any revision.
+	isNewer := c.Config != nil && (s.table == nil || c.Config.Version > s.table.Config.Version)
+	if c.Deleted || c.Revision <= s.configRev && !isNewer {
 		return events
 	}
 	if c.Err != nil {
--- a/internal/fleetrpc/follow.go
+++ b/internal/fleetrpc/follow.go
@@ -96,7 +96,7 @@
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
 	return &fleetv1.FollowResponse{
-		Revision: b.Revision, Full: b.Full, AgeMs: uint32(b.Age.Milliseconds()), Changes: data, Era: b.Era,
+		Revision: b.Revision, Full: b.Full, AgeMs: uint32(b.Age.Milliseconds()), Changes: data, Era: b.Era, Unconfirmed: b.Unconfirmed,
 	}, nil
 }
 
@@ -146,7 +146,7 @@
 	if err := json.Unmarshal(resp.Changes, &items); err != nil {
 		return metadata.Batch{}, err
 	}
-	b := metadata.Batch{Revision: resp.Revision, Era: resp.Era, Full: resp.Full, Age: time.Duration(resp.AgeMs) * time.Millisecond}
+	b := metadata.Batch{Revision: resp.Revision, Era: resp.Era, Full: resp.Full, Unconfirmed: resp.Unconfirmed, Age: time.Duration(resp.AgeMs) * time.Millisecond}
 	for _, it := range items {
 		c := metadata.Change{Subject: it.Subject, Name: it.Name, Revision: it.Revision, Deleted: it.Deleted}
 		if len(it.Config) > 0 {
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -15,6 +15,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -101,6 +102,9 @@
 	// firstStartSourceRead how long those that read from others wait for these.
 	firstStartRead       = 1200 * time.Millisecond
 	firstStartSourceRead = 4 * time.Second
+	// startConfirmTimeout is how long a VM that starts looks for another one that confirms its
+	// configuration. Calls to the seeds return within milliseconds.
+	startConfirmTimeout = 600 * time.Millisecond
 	// leavingGraceFraction is the part of the users' bound on drains in which the last
 	// replica of a shard gets requests although it leaves. The rest is for requests on
 	// their way to it.
@@ -138,6 +142,8 @@
 	syncPolicy := metadatasync.DefaultPolicy()
 	if s.FirstStart {
 		syncPolicy.FirstRead, syncPolicy.FirstSourceRead = firstStartRead, firstStartSourceRead
+	} else if slices.ContainsFunc(seedAddresses(s), func(a string) bool { return a != s.PeerAddr.String() }) {
+		syncPolicy.ConfirmTimeout = startConfirmTimeout
 	}
 	d.follower = metadatasync.NewFollower(store, d.exchanger, syncPolicy, platform.ErrHistoryGone, d.log, d.applyView)
 	d.exchanger.SetChangeSource(d.follower)
--- a/internal/metadatasync/follower.go
+++ b/internal/metadatasync/follower.go
@@ -55,6 +55,9 @@
 	// FirstSourceRead how long one with Readers waits for their metadata before it
 	// reads the source, since all VMs of a large fleet would read it at their start.
 	FirstRead, FirstSourceRead time.Duration
+	// ConfirmTimeout is how long a VM that starts looks for another VM that confirms its
+	// configuration; 0 if there are no others, or if all start for the first time.
+	ConfirmTimeout time.Duration
 	// RetryInterval is the time between two reads while the source fails. A VM with
 	// readers keeps Interval, as there are many such VMs.
 	RetryInterval time.Duration
@@ -100,15 +103,20 @@
 	storeLost bool
 	failures  int
 	started   time.Time // of Run
+	// confirmed is set once another VM has confirmed the configuration with which this one
+	// starts, or none could.
+	confirmed atomic.Bool
 }
 
 // NewFollower returns a follower. historyGone is the source's error for changes
 // that it no longer has; publish is called with each new view.
 func NewFollower(s Source, peers Peers, p Policy, historyGone error, log *eventlog.Log, publish func(*metadata.View)) *Follower {
-	return &Follower{
+	f := &Follower{
 		source: s, peers: peers, policy: p, log: log, errHistoryGone: historyGone, publish: publish, now: boottime.Now,
 		state: metadata.NewState(p.OutageThreshold, p.HoldPeriod),
 	}
+	f.confirmed.Store(p.ConfirmTimeout == 0)
+	return f
 }
 
 // View returns the latest view, or nil while there is no configuration.
@@ -118,8 +126,16 @@
 const unknownAge = time.Duration(1 << 62)
 
 // Age returns the metadata age: the time since the view was last known to be
-// current.
+// current. The age of keys that haven't been confirmed is unknown.
 func (f *Follower) Age() time.Duration {
+	if v := f.view.Load(); !f.confirmed.Load() && v != nil && len(v.Table.Config.Customers) > 0 {
+		return unknownAge
+	}
+	return f.proofAge()
+}
+
+// proofAge returns the time since the source, or another VM, responded.
+func (f *Follower) proofAge() time.Duration {
 	at := f.provenAt.Load()
 	if at == 0 {
 		return unknownAge
@@ -134,6 +150,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.read(ctx)
+		f.confirm(ctx)
 		sleep(ctx, f.pause(err)-time.Since(began))
 	}
 }
@@ -193,7 +210,7 @@
 		return err
 	}
 	requestedAt = f.now()
-	batch, ok := f.fetchFromPeer(ctx, fallback, f.Age())
+	batch, ok := f.fetchFromPeer(ctx, fallback, f.proofAge())
 	if !ok {
 		return err
 	}
@@ -284,7 +301,7 @@
 	f.mu.Lock()
 	b := f.state.ChangesSince(f.now(), from)
 	f.mu.Unlock()
-	b.Age = f.Age()
+	b.Age, b.Unconfirmed = f.proofAge(), !f.confirmed.Load()
 	return b, true
 }
 
@@ -294,7 +311,7 @@
 		return
 	}
 	f.storeLost = true
-	f.log.Warning("store_lost").Str("error", err.Error()).Dur("knowledge_age_ms", f.Age()).Send()
+	f.log.Warning("store_lost").Str("error", err.Error()).Dur("knowledge_age_ms", f.proofAge()).Send()
 }
 
 func (f *Follower) recordSuccess() {
--- a/internal/metadatasync/follower_test.go
+++ b/internal/metadatasync/follower_test.go
@@ -18,6 +18,7 @@
 // fakeSource returns the batch or error that the test sets.
 type fakeSource struct {
 	changes     metadata.Batch
+	full        metadata.Batch // a small one if it is empty
 	err         error
 	fullReads   int
 	changeReads int
@@ -30,6 +31,9 @@
 
 func (s *fakeSource) ReadAll(context.Context) (metadata.Batch, error) {
 	s.fullReads++
+	if s.full.Full {
+		return s.full, nil
+	}
 	return metadata.Batch{Full: true, Revision: 10, Changes: []metadata.Change{config(1, 5)}}, nil
 }
 
