--- a/internal/core/customerrate/largefleet_test.go
+++ b/internal/core/customerrate/largefleet_test.go
@@ -1,9 +1,11 @@
 package customerrate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
@@ -68,6 +70,23 @@
 	}
 }
 
+// TestRestartInALargeFleetGrantsNoSlack guards against restarted VMs whose parts of the slack add
+// up to requests beyond the limit, after the others have admitted all that it allows.
+func TestRestartInALargeFleetGrantsNoSlack(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for vms, want := range map[int]bool{9: true, 80: false} {
+		l := NewLimiter(DefaultPolicy())
+		for i := range vms - 1 {
+			l.ApplyReport(at, fleet.Report{Address: fmt.Sprint("vm-", i), Incarnation: 1, At: time.Second})
+		}
+		l.Update(at, []routetable.Customer{small})
+		a, _ := l.Peek(at, small.Name, false)
+		if got := a.OwnLeft > 0; got != want {
+			t.Errorf("%d VMs: a VM that starts has %.2f tokens, want some: %v", vms, a.OwnLeft, want)
+		}
+	}
+}
+
 // TestFirstRequestsInAFleetOfHundreds checks a small customer whose requests each reach
 // another VM, soon after a fleet that has been up for a while was first configured.
 func TestFirstRequestsInAFleetOfHundreds(t *testing.T) {
--- a/internal/core/customerrate/limiter.go
+++ b/internal/core/customerrate/limiter.go
@@ -309,7 +309,9 @@
 	startupFractionFactor           = 1.6
 	largeFleetStartupFractionFactor = 1.2
 	// startupSlackFraction is the fraction of the slack that all VMs together receive
-	// at their start, so that the first requests of small customers aren't refused.
+	// at their start, so that the first requests of small customers aren't refused. In a
+	// large fleet a VM's part is less than a request, which serves none, while the parts
+	// of all that restart add to what the others have admitted.
 	startupSlackFraction = 0.6
 	// maxStartupTokens bounds the slack that one VM receives at its start, in requests.
 	maxStartupTokens = 2
@@ -352,7 +354,7 @@
 	if startingUp {
 		fraction = l.startupFractionFactor() / n
 	}
-	if startingUp && !a.slackGranted && len(l.reportedAt) > 0 {
+	if startingUp && !a.slackGranted && len(l.reportedAt) > 0 && !l.fleetIsLarge() {
 		a.slackGranted = true
 		a.ownBucket.tokens += min(maxStartupTokens, startupSlackFraction*l.policy.Slack/n)
 	}
