--- a/internal/upstreamhttp/response.go
+++ b/internal/upstreamhttp/response.go
@@ -41,10 +41,15 @@
 // Unwrap returns the parser's error.
 func (e *MalformedError) Unwrap() error { return e.Err }
 
-// malformed wraps an error of the parser, and returns one of the connection as it is.
+// malformed wraps an error of the parser, and returns one of the connection or of a limit as it
+// is.
 func malformed(err error) error {
-	var netErr net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrOverMemory) || errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &netErr) || errors.Is(err, fasthttp.ErrTimeout) {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, ErrOverMemory, fasthttp.ErrBodyTooLarge, fasthttp.ErrTimeout} {
+		if errors.Is(err, target) {
+			return err
+		}
+	}
+	if netErr := net.Error(nil); errors.As(err, &netErr) {
 		return err
 	}
 	return &MalformedError{Err: err}
