--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -36,6 +36,7 @@
 	"ryecourse.example/ryecourse/internal/eventlog"
 	"ryecourse.example/ryecourse/internal/fleetrpc"
 	"ryecourse.example/ryecourse/internal/gateway"
+	"ryecourse.example/ryecourse/internal/graceful"
 	"ryecourse.example/ryecourse/internal/metadatasync"
 	"ryecourse.example/ryecourse/internal/upstreamhttp"
 	"ryecourse.example/ryecourse/platform"
@@ -307,8 +308,8 @@
 	if err != nil {
 		return fmt.Errorf("listen on %v: %w", d.settings.CallerAddr, err)
 	}
-	d.callerConns.listener = l
-	serve(callerListener{l}, callers, errs)
+	d.callerConns.listener = graceful.NewListener(l, d.logCut)
+	serve(d.callerConns.listener, callers, errs)
 	// Readiness is served last, as callers may be routed to the VM from then on.
 	if err := listen(d.settings.ReadinessAddr.String(), ready, errs); err != nil {
 		return err
--- a/internal/gatewaydaemon/shutdown.go
+++ b/internal/gatewaydaemon/shutdown.go
@@ -5,8 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"ryecourse.example/ryecourse/internal/graceful"
 )
 
 const (
@@ -49,41 +52,20 @@
 
 // callerConns counts the callers' connections with a request, or without any yet.
 type callerConns struct {
-	listener net.Listener
+	listener *graceful.Listener
 	busy     atomic.Int64
-}
-
-// callerConn is a caller's connection.
-type callerConn struct {
-	net.Conn
-	busy atomic.Bool
-}
-
-// CloseWrite closes the sending side, as net/http does before it closes a connection whose
-// request it hasn't read to the end.
-func (c *callerConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
-
-// callerListener accepts callers' connections.
-type callerListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: c}, nil
+	state    sync.Map // of net.Conn to whether it is counted
 }
 
 // onState implements http.Server.ConnState.
 func (t *callerConns) onState(c net.Conn, s http.ConnState) {
+	t.listener.OnState(c, s)
 	isBusy := s == http.StateNew || s == http.StateActive
-	if cc, ok := c.(*callerConn); ok && cc.busy.Swap(isBusy) != isBusy {
+	was, _ := t.state.Swap(c, isBusy)
+	if s == http.StateClosed {
+		t.state.Delete(c)
+	}
+	if was, _ := was.(bool); was != isBusy {
 		if isBusy {
 			t.busy.Add(1)
 		} else {
@@ -92,6 +74,11 @@
 	}
 }
 
+// logCut logs a caller's connection that was closed while a request was in.
+func (d *Daemon) logCut(c graceful.Cut) {
+	d.log.Event("connection_cut").Stringer("caller", c.Caller).Dur("age_ms", c.Age).Send()
+}
+
 // drain closes the listener and idle connections, and waits until no connection has a request.
 // It returns the number of those that have one when ctx ends. http.Server.Shutdown would close
 // connections whose first request arrives now without a response to it.
