--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -65,10 +65,10 @@
 	shares     shareCache   // guarded by sharesMu
 	unshared   atomic.Int64 // upstreams to which this VM keeps no connections
 	started    time.Time
-	// callerConns is set up by Run.
-	callerConns callerConns
-	stopping    chan struct{}
-	stopOnce    sync.Once
+	// callerListener is set by Run.
+	callerListener *graceful.Listener
+	stopping       chan struct{}
+	stopOnce       sync.Once
 }
 
 const (
@@ -308,8 +308,9 @@
 	if err != nil {
 		return fmt.Errorf("listen on %v: %w", d.settings.CallerAddr, err)
 	}
-	d.callerConns.listener = graceful.NewListener(l, d.logCut)
-	serve(d.callerConns.listener, callers, errs)
+	d.callerListener = graceful.NewListener(l, graceful.Policy{HeadTimeout: headerTimeout, OnCut: d.logCut})
+	callers.ConnState = d.callerListener.OnState
+	serve(d.callerListener, callers, errs)
 	// Readiness is served last, as callers may be routed to the VM from then on.
 	if err := listen(d.settings.ReadinessAddr.String(), ready, errs); err != nil {
 		return err
--- a/internal/gatewaydaemon/listeners.go
+++ b/internal/gatewaydaemon/listeners.go
@@ -25,7 +25,6 @@
 func (d *Daemon) callerServer() *http.Server {
 	return &http.Server{
 		Handler:           d.gateway,
-		ConnState:         d.callerConns.onState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/gatewaydaemon/shutdown_test.go
+++ b/internal/gatewaydaemon/shutdown_test.go
@@ -154,7 +154,7 @@
 // callerServer serves callers as the daemon does.
 type callerServer struct {
 	inner stallingListener
-	conns callerConns
+	conns *graceful.Listener
 	http  *http.Server
 	idle  chan struct{} // closed when the connection is idle
 	conn  *stallingConn // set before idle is closed
@@ -174,7 +174,7 @@
 	}
 	conns := make(chan *stallingConn, 1)
 	s := &callerServer{inner: stallingListener{tcp, conns}, idle: make(chan struct{}), closed: make(chan struct{}), slowRuns: make(chan struct{}), finishSlow: make(chan struct{})}
-	s.conns.listener = graceful.NewListener(s.inner, nil)
+	s.conns = graceful.NewListener(s.inner, graceful.Policy{HeadTimeout: headerTimeout})
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == slowPath {
@@ -186,7 +186,7 @@
 			_, _ = io.WriteString(w, "ok")
 		}),
 		ConnState: func(c net.Conn, state http.ConnState) {
-			s.conns.onState(c, state)
+			s.conns.OnState(c, state)
 			switch {
 			case state == http.StateClosed && c == s.served:
 				close(s.closed)
@@ -198,7 +198,7 @@
 			}
 		},
 	}
-	go func() { _ = s.http.Serve(s.conns.listener) }()
+	go func() { _ = s.http.Serve(s.conns) }()
 	return s
 }
 
@@ -223,6 +223,6 @@
 func (s *callerServer) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	s.conns.drain(ctx, s.http)
+	_, _ = s.conns.Drain(ctx, time.Now().Add(4*time.Second))
 	_ = s.http.Close()
 }
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -1,12 +1,15 @@
 package graceful
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// conn is an accepted connection.
+// conn is an accepted connection. At most one goroutine reads it at a time.
 type conn struct {
 	net.Conn
 	listener *Listener
@@ -16,38 +19,81 @@
 	requestIn bool
 	readAt    time.Time // of that byte
 	responded bool      // some of the response has been written
+	used      bool      // a request has been in
 	left      bool      // the caller has closed or reset the connection
 	closed    bool
+	// retiring is set once the reader must close the connection when no request is in.
+	retiring bool
+	deadline time.Time // of reads, as set by the server
 }
 
-// Read implements net.Conn.
+// expired is a deadline that makes reads return at once.
+var expired = time.Unix(1, 0)
+
+// Read implements net.Conn. If a deadline has passed without a request, it returns the bytes
+// that have arrived all the same.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && !c.requestIn {
-		c.requestIn, c.responded, c.readAt = true, false, time.Now()
-		if c.closed {
-			c.reportCut()
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.requestIn {
+			return 0, err
+		}
+		if arrived := c.readArrived(p); arrived > 0 {
+			n, err = arrived, nil
+			c.deadline = time.Now().Add(c.listener.policy.HeadTimeout)
 		}
 	}
-	if err != nil && !isTimeout(err) {
+	if n > 0 {
+		c.addRequest()
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.left = true
 	}
 	return n, err
 }
 
-func isTimeout(err error) bool {
-	netErr, ok := err.(net.Error)
-	return ok && netErr.Timeout()
+// addRequest records that bytes of a request have been read. It must be called with mu held.
+func (c *conn) addRequest() {
+	if c.requestIn {
+		return
+	}
+	c.requestIn, c.used, c.responded, c.readAt = true, true, false, time.Now()
+	if c.closed {
+		c.reportCut()
+	}
+	if c.retiring {
+		c.listener.addLateRequest()
+	}
+	c.applyDeadline()
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
+// readArrived reads what has arrived, without waiting. It must be called with mu held.
+func (c *conn) readArrived(p []byte) int {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.closed || len(p) == 0 {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	n := 0
+	// The caller returns the error of its own read if this one fails.
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	return max(n, 0)
+}
+
+// onRequest records that the server has read a request, some or all of which had been read
+// together with the one before it.
+func (c *conn) onRequest() {
 	c.mu.Lock()
-	c.responded = true
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	defer c.mu.Unlock()
+	c.addRequest()
 }
 
 // onAnswered records that a response has been sent.
@@ -55,6 +101,54 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestIn = false
+	c.applyDeadline()
+}
+
+// retire makes the reader close the connection when no request is in. A connection that
+// hasn't carried any is only closed if unused is set.
+func (c *conn) retire(unused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.used || unused {
+		c.retiring = true
+		c.applyDeadline()
+	}
+}
+
+// applyDeadline must be called with mu held.
+func (c *conn) applyDeadline() {
+	if c.closed {
+		return
+	}
+	d := c.deadline
+	if c.retiring && !c.requestIn {
+		d = expired
+	}
+	_ = c.Conn.SetReadDeadline(d) // fails on a connection that is closed, whose reads fail too
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.retiring && !c.requestIn {
+		t = expired
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.responded = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
 }
 
 // CloseWrite closes the sending side, as net/http does before it closes a connection whose
@@ -69,20 +163,22 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	if !c.closed {
-		c.closed = true
-		c.listener.remove(c)
-		if c.requestIn && !c.responded && !c.left {
-			c.reportCut()
-		}
+	isFirst := !c.closed
+	c.closed = true
+	if isFirst && c.requestIn && !c.responded && !c.left {
+		c.reportCut()
 	}
 	c.mu.Unlock()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if isFirst {
+		c.listener.remove(c)
+	}
+	return err
 }
 
 // reportCut must be called with mu held.
 func (c *conn) reportCut() {
-	if c.listener.onCut != nil {
-		c.listener.onCut(Cut{Caller: c.RemoteAddr(), Age: time.Since(c.readAt)})
+	if c.listener.policy.OnCut != nil {
+		c.listener.policy.OnCut(Cut{Caller: c.RemoteAddr(), Age: time.Since(c.readAt)})
 	}
 }
