gatewaydaemon: only its reader closes another VM's connection

The listener is drained as that of the callers, after it, so that no query that has been read is dropped; responses from then on close their connections, so that the asking VM sends nothing more on them. The mechanism is covered by TestStopAnswersRequestsReadWhileItCloses and the tests of package graceful.

--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -65,10 +65,10 @@
 	shares     shareCache   // guarded by sharesMu
 	unshared   atomic.Int64 // upstreams to which this VM keeps no connections
 	started    time.Time
-	// callerListener is set by Run.
-	callerListener *graceful.Listener
-	stopping       chan struct{}
-	stopOnce       sync.Once
+	// callerListener and peerListener are set by Run.
+	callerListener, peerListener *graceful.Listener
+	stopping                     chan struct{}
+	stopOnce                     sync.Once
 }
 
 const (
@@ -301,16 +301,13 @@
 	mux.Handle(d.exchanger.Handler())
 	peers := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	errs := make(chan error, 4)
-	if err := listen(d.settings.PeerAddr.String(), peers, errs); err != nil {
+	var err error
+	if d.peerListener, err = d.listenGracefully(d.settings.PeerAddr.String(), peers, errs); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", d.settings.CallerAddr.String())
-	if err != nil {
-		return fmt.Errorf("listen on %v: %w", d.settings.CallerAddr, err)
+	if d.callerListener, err = d.listenGracefully(d.settings.CallerAddr.String(), callers, errs); err != nil {
+		return err
 	}
-	d.callerListener = graceful.NewListener(l, graceful.Policy{HeadTimeout: headerTimeout, OnCut: d.logCut})
-	callers.ConnState = d.callerListener.OnState
-	serve(d.callerListener, callers, errs)
 	// Readiness is served last, as callers may be routed to the VM from then on.
 	if err := listen(d.settings.ReadinessAddr.String(), ready, errs); err != nil {
 		return err
@@ -336,6 +333,18 @@
 	return nil
 }
 
+// listenGracefully serves on a listener that can be drained.
+func (d *Daemon) listenGracefully(address string, s *http.Server, errs chan<- error) (*graceful.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	g := graceful.NewListener(l, graceful.Policy{HeadTimeout: headerTimeout, OnCut: d.logCut})
+	s.ConnState, s.Handler = g.OnState, g.Handler(s.Handler)
+	serve(g, s, errs)
+	return g, nil
+}
+
 func serve(l net.Listener, s *http.Server, errs chan<- error) {
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gatewaydaemon/shutdown.go
+++ b/internal/gatewaydaemon/shutdown.go
@@ -40,7 +40,9 @@
 	drained, err := d.callerListener.Drain(ctx, end.Add(-lastRefusalsMargin))
 	err = errors.Join(err, callers.Close())
 	d.exchanger.Leave(ctx)
-	err = errors.Join(err, peers.Shutdown(ctx)) // queries of other VMs end first
+	// Queries of other VMs end first.
+	_, peersErr := d.peerListener.Drain(ctx, time.Now())
+	err = errors.Join(err, peersErr, peers.Close())
 	e := d.log.Event("stop").Str("phase", "ended").Dur("took_ms", time.Since(began)).
 		Int("busy_connections", drained.Open).Int("late_requests", drained.LateRequests)
 	if err != nil {
@@ -49,7 +51,7 @@
 	e.Send()
 }
 
-// logCut logs a caller's connection that was closed while a request was in.
+// logCut logs a connection of a caller or of another VM that was closed while a request was in.
 func (d *Daemon) logCut(c graceful.Cut) {
 	d.log.Event("connection_cut").Stringer("caller", c.Caller).Dur("age_ms", c.Age).Send()
 }
