graceful: a connection that is being accepted as its listener closes is kept as any unused one

A connection accepted while Drain begins was marked for closing at once if its first request hadn't arrived; it is now kept until unusedUntil, and closed by its reader after its response. A listener that failed before Drain no longer makes Drain wait until its context ends.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -43,7 +43,9 @@
 		if arrived := c.readArrived(p); arrived > 0 {
 			n, err = arrived, nil
 			c.deadline = time.Now().Add(c.listener.policy.HeadTimeout)
+			c.addRequest()
 		}
+		c.applyDeadline()
 	}
 	if n > 0 {
 		c.addRequest()
@@ -65,8 +67,8 @@
 	}
 	if c.retiring {
 		c.listener.addLateRequest()
+		c.applyDeadline()
 	}
-	c.applyDeadline()
 }
 
 // readArrived reads what has arrived, without waiting. It must be called with mu held.
@@ -101,7 +103,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestIn = false
-	c.applyDeadline()
+	if c.listener.isDraining() {
+		c.retiring = true
+	}
+	if c.retiring {
+		c.applyDeadline()
+	}
 }
 
 // retire makes the reader close the connection when no request is in. A connection that
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -52,7 +52,7 @@
 	draining     bool
 	lateRequests int
 	// accepted is closed when no connection is accepted any more, empty when none is open
-	// after that.
+	// after that; also by a listener that fails.
 	accepted, empty chan struct{}
 }
 
@@ -70,17 +70,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		if l.draining && !isClosed(l.accepted) {
+		if (l.draining || !isTemporary(err)) && !isClosed(l.accepted) {
 			close(l.accepted)
 			l.closeIfEmpty()
 		}
 		return nil, err
 	}
-	c := &conn{Conn: nc, listener: l, retiring: l.draining}
+	c := &conn{Conn: nc, listener: l}
 	l.conns[c] = struct{}{}
 	return c, nil
 }
 
+// isTemporary reports whether a server accepts again after an error, as net/http does.
+func isTemporary(err error) bool {
+	t, ok := err.(interface{ Temporary() bool })
+	return ok && t.Temporary()
+}
+
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// TestDrainAfterTheListenerFailed guards against requests that are cut when their listener fails.
+func TestDrainAfterTheListenerFailed(t *testing.T) {
+	s := startServer(t)
+	c := s.connect(t)
+	c.send(head)
+	<-s.arrived
+	if err := s.Listener.Listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	drained := s.drain(time.Now())
+	s.proceed <- struct{}{}
+	c.expectAnswer()
+	c.expectClosed()
+	if d := <-drained; d.Open != 0 {
+		t.Errorf("%+v", d)
+	}
+}
+
 // TestCutIsReported guards against connections that are closed with a request in without a trace.
 func TestCutIsReported(t *testing.T) {
 	s := startServer(t)
