gatewaydaemon: signals have handlers before requests are accepted, a failing listener drains

Signals were handled only after all listeners were open, so that SIGTERM or SIGHUP in between ended the process with the requests that it had accepted; and a listener that failed ended it at once. Handlers are now set first, and a failing listener stops the process like SIGTERM does, with its error as the outcome.

The failing listener wasn't reproduced; TestDrainAfterTheListenerFailed covers the drain after it.

--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -285,6 +285,10 @@
 
 // Run serves until SIGTERM.
 func (d *Daemon) Run(ctx context.Context) error {
+	// A signal without a handler ends the process, whatever requests it has accepted.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	runtime.GOMAXPROCS(max(d.settings.Cores, 1))
 	debug.SetMemoryLimit(int64(float64(d.settings.MemoryMB<<20) * memoryLimitFraction))
 	d.log.Event("start").Str("zone", d.settings.Zone).
@@ -315,7 +319,7 @@
 	if err := listen(d.metricsAddress(), d.metricsServer(), errs); err != nil {
 		d.log.Warning("metrics_unavailable").Str("error", err.Error()).Send()
 	}
-	return d.waitForShutdown(callers, peers, errs)
+	return d.waitForShutdown(callers, peers, signals, errs)
 }
 
 func (d *Daemon) closeLog() {
@@ -353,16 +357,14 @@
 	}()
 }
 
-// waitForShutdown waits for a signal to stop or an error of a listener, and
-// reloads the settings on SIGHUP.
-func (d *Daemon) waitForShutdown(callers, peers *http.Server, errs <-chan error) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// waitForShutdown waits for a signal to stop or an error of a listener, answers the requests
+// that are in, and reloads the settings on SIGHUP.
+func (d *Daemon) waitForShutdown(callers, peers *http.Server, signals <-chan os.Signal, errs <-chan error) error {
 	for {
 		select {
 		case err := <-errs:
 			d.log.Failure("stop").Str("error", err.Error()).Send()
+			d.shutdown(callers, peers)
 			return err
 		case s := <-signals:
 			if s != syscall.SIGHUP {
