gateway: a request whose body isn't in when a stopping VM ends is refused

What callers saw: a request whose body still arrives at the end of a planned stop is cut without an answer, and its caller can't know that it hasn't run.

Cause: the stop ends what runs at upstreams, and knows nothing of requests that are still being read. When running requests are ended, the read of a body ends now too, and its request gets 503 (stopping), as it hasn't run.

TestStoppingVMRefusesUnfinishedBodies: no answer (unexpected EOF) before, 2 of 2; 503 now, 3 of 3.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -74,7 +75,7 @@
 	if refused := g.authenticate(in, g.isStale(in)); refused != nil {
 		return refused
 	}
-	if refused := readBody(in, w, r); refused != nil {
+	if refused := g.readBody(in, w, r); refused != nil {
 		return refused
 	}
 	if refused := g.recheck(in, r); refused != nil {
@@ -170,7 +171,8 @@
 // defaultBodyBytes is the limit if the configuration has none.
 const defaultBodyBytes = 1 << 20
 
-func readBody(in *incoming, w http.ResponseWriter, r *http.Request) *refusal {
+// readBody reads a body until running requests are ended.
+func (g *Gateway) readBody(in *incoming, w http.ResponseWriter, r *http.Request) *refusal {
 	limit := int64(in.view.Table.Config.Limits.BodyBytes)
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -181,11 +183,17 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	stop := context.AfterFunc(g.drain.ended, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails on a connection that is closed
+	})
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return &refusal{reason: ReasonBodyTooLong}
+	case err != nil && g.isEnded():
+		return &refusal{ReasonStopping, otherVMRetryAfter}
 	case err != nil:
 		return &refusal{reason: ReasonBadRequest}
 	}
