caller: only its reader closes a caller's connection

What callers saw: a request on a kept connection, read while the stop closes idle connections, got neither an answer nor a refusal; it hasn't run. fasthttp's Shutdown claims an idle connection, and drops the request that it has read since. And on a connection without any request, fasthttp answered the end of the read time limit with a 400, which a caller takes for the answer to the request that it sends at that moment.

Callers' connections are now accepted through graceful.Listener, and Shutdown drains it first. A deadline that passes without a request ends a connection's reads like the caller's own end does (io.EOF), so that there is nothing to answer.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -10,8 +10,10 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 	"ryecourse.example/ryecourse/internal/core/verdict"
+	"ryecourse.example/ryecourse/internal/graceful"
 	"ryecourse.example/ryecourse/internal/settings"
 	"ryecourse.example/ryecourse/internal/telemetry"
 	"ryecourse.example/ryecourse/internal/upstream"
@@ -96,6 +99,7 @@
 	draining   atomic.Bool
 	running    atomic.Int64
 	http       *fasthttp.Server
+	listener   atomic.Pointer[graceful.Listener] // nil before Serve
 }
 
 // New returns a server that is not listening yet.
@@ -107,6 +111,7 @@
 		ErrorHandler:          s.onReadError,
 		ReadBufferSize:        limits.MaxHeaderBytes,
 		MaxRequestBodySize:    limits.MaxBodyBytes,
+		ConnState:             s.onState,
 		ReadTimeout:           limits.ReadTimeout(),
 		IdleTimeout:           limits.IdleTimeout(),
 		Concurrency:           limits.MaxConnections,
@@ -125,7 +130,25 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Serve handles requests on the listener until Shutdown.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+func (s *Server) Serve(ln net.Listener) error {
+	l := graceful.NewListener(ln, graceful.Policy{HeadTimeout: s.http.ReadTimeout, OnCut: s.logCut})
+	s.listener.Store(l)
+	return s.http.Serve(l)
+}
+
+func (s *Server) logCut(c graceful.Cut) {
+	s.deps.Log.Warn().Stringer("caller", c.Caller).Dur("age_ms", c.Age).Msg("connection cut")
+}
+
+// onState implements fasthttp.Server.ConnState.
+func (s *Server) onState(c net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateActive:
+		s.listener.Load().OnState(c, http.StateActive)
+	case fasthttp.StateIdle:
+		s.listener.Load().OnState(c, http.StateIdle)
+	}
+}
 
 // Drain makes the server refuse new requests while running ones complete.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -134,7 +157,14 @@
 func (s *Server) Running() int64 { return s.running.Load() }
 
 // Shutdown closes the listener and waits for open requests.
-func (s *Server) Shutdown() error { return s.http.Shutdown() }
+func (s *Server) Shutdown() error {
+	l := s.listener.Load()
+	if l == nil {
+		return nil
+	}
+	_, err := l.Drain(context.Background(), time.Now())
+	return errors.Join(err, s.http.Shutdown())
+}
 
 // onReadError answers a request that fasthttp could not read.
 func (s *Server) onReadError(ctx *fasthttp.RequestCtx, err error) {
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
+	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -30,32 +30,34 @@
 // expired is a deadline that makes reads return at once.
 var expired = time.Unix(1, 0)
 
-// Read implements net.Conn. If a deadline has passed without a request, it returns the bytes
-// that have arrived all the same.
+// Read implements net.Conn. If a deadline passes without a request, it returns the bytes that
+// have arrived all the same, and io.EOF if there are none: the server has nothing to answer.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		if c.requestIn {
-			return 0, err
-		}
-		if arrived := c.readArrived(p); arrived > 0 {
-			n, err = arrived, nil
-			c.deadline = time.Now().Add(c.listener.policy.HeadTimeout)
-			c.addRequest()
+	switch {
+	case n > 0:
+		c.addRequest()
+	case isTimeout(err) && !c.requestIn:
+		if n = c.readArrived(p); n == 0 {
+			return 0, io.EOF
 		}
-		c.applyDeadline()
-	}
-	if n > 0 {
+		c.deadline = time.Now().Add(c.listener.policy.HeadTimeout)
 		c.addRequest()
-	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.applyDeadline()
+		return n, nil
+	case err != nil && !isTimeout(err):
 		c.left = true
 	}
 	return n, err
 }
 
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // addRequest records that bytes of a request have been read. It must be called with mu held.
 func (c *conn) addRequest() {
 	if c.requestIn {
@@ -71,22 +73,19 @@
 	}
 }
 
-// readArrived reads what has arrived, without waiting. It must be called with mu held.
+// readArrived reads what has arrived, whatever the deadline. It must be called with mu held.
 func (c *conn) readArrived(p []byte) int {
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.closed || len(p) == 0 {
+	if !ok || c.closed {
 		return 0
 	}
 	raw, err := sc.SyscallConn()
-	if err != nil || c.Conn.SetReadDeadline(time.Time{}) != nil {
+	if err != nil {
 		return 0
 	}
 	n := 0
-	// The caller returns the error of its own read if this one fails.
-	_ = raw.Read(func(fd uintptr) bool {
-		n, _ = syscall.Read(int(fd), p)
-		return true
-	})
+	// Either error means that nothing can be read; the socket never blocks.
+	_ = raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), p) })
 	return max(n, 0)
 }
 
--- a/internal/graceful/graceful.go
+++ b/internal/graceful/graceful.go
@@ -46,6 +46,7 @@
 	net.Listener
 
 	policy Policy
+	close  sync.Once
 	mu     sync.Mutex
 	conns  map[*conn]struct{} // guarded by mu; open ones
 	// draining is set once Drain has begun; guarded by mu, as are the fields below.
@@ -81,6 +82,14 @@
 	return c, nil
 }
 
+// Close implements net.Listener. Further calls, as by a server that closes its listeners after
+// Drain, have no effect.
+func (l *Listener) Close() error {
+	var err error
+	l.close.Do(func() { err = l.Listener.Close() })
+	return err
+}
+
 // isTemporary reports whether a server accepts again after an error, as net/http does.
 func isTemporary(err error) bool {
 	t, ok := err.(interface{ Temporary() bool })
