caller: a stop of serve waits for callers until the drain timeout

A caller that doesn't read its answer held the stop without a bound (an hour on the clock of the test), until the process was killed with the shares that it had borrowed. Shutdown now ends with the drain timeout and reports it.

--- a/internal/caller/closing_test.go
+++ b/internal/caller/closing_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -134,7 +135,7 @@
 		t.Fatal("the first request got no answer")
 	}
 	srv.Drain()
-	if err := srv.Shutdown(); err != nil {
+	if err := srv.Shutdown(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	<-served
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -156,14 +156,14 @@
 // Running returns the number of requests in progress.
 func (s *Server) Running() int64 { return s.running.Load() }
 
-// Shutdown closes the listener and waits for open requests.
-func (s *Server) Shutdown() error {
+// Shutdown closes the listener and waits for open requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
 	l := s.listener.Load()
 	if l == nil {
 		return nil
 	}
-	_, err := l.Drain(context.Background(), time.Now())
-	return errors.Join(err, s.http.Shutdown())
+	_, err := l.Drain(ctx, time.Now())
+	return errors.Join(err, s.http.ShutdownWithContext(ctx))
 }
 
 // onReadError answers a request that fasthttp could not read.
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"regexp"
@@ -253,7 +254,7 @@
 		t.Fatalf("response after the drain: %s", got)
 	}
 	stopped := make(chan error)
-	go func() { stopped <- srv.Shutdown() }()
+	go func() { stopped <- srv.Shutdown(context.Background()) }()
 	close(scheduler.release)
 	if got := readResponse(t, running); !strings.Contains(got, `"code":"unavailable"`) {
 		t.Fatalf("response to the running request: %q", got)
--- a/internal/servedaemon/daemon.go
+++ b/internal/servedaemon/daemon.go
@@ -222,7 +222,9 @@
 	for d.callers.Running() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	err := d.callers.Shutdown()
+	callersCtx, cancelCallers := context.WithDeadline(ctx, deadline)
+	defer cancelCallers()
+	err := d.callers.Shutdown(callersCtx)
 	d.control.Call(ctx, d.control.ReturnBorrowedShares)
 	d.control.StopPeerCalls(ctx)
 	err = errors.Join(err, d.peers.Shutdown(ctx), d.operator.Shutdown())
