gateway: a caller that closes its sending side gets no empty success

What callers saw: a caller that closes only its sending side after a request gets 200 with an empty body, without any upstream's signature, though no upstream has responded: a false result.

Cause: net/http takes the end of the caller's bytes for its leaving, the handler ends without a response, and net/http sends an empty 200 for it. The handler now aborts, which closes the connection.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -84,7 +84,9 @@
 	upstreamResult upstreamhttp.Result
 }
 
-// forward serves the request from upstreams.
+// forward serves the request from upstreams. It panics with http.ErrAbortHandler if the caller
+// has left: a caller that has closed only its sending side would otherwise get the empty 200 of
+// a handler that ends without a response.
 func (g *Gateway) forward(in *incoming, w http.ResponseWriter, r *http.Request) {
 	if g.forwardElsewhere(in, w, r) {
 		return
@@ -100,7 +102,7 @@
 	disconnected := q.runUntilDone(r.Context())
 	if disconnected {
 		g.record(in, q.completeResult(requestResult{callerDisconnected: true}))
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if q.remote != nil {
 		g.record(in, q.completeRemote(g.respondRemote(in, w, q.remote.executor, q.remote.result)))
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -74,6 +74,7 @@
 	switch {
 	case r.Context().Err() != nil:
 		g.record(in, requestResult{callerDisconnected: true, executor: res.executor, err: res.err})
+		panic(http.ErrAbortHandler) // see forward
 	case res.err == nil:
 		g.record(in, g.respondRemote(in, w, res.executor, res.result))
 	case isQuarantined(res.err):
