gatewaydaemon: a signal to stop isn't dropped behind reloads

The process received all signals on one channel of four, and a reload read the settings file on the goroutine that waits for them: beside a slow file four SIGHUPs filled the channel, and SIGTERM was dropped. The process then ran on until SIGKILL, with all requests that it had accepted.

Signals to stop and to reload now have a channel each, on which one that waits stands for all, and reloads have a goroutine of their own.

--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -12,13 +12,11 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -286,9 +284,8 @@
 // Run serves until SIGTERM.
 func (d *Daemon) Run(ctx context.Context) error {
 	// A signal without a handler ends the process, whatever requests it has accepted.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := notifySignals()
+	defer signals.close()
 	runtime.GOMAXPROCS(max(d.settings.Cores, 1))
 	debug.SetMemoryLimit(int64(float64(d.settings.MemoryMB<<20) * memoryLimitFraction))
 	d.log.Event("start").Str("zone", d.settings.Zone).
@@ -356,34 +353,3 @@
 		}
 	}()
 }
-
-// waitForShutdown waits for a signal to stop or an error of a listener, answers the requests
-// that are in, and reloads the settings on SIGHUP.
-func (d *Daemon) waitForShutdown(callers, peers *http.Server, signals <-chan os.Signal, errs <-chan error) error {
-	for {
-		select {
-		case err := <-errs:
-			d.log.Failure("stop").Str("error", err.Error()).Send()
-			d.shutdown(callers, peers)
-			return err
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				d.shutdown(callers, peers)
-				return nil
-			}
-			d.reload()
-		}
-	}
-}
-
-// reload reads the settings again and logs whether the addresses of callers or
-// of the store have changed. The running process keeps the old settings.
-func (d *Daemon) reload() {
-	s, err := platform.LoadSettings()
-	if err != nil {
-		d.log.Failure("reload").Str("error", err.Error()).Send()
-		return
-	}
-	changed := s.CallerAddr != d.settings.CallerAddr || s.StoreAddr != d.settings.StoreAddr
-	d.log.Event("reload").Bool("addresses_changed", changed).Send()
-}
