cli: neither SIGHUP nor a log without a reader ends a daemon

The default action of a signal ended a daemon with all requests that it had accepted: SIGHUP at any time in `serve`, which had no handler for it, and in the gateway while it read its settings; and SIGPIPE once nobody reads the log, as Go ends a process that writes to a broken standard output.

Both daemons ignore SIGHUP and SIGPIPE from the start; the gateway handles SIGHUP once it runs.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -20,6 +20,7 @@
 }
 
 func runGateway(ctx context.Context, cmd *cli.Command) error {
+	ignoreSignals()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return cli.Exit(err.Error(), ExitError)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -16,7 +16,7 @@
 		Name:  "serve",
 		Usage: "run the daemon",
 		Description: "Runs until SIGTERM or SIGINT, then refuses new requests, completes running\n" +
-			"ones and hands its shares over to other daemons.\n\n" +
+			"ones and hands its shares over to other daemons. SIGHUP is ignored.\n\n" +
 			"Example:\n   ryecourse serve --settings /etc/ryecourse/vm.json",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE` of this process", Required: true},
@@ -25,7 +25,12 @@
 	}
 }
 
+// ignoreSignals makes a daemon outlive a reload of its settings before it can handle one, the
+// end of its terminal, and that of the reader of its log.
+func ignoreSignals() { signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) }
+
 func serve(ctx context.Context, cmd *cli.Command) error {
+	ignoreSignals()
 	s, err := settings.Load(cmd.String("settings"))
 	if err != nil {
 		return cli.Exit(err.Error(), ExitError)
