peer: only its reader closes a peer's connection

The listener is drained first. Found by reading; not reproduced. The mechanism is tested in packages graceful and caller.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
+	"ryecourse.example/ryecourse/internal/graceful"
 )
 
 const (
@@ -46,8 +47,9 @@
 
 // Server is the RPC server for peers.
 type Server struct {
-	http *http.Server
-	open atomic.Int64
+	http     *http.Server
+	open     atomic.Int64
+	listener atomic.Pointer[graceful.Listener] // nil before Serve
 }
 
 // NewServer returns a server for the handler. Refused messages are reported to
@@ -75,7 +77,9 @@
 
 // Serve handles calls on the listener until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(ln)
+	l := graceful.NewListener(ln, graceful.Policy{HeadTimeout: readHeaderTimeout})
+	s.listener.Store(l)
+	err := s.http.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -83,10 +87,18 @@
 }
 
 // Shutdown waits for running calls until the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	l := s.listener.Load()
+	if l == nil {
+		return s.http.Shutdown(ctx)
+	}
+	_, err := l.Drain(ctx, time.Now())
+	return errors.Join(err, s.http.Shutdown(ctx))
+}
 
 // connState counts the open connections and closes those beyond the limit.
 func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.listener.Load().OnState(c, state)
 	switch state {
 	case http.StateNew:
 		if s.open.Add(1) > maxConnections {
