operator: a stop of serve waits for operators until its calls' deadline

As with callers, an operator that doesn't read its answer held the stop without a bound. Not reproduced on its own.

--- a/internal/graceful/graceful_test.go
+++ b/internal/graceful/graceful_test.go
@@ -23,6 +23,13 @@
 }
 
 func startServer(t *testing.T) *testServer {
+	t.Helper()
+	s := newServer(t)
+	go func() { _ = s.http.Serve(s.Listener) }()
+	return s
+}
+
+func newServer(t *testing.T) *testServer {
 	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,7 +45,6 @@
 		case <-r.Context().Done():
 		}
 	}))}
-	go func() { _ = s.http.Serve(s.Listener) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
@@ -209,6 +215,38 @@
 	}
 }
 
+// TestDrainAnswersConnectionBeingAccepted guards against connections that the stop doesn't know yet.
+func TestDrainAnswersConnectionBeingAccepted(t *testing.T) {
+	s := newServer(t)
+	accepting, proceed := make(chan struct{}), make(chan struct{})
+	// Runs after Accept and before net/http knows the connection.
+	s.http.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		close(accepting)
+		<-proceed
+		return ctx
+	}
+	go func() { _ = s.http.Serve(s.Listener) }()
+	c := s.connect(t)
+	c.send(head)
+	<-accepting
+	out := make(chan Drained, 1)
+	go func() {
+		d, _ := s.Drain(context.Background(), time.Now())
+		out <- d
+	}()
+	for !s.isDraining() {
+		time.Sleep(time.Millisecond)
+	}
+	close(proceed)
+	<-s.arrived
+	s.proceed <- struct{}{}
+	c.expectAnswer()
+	c.expectClosed()
+	if d := <-out; d.Open != 0 {
+		t.Errorf("%+v", d)
+	}
+}
+
 // TestDrainAfterTheListenerFailed guards against requests that are cut when their listener fails.
 func TestDrainAfterTheListenerFailed(t *testing.T) {
 	s := startServer(t)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -4,6 +4,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net"
@@ -91,8 +92,8 @@
 // Serve answers on the listener until Shutdown.
 func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
 
-// Shutdown stops the listener.
-func (s *Server) Shutdown() error { return s.http.Shutdown() }
+// Shutdown stops the listener, and waits for open requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsGet() && !ctx.IsHead() {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,7 +31,7 @@
 	metrics.Request(`a"b\c`+"\n", "č", "ok")
 	s := New(fakeSource{}, audit.New(zerolog.Nop()), metrics)
 	go func() { _ = s.Serve(ln) }()
-	t.Cleanup(func() { _ = s.Shutdown() })
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
 	return ln.Addr().String()
 }
 
--- a/internal/servedaemon/daemon.go
+++ b/internal/servedaemon/daemon.go
@@ -227,7 +227,7 @@
 	err := d.callers.Shutdown(callersCtx)
 	d.control.Call(ctx, d.control.ReturnBorrowedShares)
 	d.control.StopPeerCalls(ctx)
-	err = errors.Join(err, d.peers.Shutdown(ctx), d.operator.Shutdown())
+	err = errors.Join(err, d.peers.Shutdown(ctx), d.operator.Shutdown(ctx))
 	d.pool.Close()
 	d.log.Info().Msg("stopped")
 	return err
