--- a/internal/caller/closing_test.go
+++ b/internal/caller/closing_test.go
@@ -15,8 +15,7 @@
 	"ryecourse.example/ryecourse/internal/upstream"
 )
 
-// TestUnusedConnectionGetsNoAnswer guards against an error that is sent on a connection
-// without a request, and that a caller takes for the answer to the request it sends then.
+// TestUnusedConnectionGetsNoAnswer guards against an error on a connection without a request, taken for the next answer.
 func TestUnusedConnectionGetsNoAnswer(t *testing.T) {
 	limits := settings.Default().Limits
 	limits.ReadTimeoutMs = 10
@@ -113,8 +112,7 @@
 
 func (l *oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// TestShutdownAnswersRequestThatHasBeenRead guards against a request on a kept connection that
-// the stop closes as idle although its bytes have been read: neither an answer nor a refusal.
+// TestShutdownAnswersRequestThatHasBeenRead guards against a stop that closes a connection as idle after a request was read.
 func TestShutdownAnswersRequestThatHasBeenRead(t *testing.T) {
 	const request = "POST /v1/services/orders/query HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 	local, _ := net.Pipe()
--- a/internal/caller/stalled_test.go
+++ b/internal/caller/stalled_test.go
@@ -14,8 +14,7 @@
 	"ryecourse.example/ryecourse/internal/upstream"
 )
 
-// TestShutdownEndsBesideCallerThatDoesNotRead guards against a stop that one caller delays
-// beyond any drain timeout, until the process is killed with what it has borrowed.
+// TestShutdownEndsBesideCallerThatDoesNotRead guards against a stop that one caller delays beyond the drain timeout.
 func TestShutdownEndsBesideCallerThatDoesNotRead(t *testing.T) {
 	s := &stub{catalog: newCatalog(t, goodKey)}
 	// Starts the goroutine of fasthttp's clock outside of the bubble.
--- a/internal/cli/logpipe_test.go
+++ b/internal/cli/logpipe_test.go
@@ -13,8 +13,7 @@
 	"ryecourse.example/ryecourse/platform"
 )
 
-// TestGatewayOutlivesItsLogReader guards against a process that ends with requests running
-// because nobody reads its log any more.
+// TestGatewayOutlivesItsLogReader guards against a process that SIGPIPE ends once nobody reads its log.
 func TestGatewayOutlivesItsLogReader(t *testing.T) {
 	var addresses []string
 	for range 3 {
--- a/internal/cli/signals_test.go
+++ b/internal/cli/signals_test.go
@@ -26,8 +26,7 @@
 	os.Exit(Run(context.Background(), strings.Fields(command), os.Stdout, os.Stderr))
 }
 
-// TestReloadSignalDoesNotEndAProcessThatStarts guards against a SIGHUP that ends a process
-// which reads its settings, as the signal is handled only once the process serves.
+// TestReloadSignalDoesNotEndAProcessThatStarts guards against SIGHUP before its handler is set.
 func TestReloadSignalDoesNotEndAProcessThatStarts(t *testing.T) {
 	for _, command := range []string{"gateway", "serve"} {
 		t.Run(command, func(t *testing.T) {
--- a/internal/cli/startstop_test.go
+++ b/internal/cli/startstop_test.go
@@ -13,8 +13,7 @@
 	"ryecourse.example/ryecourse/platform"
 )
 
-// TestStopSignalIsHandledOnceCallersConnect guards against a SIGTERM that ends the process at
-// once, with connections of callers, as it is handled only after the listeners are open.
+// TestStopSignalIsHandledOnceCallersConnect guards against SIGTERM between the listener and its handler.
 func TestStopSignalIsHandledOnceCallersConnect(t *testing.T) {
 	for i := range 10 { // the moment between the listener and the handler can't be held
 		a := freeAddresses(t, 3)
--- a/internal/gatewaydaemon/ends_test.go
+++ b/internal/gatewaydaemon/ends_test.go
@@ -58,8 +58,7 @@
 	return l
 }
 
-// TestFailedListenerLetsRequestsEnd guards against a process that ends with requests running
-// because one of its listeners has failed.
+// TestFailedListenerLetsRequestsEnd guards against an end of the process with requests running.
 func TestFailedListenerLetsRequestsEnd(t *testing.T) {
 	running, release := make(chan struct{}), make(chan struct{})
 	d, l := newIdleDaemon(t), listenOnLoopback(t)
@@ -87,8 +86,7 @@
 	}
 }
 
-// TestStopSignalBehindReloadsIsReceived guards against a SIGTERM that is dropped because the
-// signals of reloads, which wait for a slow disk, fill the channel.
+// TestStopSignalBehindReloadsIsReceived guards against a SIGTERM that is dropped as reloads fill its channel.
 func TestStopSignalBehindReloadsIsReceived(t *testing.T) {
 	fifo := filepath.Join(t.TempDir(), "settings")
 	if err := syscall.Mkfifo(fifo, 0o600); err != nil {
