--- a/internal/gatewaydaemon/ends_test.go
+++ b/internal/gatewaydaemon/ends_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"ryecourse.example/ryecourse/internal/graceful"
 	"ryecourse.example/ryecourse/platform"
@@ -29,12 +30,13 @@
 `
 
 // newIdleDaemon returns a daemon that listens on nothing.
-func newIdleDaemon(t *testing.T) *Daemon {
+func newIdleDaemon(t *testing.T, grace time.Duration) *Daemon {
 	t.Helper()
 	s, err := platform.ReadSettings(strings.NewReader(testSettings))
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.Bounds.ShutdownGrace = grace
 	return New(s, io.Discard)
 }
 
@@ -61,7 +63,7 @@
 // TestFailedListenerLetsRequestsEnd guards against an end of the process with requests running.
 func TestFailedListenerLetsRequestsEnd(t *testing.T) {
 	running, release := make(chan struct{}), make(chan struct{})
-	d, l := newIdleDaemon(t), listenOnLoopback(t)
+	d, l := newIdleDaemon(t, 3*time.Second), listenOnLoopback(t)
 	callers := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(running)
 		<-release
@@ -93,7 +95,7 @@
 		t.Fatal(err)
 	}
 	t.Setenv(platform.SettingsVariable, fifo)
-	d, callers := newIdleDaemon(t), &http.Server{}
+	d, callers := newIdleDaemon(t, 3*time.Second), &http.Server{}
 	serveCallers(t, d, listenOnLoopback(t), callers)
 	signals := notifySignals()
 	defer signals.close()
--- a/internal/gatewaydaemon/shutdown_test.go
+++ b/internal/gatewaydaemon/shutdown_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -102,8 +101,9 @@
 		"one byte read":      {stallAfterRead, requestHead[:1], requestHead[1:] + requestHeadEnd},
 		"one byte in kernel": {stallBeforeRead, requestHead[:1], requestHead[1:] + requestHeadEnd},
 	} {
-		t.Run(name, func(t *testing.T) {
-			s := startCallerServer(t, c.stall)
+		test := func(t *testing.T, ofPeers bool) {
+			t.Parallel()
+			s := startStoppingServer(t, c.stall, ofPeers)
 			finish := s.startSlowRequest(t)
 			client, err := net.Dial("tcp", s.inner.Addr().String())
 			if err != nil {
@@ -147,35 +147,37 @@
 			if err != nil {
 				t.Errorf("no answer: %v; %d of 2 requests ran", err, s.runs.Load())
 			}
-		})
+		}
+		t.Run("caller, "+name, func(t *testing.T) { test(t, false) })
+		t.Run("other VM, "+name, func(t *testing.T) { test(t, true) })
 	}
 }
 
-// callerServer serves callers as the daemon does.
-type callerServer struct {
-	inner stallingListener
-	conns *graceful.Listener
-	http  *http.Server
-	idle  chan struct{} // closed when the connection is idle
-	conn  *stallingConn // set before idle is closed
-	runs  atomic.Int32
+// stoppingServer is a daemon's server of callers or of other VMs.
+type stoppingServer struct {
+	daemon         *Daemon
+	callers, peers *http.Server
+	inner          stallingListener
+	idle           chan struct{} // closed when the connection is idle
+	conn           *stallingConn // set before idle is closed
+	runs           atomic.Int32
 	// closed is closed once the server is done with the connection, served by its wrapper.
 	closed               chan struct{}
 	served               net.Conn
 	slowRuns, finishSlow chan struct{}
 }
 
-// startCallerServer returns a server that stalls a read of its connection after the first response.
-func startCallerServer(t *testing.T, at stall) *callerServer {
+// startStoppingServer returns a server that stalls a read of its connection after the first response.
+func startStoppingServer(t *testing.T, at stall, ofPeers bool) *stoppingServer {
 	t.Helper()
-	tcp, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	conns := make(chan *stallingConn, 1)
-	s := &callerServer{inner: stallingListener{tcp, conns}, idle: make(chan struct{}), closed: make(chan struct{}), slowRuns: make(chan struct{}), finishSlow: make(chan struct{})}
-	s.conns = graceful.NewListener(s.inner, graceful.Policy{HeadTimeout: headerTimeout})
-	s.http = &http.Server{
+	s := &stoppingServer{
+		daemon: newIdleDaemon(t, 20*time.Second), inner: stallingListener{listenOnLoopback(t), conns},
+		idle: make(chan struct{}), closed: make(chan struct{}), slowRuns: make(chan struct{}), finishSlow: make(chan struct{}),
+	}
+	listener := graceful.NewListener(s.inner, graceful.Policy{HeadTimeout: headerTimeout})
+	other := graceful.NewListener(listenOnLoopback(t), graceful.Policy{HeadTimeout: headerTimeout})
+	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == slowPath {
 				close(s.slowRuns)
@@ -186,7 +188,7 @@
 			_, _ = io.WriteString(w, "ok")
 		}),
 		ConnState: func(c net.Conn, state http.ConnState) {
-			s.conns.OnState(c, state)
+			listener.OnState(c, state)
 			switch {
 			case state == http.StateClosed && c == s.served:
 				close(s.closed)
@@ -198,12 +200,19 @@
 			}
 		},
 	}
-	go func() { _ = s.http.Serve(s.conns) }()
+	s.callers, s.peers = server, &http.Server{}
+	s.daemon.callerListener, s.daemon.peerListener = listener, other
+	if ofPeers {
+		s.callers, s.peers = s.peers, s.callers
+		s.daemon.callerListener, s.daemon.peerListener = other, listener
+	}
+	go func() { _ = s.callers.Serve(s.daemon.callerListener) }()
+	go func() { _ = s.peers.Serve(s.daemon.peerListener) }()
 	return s
 }
 
 // startSlowRequest sends a request that keeps the server from ending its stop until it is finished.
-func (s *callerServer) startSlowRequest(t *testing.T) (finish func()) {
+func (s *stoppingServer) startSlowRequest(t *testing.T) (finish func()) {
 	t.Helper()
 	client, err := net.Dial("tcp", s.inner.Addr().String())
 	if err != nil {
@@ -220,9 +229,4 @@
 	}
 }
 
-func (s *callerServer) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	_, _ = s.conns.Drain(ctx, time.Now().Add(4*time.Second))
-	_ = s.http.Close()
-}
+func (s *stoppingServer) stop() { s.daemon.shutdown(s.callers, s.peers) }
