--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -44,8 +44,10 @@
 	items   map[string]item
 	history []item
 	// gone is the revision up to which the history was discarded, after historyTime.
-	gone    int64
-	mode    storeMode
+	gone int64
+	mode storeMode
+	// capped: answers to watches are of the size of a page, too, on which the pages are silent.
+	capped  bool
 	changed chan struct{}
 	addr    string
 }
@@ -171,7 +173,10 @@
 	answer(w, map[string]any{"key": it.Key, "value": it.Value, "revision": it.Revision, "created": it.Created, "lease": 0, "current_rev": s.rev})
 }
 
-const pageItems = 500
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -184,14 +189,14 @@
 		}
 	}
 	sort.Strings(keys)
-	truncated := len(keys) > pageItems
-	if truncated {
-		keys = keys[:pageItems]
-	}
-	out := []item{}
+	out, size := []item{}, 0
 	for _, k := range keys {
+		if size += len(s.items[k].Value); len(out) > 0 && (len(out) == pageItems || size > pageBytes) {
+			break
+		}
 		out = append(out, s.items[k])
 	}
+	truncated := len(out) < len(keys)
 	answer(w, map[string]any{"items": out, "truncated": truncated, "current_rev": s.rev})
 }
 
@@ -210,13 +215,16 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		out := []item{}
+		out, size, rev, changed := []item{}, 0, s.rev, s.changed
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
+				if size += len(it.Value); s.capped && len(out) > 0 && size > pageBytes {
+					rev = out[len(out)-1].Revision
+					break
+				}
 				out = append(out, it)
 			}
 		}
-		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
 		if len(out) > 0 {
 			answer(w, map[string]any{"events": out, "current_rev": rev})
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -112,7 +112,7 @@
 	}
 	lines := [][2]string{
 		{"node", g.name}, {"role", "gateway"}, {"node_class", "front"}, {"serves", "front,control"},
-		{"ip", strings.Split(g.front, ":")[0]}, {"zone", "zone-a"}, {"region", "geo-a"}, {"zones.zone-a", "geo-a"},
+		{"ip", strings.Split(g.front, ":")[0]}, {"zone", "zone-a"}, {"region", "geo-a"}, {"zones.zone-a", "geo-a"}, {"zones.zone-b", "geo-a"},
 		{"bind_addrs.front", g.front}, {"bind_addrs.ready", g.ready}, {"bind_addrs.control", g.control},
 		{"port_range", "7740,7755"}, {"seeds", strings.Join(list, ",")}, {"bootstrap", strconv.FormatBool(bootstrap)}, {"loss_counts", "false"},
 		{"limits.cpu_share", "0.4"}, {"limits.cores", "1"}, {"limits.memory_mb", "284"}, {"limits.max_fds", "4100"},
