--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,7 +21,9 @@
 		os.Exit(2)
 	}
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Without a reader of the output the case goes on, and ends its processes.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	go func() {
 		select {
 		case s := <-interrupted:
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -31,12 +31,18 @@
 	return l.Addr().String()
 }
 
+// tempDir holds the settings and logs of the processes.
+var tempDir string
+
 // cantRun ends the program with the status of a case that couldn't run.
 func cantRun(err any) {
 	fmt.Fprintln(os.Stderr, "cannot run:", err)
 	for _, g := range gateways {
 		g.kill()
 	}
+	if tempDir != "" {
+		os.RemoveAll(tempDir)
+	}
 	os.Exit(2)
 }
 
@@ -80,6 +86,7 @@
 	if err != nil {
 		cantRun(err)
 	}
+	tempDir = dir
 	return &world{store: newStore(), dir: dir, rec: &recorder{out: bufio.NewWriter(f), start: time.Now()}}
 }
 
