One budget for what accepted connections hold: memory, socket buffers, descriptors

What callers saw: clients that don't behave ended a process, or kept others out. Cause: nothing related what the process accepts to what its machine has. Bodies were read whole and unbounded in number; answers went into socket buffers that the kernel lets grow to some MB; connections had no limit; a refusal of an unfinished body waited for the rest of it; a body had no deadline; in `serve`, fasthttp allocates what a body announces.

Ruled out: a limit for each symptom (their sum exceeds the memory, crowds combine), fixed times (they cut slow callers in calm), refusing whoever comes next (a crowd that sits still keeps all others out), not reading (the kernel holds the bytes instead).

Change: internal/core/connbudget decides, without I/O, who may hold what and which connections give way: those that hold most, for longest, and move least. internal/connlimit wraps the listeners of both programs, bounds socket buffers, charges before it allocates, and evicts. A request that is evicted while its body arrives is refused as not run, and the connection lingers, so that a caller that is still sending reads the refusal. Answers of routes that have been long need room before their request is sent on. Bodies end at their request's timeout (408). `serve` reads bodies itself and ends with status 0 beside connections that keep a request back.

A first try ranked by average pace only: a burst into the socket buffers counted as progress for seconds; connections that move nothing for a second are eligible now. Another counted an answer as sent when the kernel had it: what the peer hasn't read stays charged.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/keys"
 	"ryecourse.example/ryecourse/internal/core/scatter"
@@ -20,6 +21,13 @@
 	id     string
 	start  time.Time
 
+	// conn is the caller's connection, which is charged for charged bytes of payload.
+	conn    *connlimit.Conn
+	payload []byte
+	charged int64
+	// hold is charged for upstreams' responses; nil for no bound.
+	hold *upstream.Hold
+
 	service  *catalog.Service
 	customer *catalog.Customer // nil on an open route without a key
 	body     queryBody
@@ -30,6 +38,9 @@
 	if refusal := r.check(); refusal != nil {
 		return nil, refusal
 	}
+	if !r.conn.HasRoomForResponse(r.server.sizes.Expected(r.service.Name)) {
+		return nil, overMemory()
+	}
 	deadline := r.start.Add(r.body.deadline(r.service.Deadline))
 	if r.customer != nil {
 		ok, wait := r.server.deps.Limiter.Admit(time.Now(), r.customer.Name)
@@ -66,10 +77,13 @@
 	if !ok {
 		return verdict.Refuse(verdict.CodeUnknownService, 0, "The path must be /v1/services/NAME/query.")
 	}
+	if refusal := r.readBody(); refusal != nil {
+		return refusal
+	}
 	if refusal := r.authenticate(cat, name); refusal != nil {
 		return refusal
 	}
-	body, refusal := parseBody(r.ctx.PostBody())
+	body, refusal := parseBody(r.payload)
 	r.body = body
 	return refusal
 }
@@ -77,7 +91,7 @@
 // authenticate checks the key of the request against the active catalog.
 func (r *request) authenticate(cat *catalog.Catalog, name string) *verdict.Refusal {
 	key := rawKey(&r.ctx.Request.Header)
-	if keys.Carries(r.ctx.RequestURI(), key) || keys.Carries(r.ctx.PostBody(), key) {
+	if keys.Carries(r.ctx.RequestURI(), key) || keys.Carries(r.payload, key) {
 		return verdict.Refuse(verdict.CodeKeyExposed, 0, "A key may stand only in the Authorization header. Replace this key.")
 	}
 	service := cat.Services[name]
@@ -119,6 +133,7 @@
 		service:   r.service.Name,
 		header:    r.forwardedFields(),
 		body:      slices.Clone([]byte(r.body.Query)),
+		hold:      r.hold,
 		calls:     make([]*upstream.Call, 0, r.expectedCalls()+1),
 		callBlock: make([]upstream.Call, r.expectedCalls()),
 		inbox:     make([]event, 0, r.expectedCalls()),
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -24,6 +24,7 @@
 	service   string
 	header    []upstream.HeaderField
 	body      []byte
+	hold      *upstream.Hold
 
 	// wake signals the serving goroutine that the query has ended or that its
 	// timer is due earlier.
@@ -191,7 +192,7 @@
 	c.Service = r.service
 	c.Header = r.header
 	c.Body = r.body
-	c.Sink = r
+	c.Sink, c.Hold = r, r.hold
 	for len(r.calls) <= a.ID {
 		r.calls = append(r.calls, nil)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/internal/core/catalog"
 	"ryecourse.example/ryecourse/internal/core/scatter"
 	"ryecourse.example/ryecourse/internal/core/verdict"
@@ -88,6 +89,8 @@
 	Pool      *upstream.Pool
 	Metrics   *telemetry.Metrics
 	Log       zerolog.Logger
+	// Memory bounds that of upstreams' responses; nil for no bound.
+	Memory upstream.Ledger
 }
 
 // Server is the HTTP server for callers.
@@ -95,6 +98,8 @@
 	deps Deps
 	// maxHeaders is the largest number of headers of a request.
 	maxHeaders int
+	maxBody    int64
+	sizes      connlimit.ResponseSizes // by service
 	ids        *idSource
 	draining   atomic.Bool
 	running    atomic.Int64
@@ -104,21 +109,24 @@
 
 // New returns a server that is not listening yet.
 func New(deps Deps, limits settings.Limits) *Server {
-	s := &Server{deps: deps, maxHeaders: limits.MaxHeaders, ids: newIDSource()}
+	s := &Server{deps: deps, maxHeaders: limits.MaxHeaders, maxBody: int64(limits.MaxBodyBytes), ids: newIDSource()}
 	s.http = &fasthttp.Server{
-		Name:                  "ryecourse",
-		Handler:               s.handle,
-		ErrorHandler:          s.onReadError,
-		ReadBufferSize:        limits.MaxHeaderBytes,
-		MaxRequestBodySize:    limits.MaxBodyBytes,
-		ConnState:             s.onState,
-		ReadTimeout:           limits.ReadTimeout(),
-		IdleTimeout:           limits.IdleTimeout(),
-		Concurrency:           limits.MaxConnections,
-		CloseOnShutdown:       true,
-		NoDefaultContentType:  true,
-		SecureErrorLogMessage: true,
-		Logger:                discardLogger{},
+		Name:               "ryecourse",
+		Handler:            s.handle,
+		ErrorHandler:       s.onReadError,
+		ReadBufferSize:     limits.MaxHeaderBytes,
+		MaxRequestBodySize: limits.MaxBodyBytes,
+		// Bodies are read by the handler, which knows whether there is room for them.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ConnState:                    s.onState,
+		ReadTimeout:                  limits.ReadTimeout(),
+		IdleTimeout:                  limits.IdleTimeout(),
+		Concurrency:                  limits.MaxConnections,
+		CloseOnShutdown:              true,
+		NoDefaultContentType:         true,
+		SecureErrorLogMessage:        true,
+		Logger:                       discardLogger{},
 	}
 	return s
 }
@@ -192,14 +200,21 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	start := time.Now()
-	req := &request{server: s, ctx: ctx, id: s.ids.next(), start: start}
+	req := &request{
+		server: s, ctx: ctx, conn: connlimit.Of(ctx.Conn()), id: s.ids.next(), start: start, hold: upstream.NewHold(s.deps.Memory),
+	}
+	defer req.release()
 	answer, refusal := req.serve()
+	if refusal == nil {
+		refusal = req.chargeAnswer(answer)
+	}
 	code := "ok"
 	if refusal != nil {
 		code = string(refusal.Code)
 		writeRefusal(ctx, req.id, refusal)
 	} else {
 		writeAnswer(ctx, req.id, answer)
+		req.hold.Release()
 	}
 	s.observe(req, answer, code)
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -71,6 +71,9 @@
 	if reason := g.checkRemote(in, r); reason != "" {
 		return g.reject(r, reason)
 	}
+	if !g.hasRoom(in) {
+		return g.reject(r, rejectedBusy)
+	}
 	if refused := g.shed(in); refused != nil {
 		return &RejectedError{Reason: string(refused.reason), RetryAfter: refused.retryAfter}
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -27,6 +27,7 @@
 	in               *incoming
 	services         []string // by shard
 	requestHead      []byte   // request line and the headers that all attempts share
+	releaseBody      func()   // called when no attempt uses the body any more; nil without a body
 	method           string
 	latency          *fanout.Latency // of the route's first attempts
 	typicalLatency   time.Duration
@@ -88,12 +89,15 @@
 // has left: a caller that has closed only its sending side would otherwise get the empty 200 of
 // a handler that ends without a response.
 func (g *Gateway) forward(in *incoming, w http.ResponseWriter, r *http.Request) {
+	if !g.hasRoom(in) {
+		g.refuseAndRecord(in, w, refusal{ReasonOverMemory, otherVMRetryAfter})
+		return
+	}
 	if g.forwardElsewhere(in, w, r) {
 		return
 	}
 	if refused := g.shed(in); refused != nil {
-		g.refuse(w, refused.reason, refused.retryAfter)
-		g.record(in, requestResult{reason: refused.reason, status: statusOf[refused.reason]})
+		g.refuseAndRecord(in, w, *refused)
 		return
 	}
 	q := g.newProxyRequest(in, r.Method, g.requestHead(in, r))
@@ -111,12 +115,17 @@
 	g.record(in, q.respond(w))
 }
 
+func (g *Gateway) refuseAndRecord(in *incoming, w http.ResponseWriter, refused refusal) {
+	g.refuse(w, refused.reason, refused.retryAfter)
+	g.record(in, requestResult{reason: refused.reason, status: statusOf[refused.reason]})
+}
+
 // newProxyRequest returns a request that has no attempts yet. head is the request line
 // and the headers that all attempts share.
 func (g *Gateway) newProxyRequest(in *incoming, method string, head []byte) *proxyRequest {
 	q := &proxyRequest{
 		g: g, in: in, method: method, requestHead: head,
-		latency: g.latencyFor(in.route.Name), services: g.servicesOf(in),
+		latency: g.latencyFor(in.route.Name), services: g.servicesOf(in), releaseBody: in.takeBody(),
 	}
 	// Each request adds to the retry budget of its services.
 	for _, s := range q.services {
@@ -320,20 +329,33 @@
 	if q.cancelElsewhere != nil {
 		q.cancelElsewhere()
 	}
-	for i := range q.shardResults {
-		q.shardResults[i].Release()
-	}
+	q.releaseResponses()
 	if q.attemptsInFlight == 0 {
 		q.cancel()
+		q.releaseHeldBody()
 		return
 	}
 	go q.drainAttempts()
 }
 
+// releaseResponses releases the responses that are kept. It may be called more than once.
+func (q *proxyRequest) releaseResponses() {
+	for i := range q.shardResults {
+		q.shardResults[i].Release()
+	}
+}
+
+func (q *proxyRequest) releaseHeldBody() {
+	if q.releaseBody != nil {
+		q.releaseBody()
+	}
+}
+
 // drainAttempts waits for the pending attempts, which are canceled after
 // Policy.Linger. It reports them to the picker as canceled, however they ended.
 func (q *proxyRequest) drainAttempts() {
 	timer := time.AfterFunc(q.g.policy.Linger, q.cancel)
+	defer q.releaseHeldBody()
 	defer q.cancel()
 	defer timer.Stop()
 	for ; q.attemptsInFlight > 0; q.attemptsInFlight-- {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/internal/core/fanout"
 	"ryecourse.example/ryecourse/internal/core/loadshed"
 	"ryecourse.example/ryecourse/internal/core/metadata"
@@ -146,6 +147,8 @@
 	remoteQueries  atomic.Int64 // other VMs' queries that are running
 	probingLinks   atomic.Bool
 	latencies      sync.Map // *fanout.Latency by route name
+	responseSizes  connlimit.ResponseSizes
+	connections    Connections
 	retryDetector  *retrydetect.Tracker
 	weights        weightedRoundRobin
 	table          *routetable.Table // of the last Update
@@ -170,7 +173,9 @@
 	Reachability *reachability.Tracker
 	Log          *eventlog.Log
 	Metrics      *Metrics
-	Rand         *rand.Rand
+	// Connections decides whether there is room for responses; nil for no bound.
+	Connections Connections
+	Rand        *rand.Rand
 }
 
 // New returns a gateway.
@@ -178,7 +183,7 @@
 	g := &Gateway{
 		policy: deps.Policy, headers: deps.Headers, metadata: deps.Metadata, limiter: deps.Limiter, limits: deps.Limits, quarantine: deps.Quarantine,
 		picker: deps.Picker, shedder: deps.Shedder, retryBudget: deps.Budget, pools: deps.Pools, executors: deps.Executors, reachable: deps.Reachability, log: deps.Log, metrics: deps.Metrics,
-		drain:         newDrain(),
+		drain: newDrain(), connections: deps.Connections,
 		retryDetector: retrydetect.NewTracker(), malformedLoads: malformedLoads{log: deps.Log, metrics: deps.Metrics},
 		weights: weightedRoundRobin{rand: deps.Rand, currentWeights: map[string][]float64{}},
 	}
@@ -200,6 +205,7 @@
 	isKnown := func(route string) bool { return known[route] }
 	g.retryDetector.RetainRoutes(isKnown)
 	g.weights.retainRoutes(isKnown)
+	g.responseSizes.Retain(isKnown)
 	g.latencies.Range(func(route, _ any) bool {
 		if !isKnown(route.(string)) {
 			g.latencies.Delete(route)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/boottime"
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/internal/core/metadata"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
@@ -26,8 +24,12 @@
 	// request.
 	waitedBefore time.Duration
 	// wasLate is set if another VM reports that the caller has waited for too long.
-	wasLate     bool
-	body        []byte
+	wasLate bool
+	body    []byte
+	// conn is the caller's connection; nil for another VM's request. releaseBody returns what
+	// the body holds; nil without a body, or if its proxyRequest returns it.
+	conn        *connlimit.Conn
+	releaseBody func()
 	fingerprint Fingerprint
 	// softTimeout replaces that of the route unless it is 0: another VM has used a part
 	// of it.
@@ -50,7 +52,8 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	in := &incoming{started: time.Now(), info: g.headers.ReadRequest(r.Header)}
+	in := &incoming{started: time.Now(), info: g.headers.ReadRequest(r.Header), conn: connlimit.FromContext(r.Context())}
+	defer in.releaseHeldBody()
 	if len(r.TransferEncoding) > 0 {
 		// The request may have had a Content-Length as well, which net/http removes.
 		// The bytes after it must then not be parsed as another request (RFC 9112,
@@ -58,6 +61,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	if refused := g.admit(in, w, r); refused != nil {
+		if r.ContentLength != 0 && (in.body == nil || refused.reason == ReasonOverMemory) {
+			closeUnread(in, w, refused.reason)
+		}
 		g.refuse(w, refused.reason, refused.retryAfter)
 		g.record(in, requestResult{reason: refused.reason, status: statusOf[refused.reason]})
 		return
@@ -68,6 +74,9 @@
 // admit finds the route and the customer, reads the body and takes a token of
 // the customer's rate. It returns nil if the request is admitted.
 func (g *Gateway) admit(in *incoming, w http.ResponseWriter, r *http.Request) *refusal {
+	if in.conn.IsRefused() {
+		return &refusal{ReasonOverMemory, otherVMRetryAfter}
+	}
 	if refused := g.findRoute(in, r.Host, r.RequestURI); refused != nil {
 		return refused
 	}
@@ -167,36 +176,3 @@
 	}
 	return nil
 }
-
-// defaultBodyBytes is the limit if the configuration has none.
-const defaultBodyBytes = 1 << 20
-
-// readBody reads a body until running requests are ended.
-func (g *Gateway) readBody(in *incoming, w http.ResponseWriter, r *http.Request) *refusal {
-	limit := int64(in.view.Table.Config.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return &refusal{reason: ReasonBodyTooLong}
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	stop := context.AfterFunc(g.drain.ended, func() {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails on a connection that is closed
-	})
-	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return &refusal{reason: ReasonBodyTooLong}
-	case err != nil && g.isEnded():
-		return &refusal{ReasonStopping, otherVMRetryAfter}
-	case err != nil:
-		return &refusal{reason: ReasonBadRequest}
-	}
-	in.body = body
-	return nil
-}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -10,16 +10,20 @@
 // in logs, metrics and the response body.
 type Reason string
 
-// Reasons. Those with status 429 and 503 guarantee that the request hasn't run
+// Reasons. Those with status 408, 429 and 503 guarantee that the request hasn't run
 // and never will.
 const (
-	ReasonNoConfig            Reason = "no_configuration"
-	ReasonStaleMetadata       Reason = "knowledge_too_old"
-	ReasonNoRoute             Reason = "no_route"
-	ReasonUnknownKey          Reason = "unknown_key"
-	ReasonRateLimited         Reason = "over_rate"
-	ReasonBodyTooLong         Reason = "body_too_long"
-	ReasonBadRequest          Reason = "bad_request"
+	ReasonNoConfig      Reason = "no_configuration"
+	ReasonStaleMetadata Reason = "knowledge_too_old"
+	ReasonNoRoute       Reason = "no_route"
+	ReasonUnknownKey    Reason = "unknown_key"
+	ReasonRateLimited   Reason = "over_rate"
+	ReasonBodyTooLong   Reason = "body_too_long"
+	ReasonBadRequest    Reason = "bad_request"
+	// ReasonBodyTimedOut means that the body didn't end within the request's timeout.
+	ReasonBodyTimedOut Reason = "body_timed_out"
+	// ReasonOverMemory means that callers' connections hold too much memory for the request.
+	ReasonOverMemory          Reason = "over_connection_memory"
 	ReasonNoUpstream          Reason = "no_upstream"
 	ReasonRejectedByUpstreams Reason = "rejected_by_upstreams"
 	// ReasonUpstreamsAtLimit means that the limits that the upstreams state on the
@@ -49,6 +53,8 @@
 	ReasonRateLimited:         http.StatusTooManyRequests,
 	ReasonBodyTooLong:         http.StatusRequestEntityTooLarge,
 	ReasonBadRequest:          http.StatusBadRequest,
+	ReasonBodyTimedOut:        http.StatusRequestTimeout,
+	ReasonOverMemory:          http.StatusServiceUnavailable,
 	ReasonNoUpstream:          http.StatusServiceUnavailable,
 	ReasonRejectedByUpstreams: http.StatusServiceUnavailable,
 	ReasonUpstreamsAtLimit:    http.StatusServiceUnavailable,
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -225,12 +225,12 @@
 	}
 	if res.Failure == "" && res.Status > 0 {
 		result.status = res.Status
-		result.writeErr = g.writePassedOn(w, res)
+		result.writeErr = g.writePassedOn(in, w, res)
 		return result
 	}
 	if res.Failure == "" {
 		result.status = http.StatusOK
-		result.writeErr = g.writeMergedBody(w, in.info.ID, res.Body, res.Signatures, len(res.Missing))
+		result.writeErr = g.writeMergedBody(w, in, res.Body, res.Signatures, len(res.Missing))
 		return result
 	}
 	result.missing = nil
@@ -252,11 +252,14 @@
 }
 
 // writePassedOn sends an upstream's response that another VM has received.
-func (g *Gateway) writePassedOn(w http.ResponseWriter, res executor.Result) error {
+func (g *Gateway) writePassedOn(in *incoming, w http.ResponseWriter, res executor.Result) error {
 	h := w.Header()
 	maps.Copy(h, httpHeader(res.Headers))
 	h.Set("Content-Length", strconv.Itoa(len(res.Body)))
 	g.closeIfDraining(h)
+	g.responseSizes.Observe(in.route.Name, int64(len(res.Body)))
+	in.conn.Hold(int64(len(res.Body)))
+	defer in.conn.Release(int64(len(res.Body)))
 	w.WriteHeader(res.Status)
 	_, err := w.Write(res.Body)
 	return err
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -128,6 +128,9 @@
 	body := resp.Body()
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.g.closeIfDraining(h)
+	q.g.responseSizes.Observe(q.in.route.Name, int64(len(body)))
+	q.in.conn.Lend(int64(len(body)))
+	defer q.in.conn.Lend(-int64(len(body)))
 	w.WriteHeader(resp.StatusCode())
 	_, err := w.Write(body)
 	return q.completeResult(requestResult{status: resp.StatusCode(), writeErr: err})
@@ -136,28 +139,35 @@
 // merge returns the merged body and the signatures of the responses in it.
 func (q *proxyRequest) merge() (body []byte, signatures []string) {
 	var parts [][]byte
+	var size int64
 	for i := range q.shardResults {
 		if a := &q.shardResults[i]; a.Response != nil {
 			parts = append(parts, a.Response.Body())
+			size += int64(len(a.Response.Body()))
 			signatures = append(signatures, a.Info.Signature)
 		}
 	}
+	q.g.responseSizes.Observe(q.in.route.Name, size)
 	return topk.Merge(parts, q.in.route.Sharded.TopK), signatures
 }
 
 func (q *proxyRequest) writeMerged(w http.ResponseWriter) requestResult {
 	body, signatures := q.merge()
-	err := q.g.writeMergedBody(w, q.in.info.ID, body, signatures, len(q.services)-len(signatures))
-	return q.completeResult(requestResult{status: http.StatusOK, missing: q.missingServices(), writeErr: err})
+	missing := q.missingServices()
+	q.releaseResponses()
+	err := q.g.writeMergedBody(w, q.in, body, signatures, len(missing))
+	return q.completeResult(requestResult{status: http.StatusOK, missing: missing, writeErr: err})
 }
 
 // writeMergedBody sends a response that was merged from shards.
-func (g *Gateway) writeMergedBody(w http.ResponseWriter, id string, body []byte, signatures []string, missing int) error {
+func (g *Gateway) writeMergedBody(w http.ResponseWriter, in *incoming, body []byte, signatures []string, missing int) error {
 	h := w.Header()
-	g.headers.WriteMergedHeaders(h, id, signatures, missing)
+	g.headers.WriteMergedHeaders(h, in.info.ID, signatures, missing)
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	g.closeIfDraining(h)
+	in.conn.Hold(int64(len(body)))
+	defer in.conn.Release(int64(len(body)))
 	w.WriteHeader(http.StatusOK)
 	_, err := w.Write(body)
 	return err
--- a/internal/gatewaydaemon/daemon.go
+++ b/internal/gatewaydaemon/daemon.go
@@ -5,12 +5,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -21,6 +19,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"ryecourse.example/ryecourse/internal/connlimit"
+	"ryecourse.example/ryecourse/internal/core/connbudget"
 	"ryecourse.example/ryecourse/internal/core/customerrate"
 	"ryecourse.example/ryecourse/internal/core/fleet"
 	"ryecourse.example/ryecourse/internal/core/loadshed"
@@ -63,6 +63,7 @@
 	shares     shareCache   // guarded by sharesMu
 	unshared   atomic.Int64 // upstreams to which this VM keeps no connections
 	started    time.Time
+	conns      *connlimit.Limiter
 	// callerListener and peerListener are set by Run.
 	callerListener, peerListener *graceful.Listener
 	stopping                     chan struct{}
@@ -73,9 +74,6 @@
 	// memoryLimitFraction is the runtime's soft memory limit as a fraction of the
 	// process's limit. Near it the garbage collector runs more often.
 	memoryLimitFraction = 0.6
-	// responseMemoryFraction is the fraction of the process's limit that the responses of
-	// upstreams may take together. Their callers' copies and garbage take as much again.
-	responseMemoryFraction = 0.125
 	// retryRatioFraction is the fraction of the users' retry ratio that a VM's
 	// retry budget earns, so that the fleet stays within the ratio in the users'
 	// counting windows, which differ from its own.
@@ -125,7 +123,8 @@
 	d.reachable = reachability.NewTracker(reachability.DefaultPolicy(), d.started, d.logReachability)
 	d.picker = placement.NewPicker(s.Zone, r, d.limits)
 	d.picker.SetLeavingGrace(time.Duration(float64(s.Bounds.Drain) * leavingGraceFraction))
-	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{}, responseMemory(s))
+	d.conns = connlimit.New(connectionLimits(s), d.logPressure)
+	d.pools = gateway.NewPools(d.dialUpstream, platform.Headers{}, upstreamhttp.NewSharedMemory(d.conns))
 	d.budget = retrybudget.New(time.Now, s.Bounds.RetryRatio*retryRatioFraction, d.budgetLimit(fleetrpc.Size{VMs: expectedVMs}, true))
 	rates := customerrate.DefaultPolicy()
 	rates.Slack = s.Bounds.QuotaSlack
@@ -149,22 +148,13 @@
 	d.gateway = gateway.New(gateway.Dependencies{
 		Policy: gatewayPolicy(s), Headers: platform.Headers{}, Metadata: d.follower,
 		Limiter: d.limiter, Limits: d.limits, Quarantine: spreadingQuarantine{d.quarantine, d.exchanger}, Executors: d.exchanger, Reachability: d.reachable, Picker: d.picker,
-		Shedder: loadshed.New(d.picker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Budget: d.budget, Pools: d.pools, Log: d.log,
+		Shedder: loadshed.New(d.picker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Budget: d.budget, Pools: d.pools, Log: d.log, Connections: d.conns,
 		Metrics: gateway.NewMetrics(d.metrics), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.exchanger.SetQueryRunner(d.gateway)
 	return d
 }
 
-// responseMemory returns the bound on the memory of upstreams' responses; nil without a limit of
-// the process.
-func responseMemory(s platform.Settings) *upstreamhttp.Memory {
-	if s.MemoryMB <= 0 {
-		return nil
-	}
-	return upstreamhttp.NewMemory(int64(float64(s.MemoryMB<<20) * responseMemoryFraction))
-}
-
 func seedAddresses(s platform.Settings) []string {
 	var out []string
 	for _, a := range s.Seeds {
@@ -296,24 +286,20 @@
 	go d.follower.Run(ctx)
 	go d.exchanger.Run(ctx)
 	go d.trackReachability(ctx)
-	callers := d.callerServer()
-	ready := &http.Server{Handler: d.readiness(), ReadHeaderTimeout: headerTimeout}
-	mux := http.NewServeMux()
-	mux.Handle(d.exchanger.Handler())
-	peers := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	callers, peers := d.callerServer(), d.peerServer()
 	errs := make(chan error, 4)
 	var err error
-	if d.peerListener, err = d.listenGracefully(d.settings.PeerAddr.String(), peers, errs); err != nil {
+	if d.peerListener, err = d.listenGracefully(d.settings.PeerAddr.String(), connbudget.VMs, peers, errs); err != nil {
 		return err
 	}
-	if d.callerListener, err = d.listenGracefully(d.settings.CallerAddr.String(), callers, errs); err != nil {
+	if d.callerListener, err = d.listenGracefully(d.settings.CallerAddr.String(), connbudget.Callers, callers, errs); err != nil {
 		return err
 	}
 	// Readiness is served last, as callers may be routed to the VM from then on.
-	if err := listen(d.settings.ReadinessAddr.String(), ready, errs); err != nil {
+	if err := d.listen(d.settings.ReadinessAddr.String(), connbudget.HealthChecks, controlServer(d.readiness()), errs); err != nil {
 		return err
 	}
-	if err := listen(d.metricsAddress(), d.metricsServer(), errs); err != nil {
+	if err := d.listen(d.metricsAddress(), connbudget.Operators, d.metricsServer(), errs); err != nil {
 		d.log.Warning("metrics_unavailable").Str("error", err.Error()).Send()
 	}
 	return d.waitForShutdown(callers, peers, signals, errs)
@@ -324,32 +310,3 @@
 		fmt.Fprintln(os.Stderr, "write the last log lines:", err)
 	}
 }
-
-func listen(address string, s *http.Server, errs chan<- error) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	serve(l, s, errs)
-	return nil
-}
-
-// listenGracefully serves on a listener that can be drained.
-func (d *Daemon) listenGracefully(address string, s *http.Server, errs chan<- error) (*graceful.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	g := graceful.NewListener(l, graceful.Policy{HeadTimeout: headerTimeout, OnCut: d.logCut})
-	s.ConnState, s.Handler = g.OnState, g.Handler(s.Handler)
-	serve(g, s, errs)
-	return g, nil
-}
-
-func serve(l net.Listener, s *http.Server, errs chan<- error) {
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			errs <- err
-		}
-	}()
-}
--- a/internal/gatewaydaemon/listeners.go
+++ b/internal/gatewaydaemon/listeners.go
@@ -5,12 +5,16 @@
 	"net/http"
 	"time"
 
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/platform"
 )
 
 const (
 	// headerTimeout limits the time in which a caller sends its headers.
 	headerTimeout = 10 * time.Second
+	// controlReadTimeout limits the time in which another VM or an operator sends a request. It
+	// exceeds the time that any of their requests takes.
+	controlReadTimeout = 30 * time.Second
 	// idleTimeout exceeds any configured limit, so that a caller never sends a
 	// request on an idle connection that is being closed.
 	idleTimeout = 5 * time.Minute
@@ -31,6 +35,23 @@
 	}
 }
 
+// peerServer serves other VMs.
+func (d *Daemon) peerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(d.exchanger.Handler())
+	return controlServer(mux)
+}
+
+// controlServer serves anyone but callers.
+func controlServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           connlimit.Handler(h),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       controlReadTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
 // readiness answers the load balancer's health checks.
 func (d *Daemon) readiness() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/gatewaydaemon/metrics.go
+++ b/internal/gatewaydaemon/metrics.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"ryecourse.example/ryecourse/internal/core/connbudget"
 )
 
 const (
@@ -23,13 +25,14 @@
 func (d *Daemon) metricsServer() *http.Server {
 	d.registerGauges()
 	d.registerPaceMetrics()
+	d.registerConnectionMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		d.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc(RoutePath, d.explainRoute)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return controlServer(mux)
 }
 
 func (d *Daemon) registerGauges() {
@@ -65,3 +68,23 @@
 		return 0
 	})
 }
+
+// registerConnectionMetrics registers what accepted connections hold.
+func (d *Daemon) registerConnectionMetrics() {
+	value := func(name, label, of string, f func(u connbudget.Usage) float64) {
+		if label != "" {
+			name += "{" + label + `="` + of + `"}`
+		}
+		d.metrics.NewGauge("ryecourse_gateway_"+name, func() float64 { return f(d.conns.Usage()) })
+	}
+	value("connection_memory_bytes", "", "", func(u connbudget.Usage) float64 { return float64(u.Bytes) })
+	value("connection_charges_denied_total", "", "", func(u connbudget.Usage) float64 { return float64(u.Denied) })
+	for i := range connbudget.Classes {
+		class := connbudget.Class(i).String()
+		value("connections", "class", class, func(u connbudget.Usage) float64 { return float64(u.Conns[i]) })
+		value("connections_rejected_total", "class", class, func(u connbudget.Usage) float64 { return float64(u.Rejected[i]) })
+	}
+	for i := range connbudget.Phases {
+		value("connections_evicted_total", "phase", connbudget.Phase(i).String(), func(u connbudget.Usage) float64 { return float64(u.Evicted[i]) })
+	}
+}
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -27,6 +27,14 @@
 	deadline time.Time // of reads, as set by the server
 }
 
+// requestObserver is a connection below that follows its requests.
+type requestObserver interface {
+	// OnRequest is called once bytes of a request are in.
+	OnRequest()
+	// OnAnswered is called once its response has been sent.
+	OnAnswered()
+}
+
 // expired is a deadline that makes reads return at once.
 var expired = time.Unix(1, 0)
 
@@ -64,6 +72,9 @@
 		return
 	}
 	c.requestIn, c.used, c.responded, c.readAt = true, true, false, time.Now()
+	if o, ok := c.Conn.(requestObserver); ok {
+		o.OnRequest()
+	}
 	if c.closed {
 		c.reportCut()
 	}
@@ -102,6 +113,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestIn = false
+	if o, ok := c.Conn.(requestObserver); ok {
+		o.OnAnswered()
+	}
 	if c.listener.isDraining() {
 		c.retiring = true
 	}
@@ -160,12 +174,15 @@
 // CloseWrite closes the sending side, as net/http does before it closes a connection whose
 // request it hasn't read to the end.
 func (c *conn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
 	}
 	return nil
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp/pprofhandler"
 
 	"ryecourse.example/ryecourse/internal/audit"
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/internal/telemetry"
 )
 
@@ -34,6 +35,9 @@
 	idleTimeout = 2 * time.Minute
 )
 
+// MaxConnections bounds the open connections.
+const MaxConnections = maxConnections
+
 // Source provides the state of the daemon for operators.
 type Source interface {
 	// Ready reports whether the daemon accepts requests of callers, and the
@@ -63,12 +67,23 @@
 		ReadTimeout:        readTimeout,
 		IdleTimeout:        idleTimeout,
 		Concurrency:        maxConnections,
+		ConnState:          onState,
 		CloseOnShutdown:    true,
 		Logger:             discardLogger{},
 	}
 	return s
 }
 
+// onState follows the requests of limited connections.
+func onState(c net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateActive:
+		connlimit.Of(c).OnRequest()
+	case fasthttp.StateIdle:
+		connlimit.Of(c).OnAnswered()
+	}
+}
+
 // discardLogger drops fasthttp's own log lines, which would quote requests.
 type discardLogger struct{}
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"ryecourse.example/ryecourse/internal/connlimit"
 	peerv1 "ryecourse.example/ryecourse/internal/gen/peer/v1"
 	"ryecourse.example/ryecourse/internal/gen/peer/v1/peerv1connect"
 	"ryecourse.example/ryecourse/internal/graceful"
@@ -38,6 +39,9 @@
 	maxConnections = 512
 )
 
+// MaxConnections bounds the open connections.
+const MaxConnections = maxConnections
+
 // Refusal describes a message that was not handled.
 type Refusal struct {
 	Address   string
@@ -63,7 +67,8 @@
 		connect.WithCompressMinBytes(minCompressedBytes)))
 	s := &Server{}
 	s.http = &http.Server{
-		Handler:           g.checkProof(mux),
+		Handler:           connlimit.Handler(g.checkProof(mux)),
+		ConnContext:       connlimit.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
--- a/internal/servedaemon/daemon.go
+++ b/internal/servedaemon/daemon.go
@@ -24,7 +24,9 @@
 	"ryecourse.example/ryecourse/internal/audit"
 	"ryecourse.example/ryecourse/internal/caller"
 	"ryecourse.example/ryecourse/internal/configservice"
+	"ryecourse.example/ryecourse/internal/connlimit"
 	"ryecourse.example/ryecourse/internal/control"
+	"ryecourse.example/ryecourse/internal/core/connbudget"
 	"ryecourse.example/ryecourse/internal/core/dissemination"
 	"ryecourse.example/ryecourse/internal/core/membership"
 	"ryecourse.example/ryecourse/internal/core/quota"
@@ -67,13 +69,14 @@
 	operator      *operator.Server
 	peerRefusals  refusalLimiter // of the audit entries for refused peer messages
 	draining      chan struct{}  // closed when shutdown begins
+	conns         *connlimit.Limiter
 }
 
 // Run runs a daemon until the context ends, and then shuts it down gracefully.
 // Logs go to out as JSON lines.
 func Run(ctx context.Context, s *settings.Settings, out io.Writer) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(s.Limits.MemoryMB << 20)
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * memoryLimitFraction))
 	d, err := New(s, out)
 	if err != nil {
 		return err
@@ -125,6 +128,7 @@
 		Router:        d.router,
 		BeforePublish: d.planner.update,
 	})
+	d.conns = connlimit.New(connectionLimits(s.Limits), d.logPressure)
 	d.callers = caller.New(caller.Deps{
 		Catalogs:  &d.control.State,
 		Limiter:   quotaLimiter{d.quota, d.control},
@@ -133,6 +137,7 @@
 		Pool:      d.pool,
 		Metrics:   d.metrics,
 		Log:       d.log,
+		Memory:    d.conns,
 	}, s.Limits)
 	d.peers = peer.NewServer(identity, d.control.PeerHandler(), d.onPeerRefusal)
 	d.operator = operator.New(d, d.trail, d.metrics)
@@ -184,6 +189,7 @@
 // then shuts down gracefully.
 func (d *Daemon) serve(ctx context.Context, l listeners) error {
 	failed := make(chan error, 3)
+	l = d.limitConnections(l)
 	go func() { failed <- d.operator.Serve(l.operator) }()
 	go func() { failed <- d.peers.Serve(l.peer) }()
 	controlCtx, stopControl := context.WithCancel(context.Background())
@@ -225,11 +231,14 @@
 	// Open requests have used up their time by now; connections still need some to be closed.
 	callersCtx, cancelCallers := context.WithTimeout(context.Background(), max(time.Until(deadline), listenerCloseDelay))
 	defer cancelCallers()
+	defer d.closeRemaining(callersCtx, connbudget.Callers)()
 	err := d.callers.Shutdown(callersCtx)
 	d.control.Call(ctx, d.control.ReturnBorrowedShares)
 	d.control.StopPeerCalls(ctx)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), listenerCloseDelay)
 	defer cancelClose()
+	defer d.closeRemaining(closeCtx, connbudget.VMs)()
+	defer d.closeRemaining(closeCtx, connbudget.Operators)()
 	err = errors.Join(err, d.peers.Shutdown(closeCtx), d.operator.Shutdown(closeCtx))
 	d.pool.Close()
 	d.log.Info().Msg("stopped")
--- a/internal/servedaemon/status.go
+++ b/internal/servedaemon/status.go
@@ -86,6 +86,7 @@
 }
 
 func (d *Daemon) registerGauges() {
+	d.registerConnectionGauges()
 	d.metrics.Gauge("running_requests", func() float64 { return float64(d.callers.Running()) })
 	d.metrics.Gauge("platform_reads", func() float64 { return float64(d.configService.Reads()) })
 	d.metrics.Gauge("upstream_dials", func() float64 { return float64(d.pool.Stats.Dials.Load()) })
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -36,6 +36,8 @@
 	Header []HeaderField
 	Body   []byte
 	Sink   Sink
+	// Hold is charged for the response; nil for no bound.
+	Hold *Hold
 
 	host    *host
 	started time.Time
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -135,7 +135,7 @@
 		}
 		if err == nil {
 			resp.Reset()
-			err = resp.ReadLimitBody(cn.br, maxResponseBytes)
+			err = cn.readResponse(c, resp)
 		}
 		if err != nil {
 			cn.connectionLost(c)
@@ -151,6 +151,9 @@
 			c.finish(r)
 			return
 		}
+		if len(resp.Body()) > freeBytes {
+			resp.SwapBody(nil) // not kept with an idle connection
+		}
 		cn.host.release(cn)
 		c.finish(r)
 	}
--- a/internal/upstreamhttp/memory.go
+++ b/internal/upstreamhttp/memory.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"sync/atomic"
 )
 
@@ -24,8 +25,40 @@
 // Memory bounds the memory of the responses of all pools that share it, from when they are
 // read until they are released. It is safe for concurrent use.
 type Memory struct {
-	limit int64
-	used  atomic.Int64
+	limit  int64
+	used   atomic.Int64
+	ledger Ledger
+}
+
+// Ledger bounds the memory of responses together with that of others.
+type Ledger interface {
+	// AcquireResponse takes n bytes, for which it may wait. It returns false if there is no
+	// room.
+	AcquireResponse(n int64) bool
+	// ReleaseResponse returns n bytes.
+	ReleaseResponse(n int64)
+}
+
+// NewSharedMemory returns a bound that a ledger decides on.
+func NewSharedMemory(ledger Ledger) *Memory { return &Memory{limit: math.MaxInt64, ledger: ledger} }
+
+// acquire takes n bytes. It returns false if there is no room.
+func (m *Memory) acquire(n int64) bool {
+	if m.used.Add(n) > m.limit || m.ledger != nil && !m.ledger.AcquireResponse(n) {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (m *Memory) release(n int64) {
+	if n == 0 {
+		return
+	}
+	m.used.Add(-n)
+	if m.ledger != nil {
+		m.ledger.ReleaseResponse(n)
+	}
 }
 
 // NewMemory returns a bound in bytes.
@@ -52,8 +85,7 @@
 		return true
 	}
 	more = max(more, chargeStep)
-	if c.memory.used.Add(more) > c.memory.limit {
-		c.memory.used.Add(-more)
+	if !c.memory.acquire(more) {
 		return false
 	}
 	c.bytes += more
@@ -63,7 +95,7 @@
 // release returns the charge. It may be called more than once.
 func (c *charge) release() {
 	if c.memory != nil {
-		c.memory.used.Add(-c.bytes)
+		c.memory.release(c.bytes)
 	}
 	c.bytes = 0
 }
