upstreamhttp: a chunk's memory is taken as it arrives, not as it is announced

Cause: fasthttp allocates a chunk of the announced size before it reads it; the bound on responses counts what was read.

Change: bodies in chunks are read by the standard library's chunk reader into a buffer that grows with what arrives, and which the bound counts.

--- a/internal/upstreamhttp/response.go
+++ b/internal/upstreamhttp/response.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -116,11 +118,11 @@
 		c.meter.charge, c.meter.read = &c.charge, int64(c.br.Buffered())
 		defer func() { c.meter.charge = nil }()
 	}
-	err := resp.ReadBody(c.br, limit)
-	if err == nil && length == -1 { // chunked
-		if err = resp.Header.ReadTrailer(c.br); err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
+	var err error
+	if length == chunkedLength {
+		err = c.readChunks(resp, limit)
+	} else {
+		err = resp.ReadBody(c.br, limit)
 	}
 	if c.meter.refused {
 		return ErrOverMemory
@@ -128,6 +130,40 @@
 	return err
 }
 
+// chunkedLength is the length of a body in chunks, as fasthttp reports it.
+const chunkedLength = -1
+
+// readChunks reads a body in chunks. Its buffer grows as they arrive: fasthttp would allocate
+// a chunk of the size that the upstream announces.
+func (c *conn) readChunks(resp *fasthttp.Response, limit int) error {
+	body := resp.SwapBody(nil)[:0]
+	chunks := io.LimitReader(httputil.NewChunkedReader(c.br), int64(limit)+1)
+	for {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, max(len(body), readBufferBytes))
+		}
+		n, err := chunks.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return fasthttp.ErrBodyTooLarge
+		case err == io.EOF:
+			resp.SwapBody(body)
+			return c.readTrailer(resp)
+		case err != nil:
+			return err
+		}
+	}
+}
+
+func (c *conn) readTrailer(resp *fasthttp.Response) error {
+	err := resp.Header.ReadTrailer(c.br)
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // skipInterimResponses reads up to the status line of the next final response, which it
 // leaves unread.
 func skipInterimResponses(br *bufio.Reader) error {
