--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
+
+	"ryecourse.example/ryecourse/internal/statusline"
 )
 
 // Ledger bounds the memory of all upstreams' responses.
@@ -81,7 +83,10 @@
 
 // readResponse reads a response, for whose memory the call is charged before it is allocated.
 func (cn *conn) readResponse(c *Call, resp *fasthttp.Response) error {
-	if err := cn.readHead(resp); err != nil {
+	if err := statusline.SkipInterim(cn.br); err != nil {
+		return err
+	}
+	if err := resp.Header.Read(cn.br); err != nil {
 		return err
 	}
 	if status := resp.StatusCode(); status == http.StatusNoContent || status == http.StatusNotModified {
@@ -105,21 +110,3 @@
 	}
 	return nil
 }
-
-// maxInterimResponses is the number of 1xx responses that may precede a response.
-const maxInterimResponses = 5
-
-// readHead reads the head of the next final response.
-func (cn *conn) readHead(resp *fasthttp.Response) error {
-	for range maxInterimResponses + 1 {
-		if err := resp.Header.Read(cn.br); err != nil {
-			return err
-		}
-		if resp.StatusCode() >= http.StatusOK {
-			return nil
-		}
-	}
-	return errInterimResponses
-}
-
-var errInterimResponses = errors.New("upstream: too many interim responses")
