connlimit: a lingering connection isn't reset while its half-closed peer reads

Cause: a connection with unsent bytes lingers until its peer closes, and a half-closed peer counted as one that has closed; the reset drops what is queued.

Evidence: TestHalfClosedCallerGetsItsAnswer fails on ("connection reset by peer") and passes now.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -322,11 +322,25 @@
 		c.reset()
 		return
 	}
-	// Any error ends the wait.
-	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(timeout)) == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	end := time.Now().Add(timeout)
+	// Errors end the wait, as on a connection that is evicted meanwhile.
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(end) != nil {
+		c.reset()
+		return
+	}
+	if _, err := io.CopyN(io.Discard, c.Conn, lingerBytes); err != io.EOF {
+		c.reset()
+		return
+	}
+	// A peer that has closed only its sending side may still read.
+	for c.unsent() > 0 && time.Now().Before(end) {
+		time.Sleep(deliveryInterval)
+	}
+	if c.unsent() > 0 {
+		c.reset()
+		return
 	}
-	c.reset()
+	_ = c.Conn.Close() // fails if it was evicted meanwhile
 }
 
 // unsent returns the bytes that the peer hasn't acknowledged; 0 if they aren't known.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -19,7 +19,8 @@
 	limiter *Limiter
 	address string
 	bodies  chan int      // gets the size of each body that was read, or -1
-	proceed chan struct{} // a request with the path /wait is answered per value
+	arrived chan struct{} // gets a value for each request with the path /wait
+	proceed chan struct{} // such a request is answered per value
 }
 
 // startServer starts a server whose connections may hold a number of bytes.
@@ -31,7 +32,7 @@
 	}
 	s := &testServer{
 		limiter: New(Limits(limit, [connbudget.Classes]int{conns, conns, conns, conns}), nil),
-		address: ln.Addr().String(), bodies: make(chan int, 1000), proceed: make(chan struct{}, 8),
+		address: ln.Addr().String(), bodies: make(chan int, 1000), arrived: make(chan struct{}, 8), proceed: make(chan struct{}, 8),
 	}
 	srv := &http.Server{ConnState: OnState, ConnContext: ConnContext, Handler: s}
 	go func() { _ = srv.Serve(s.limiter.Listen(ln, connbudget.Callers)) }()
@@ -44,6 +45,7 @@
 	c := FromContext(r.Context())
 	if r.URL.Path == "/wait" {
 		c.Run()
+		s.arrived <- struct{}{}
 		<-s.proceed
 	}
 	body, charged, err := c.ReadBody(r.Body, r.ContentLength, 1<<20)
@@ -180,6 +182,7 @@
 	s := startServer(t, 8<<20, 2)
 	waiting, idle := s.connect(t), s.connect(t)
 	waiting.send(waitHead)
+	<-s.arrived
 	idle.send(getHead)
 	idle.expectStatus(http.StatusOK)
 	eventually(t, "one connection is idle", func() bool {
@@ -225,3 +228,23 @@
 	}
 	eventually(t, "nothing is held", func() bool { return s.limiter.Usage().Bytes == 0 })
 }
+
+// TestHalfClosedCallerGetsItsAnswer guards against an answer that is cut because its caller has
+// closed its sending side.
+func TestHalfClosedCallerGetsItsAnswer(t *testing.T) {
+	s := startServer(t, 8<<20, 10)
+	c := s.connect(t)
+	if err := c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	c.send("POST / HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nContent-Length: 80000\r\n\r\n", strings.Repeat("b", 80_000))
+	<-s.bodies
+	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * deliveryInterval) // for the server to find it
+	if body := c.expectStatus(http.StatusOK); len(body) != 80_000 {
+		t.Errorf("%d bytes", len(body))
+	}
+	eventually(t, "nothing is held", func() bool { return s.limiter.Usage().Bytes == 0 })
+}
