--- a/review/standin3/leaf.go
+++ b/review/standin3/leaf.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,6 +24,7 @@
 	slots    chan struct{}
 	capacity int
 	work     time.Duration
+	spread   float64 // of the work, which is log-normal and at most six times the mean
 	born     int64
 
 	listeners []net.Listener // by machine
@@ -223,7 +226,7 @@
 	l.slots <- struct{}{}
 	remaining, err := strconv.ParseFloat(r.Header.Get("X-Ryecourse-Request-Deadline"), 64)
 	if err != nil || time.Since(now) < time.Duration(remaining)*time.Millisecond {
-		time.Sleep(l.work)
+		time.Sleep(time.Duration(float64(l.work) * min(math.Exp(l.spread*rand.NormFloat64()-l.spread*l.spread/2), 6)))
 	}
 	<-l.slots
 	l.mu.Lock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,7 +21,7 @@
 			broken(fmt.Errorf("%v", v))
 		}
 	}()
-	cases := map[string]func(){"cold-again": coldAgain, "leaving": leavingThroughHelper, "cold-herd": coldHerd}
+	cases := map[string]func(){"cold-again": coldAgain, "leaving": leavingThroughHelper, "cold-herd": coldHerd, "split": splitRoute}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		broken(fmt.Errorf("usage: standin3 CASE"))
 	}
@@ -237,3 +237,67 @@
 	defer func() { w.coldFor = 0 }()
 	return w.startLeaf(service, n, 3, 5*time.Millisecond)
 }
+
+// splitRoute: new versions of the configuration split a route and join it again. In each version
+// the requests of this case go to the same service.
+func splitRoute() {
+	const perSecond, versions = 5.6, 28
+	const kept, other = "orders", "events"
+	w := newWorld(8)
+	config := func(version int, split bool) {
+		route := func(name, prefix, service string) any {
+			return map[string]any{
+				"name": name, "host": host, "prefix": prefix, "route_type": "idempotent", "timeout_ms": 4000, "slo_ms": 250,
+				"priority": 2, "service": service, "attempts": 2, "public": true,
+			}
+		}
+		routes := []any{route("r-orders", "/orders/", kept)}
+		if split {
+			routes = []any{route("r-orders", "/orders/", other), route("r-orders-lo", "/orders/lo/", kept)}
+		}
+		var services []any
+		for _, name := range []string{kept, other} {
+			services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 45, "protocol": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0})
+		}
+		w.store.put("op/config", map[string]any{
+			"version": version, "routes": routes, "services": services, "tenants": []any{},
+			"limits": map[string]any{"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		})
+		w.logf("configuration %d is confirmed; %s/orders/lo/ goes to %s, other requests of /orders/ to %s", version, host, kept, map[bool]string{true: other, false: kept}[split])
+	}
+	config(7, false)
+	leafs := map[string][]*leaf{}
+	var all []*leaf
+	for _, name := range []string{kept, other} {
+		for n := range 4 {
+			l := w.startLeaf(name, n, 4, 60*time.Millisecond)
+			l.spread = 0.5
+			leafs[name] = append(leafs[name], l)
+		}
+		all = append(all, leafs[name]...)
+	}
+	w.startAll()
+	q := w.startRequesters(host, "/orders/lo/", perSecond)
+	time.Sleep(6 * time.Second)
+	begin := time.Now()
+	for i := range versions {
+		if w.trouble {
+			config(8+i, i%2 == 0)
+		}
+		time.Sleep(1300 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	q.stop()
+	w.recordBetween(q, all, begin, time.Now())
+	wrong := 0
+	for _, l := range leafs[other] {
+		for _, a := range l.taken() {
+			if a.ran {
+				wrong++
+				w.logf("request %s is run by %s of service %s, to which no configuration lets it go; it came from %s", a.id, l.id, other, w.vms[a.vm].name)
+			}
+		}
+	}
+	w.keepLogs()
+	w.verdict(wrong > 0, "ROUTE: %d requests were run by a service to which no configuration ever let them go; requests in all: %d", wrong, len(q.all()))
+}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -25,7 +25,6 @@
 	events []item
 	down   bool // connections are reset, and nothing is written
 	leafs  map[string]*leaf
-	reads  []int
 }
 
 type item struct {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -213,9 +214,14 @@
 
 // startAll starts the fleet for the first time and waits until it is ready.
 func (w *world) startAll() {
+	var started sync.WaitGroup
 	for _, v := range w.vms {
-		v.start(true)
+		started.Go(func() {
+			time.Sleep(rand.N(300 * time.Millisecond)) // "within 0.3 s of each other, in any order"
+			v.start(true)
+		})
 	}
+	started.Wait()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for _, v := range w.vms {
