--- a/internal/core/executor/executor.go
+++ b/internal/core/executor/executor.go
@@ -30,16 +30,23 @@
 type Request struct {
 	ID    string
 	Route string
-	// RouteFingerprint is that of the sender's version of the route.
-	RouteFingerprint uint64
+	// RouteFingerprint and ExecutionFingerprint are those of the sender's version of the
+	// route. The latter is 0 if the sender's build is older than that fingerprint.
+	RouteFingerprint, ExecutionFingerprint uint64
 	// ConfigVersion is the version of the sender's configuration.
 	ConfigVersion int64
 	Customer      string
+	// KeyDigest is routetable.KeyDigest of the customer's key; 0 without a key, and from
+	// older builds.
+	KeyDigest uint64
 	// Late is set if the caller has waited so long in earlier tries that the request can
 	// hardly be answered within its latency objective.
 	Late   bool
 	Method string
-	// Head is the request line and the headers that all attempts share.
+	// Host and Path are those of the request, without a query. They are sent with Accept, but
+	// not by older builds; with Execute they are in Head, which is the request line and the
+	// headers that all attempts share.
+	Host, Path string
 	Head, Body []byte
 	// Fingerprint identifies requests that are the same to an upstream.
 	Fingerprint uint64
--- a/internal/fleetrpc/execute.go
+++ b/internal/fleetrpc/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -49,8 +50,9 @@
 // Accept implements fleetv1connect.FleetServiceHandler.
 func (s server) Accept(_ context.Context, req *fleetv1.AcceptRequest) (*fleetv1.AcceptResponse, error) {
 	err := s.exchanger.queries.AcceptQuery(&executor.Request{
-		ID: req.RequestId, Route: req.Route, RouteFingerprint: req.RouteFingerprint, ConfigVersion: req.ConfigVersion,
-		Customer: req.Customer, Late: req.Late,
+		ID: req.RequestId, Route: req.Route, RouteFingerprint: req.RouteFingerprint, ExecutionFingerprint: req.ExecutionFingerprint,
+		ConfigVersion: senderVersion(req.SenderConfigVersion, req.ConfigVersion), Customer: req.Customer, KeyDigest: req.KeyDigest,
+		Host: req.Host, Path: req.Path, Late: req.Late,
 	})
 	var rejected *gateway.RejectedError
 	if errors.As(err, &rejected) {
@@ -74,20 +76,35 @@
 
 func decodeQuery(m *fleetv1.ExecuteRequest) *executor.Request {
 	return &executor.Request{
-		ID: m.RequestId, Route: m.Route, RouteFingerprint: m.RouteFingerprint, Customer: m.Customer,
+		ID: m.RequestId, Route: m.Route, RouteFingerprint: m.RouteFingerprint, ExecutionFingerprint: m.ExecutionFingerprint,
+		Customer: m.Customer, KeyDigest: m.KeyDigest,
 		Method: m.Method, Head: m.Head, Body: m.Body, Fingerprint: m.Fingerprint,
 		SoftTimeout:   time.Duration(m.SoftTimeoutUs) * time.Microsecond,
 		Timeout:       time.Duration(m.TimeoutUs) * time.Microsecond,
-		ConfigVersion: m.ConfigVersion, MaxRuns: int(m.MaxRuns), HandedOver: m.HandedOver,
+		ConfigVersion: senderVersion(m.SenderConfigVersion, m.ConfigVersion), MaxRuns: int(m.MaxRuns), HandedOver: m.HandedOver,
 	}
 }
 
+// matchByFingerprint is the config_version that all VMs send. Builds that find the route by its
+// name compare fingerprints only if their own version is lower, so that they always do.
+const matchByFingerprint = math.MaxInt64
+
+// senderVersion returns the version of the sender's configuration; older builds send it as
+// config_version.
+func senderVersion(version, olderBuildVersion int64) int64 {
+	if version == 0 {
+		return olderBuildVersion
+	}
+	return version
+}
+
 func encodeQuery(r *executor.Request) *fleetv1.ExecuteRequest {
 	return &fleetv1.ExecuteRequest{
-		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, Customer: r.Customer,
+		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, ExecutionFingerprint: r.ExecutionFingerprint,
+		Customer: r.Customer, KeyDigest: r.KeyDigest,
 		Method: r.Method, Head: r.Head, Body: r.Body, Fingerprint: r.Fingerprint,
 		SoftTimeoutUs: r.SoftTimeout.Microseconds(), TimeoutUs: r.Timeout.Microseconds(),
-		ConfigVersion: r.ConfigVersion, MaxRuns: uint32(r.MaxRuns), HandedOver: r.HandedOver,
+		ConfigVersion: matchByFingerprint, SenderConfigVersion: r.ConfigVersion, MaxRuns: uint32(r.MaxRuns), HandedOver: r.HandedOver,
 	}
 }
 
@@ -135,8 +152,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := e.executeClientFor(address).Accept(ctx, &fleetv1.AcceptRequest{
-		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, ConfigVersion: r.ConfigVersion,
-		Customer: r.Customer, Late: r.Late,
+		RequestId: r.ID, Route: r.Route, RouteFingerprint: r.RouteFingerprint, ExecutionFingerprint: r.ExecutionFingerprint,
+		ConfigVersion: matchByFingerprint, SenderConfigVersion: r.ConfigVersion, Customer: r.Customer, KeyDigest: r.KeyDigest,
+		Host: r.Host, Path: r.Path, Late: r.Late,
 	})
 	if err != nil {
 		return err
--- a/internal/fleetrpc/execute_test.go
+++ b/internal/fleetrpc/execute_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"reflect"
@@ -68,7 +69,7 @@
 }
 
 var sampleQuery = executor.Request{
-	ID: "id-1", Route: "r", RouteFingerprint: 1 << 60, Customer: "shop", Method: "GET", Head: []byte("GET /x HTTP/1.1\r\n"),
+	ID: "id-1", Route: "r", RouteFingerprint: 1 << 60, ExecutionFingerprint: 1 << 61, Customer: "shop", KeyDigest: 1 << 62, Method: "GET", Head: []byte("GET /x HTTP/1.1\r\n"),
 	Body: []byte("b"), Fingerprint: 1 << 50, SoftTimeout: 100 * time.Millisecond, Timeout: 5 * time.Second,
 	ConfigVersion: 1 << 40, MaxRuns: 2, HandedOver: true,
 }
@@ -139,8 +140,8 @@
 	accepting, _ := startExecutor(t, acceptFunc(func(r *executor.Request) error {
 		want := executor.Request{
 			ID: sampleQuery.ID, Route: sampleQuery.Route,
-			RouteFingerprint: sampleQuery.RouteFingerprint, ConfigVersion: sampleQuery.ConfigVersion,
-			Customer: sampleQuery.Customer, Late: true,
+			RouteFingerprint: sampleQuery.RouteFingerprint, ExecutionFingerprint: sampleQuery.ExecutionFingerprint, ConfigVersion: sampleQuery.ConfigVersion,
+			Customer: sampleQuery.Customer, KeyDigest: sampleQuery.KeyDigest, Host: "h.example", Path: "/x", Late: true,
 		}
 		if !reflect.DeepEqual(*r, want) {
 			t.Errorf("asked for %+v, want %+v", *r, want)
@@ -157,7 +158,7 @@
 	}))
 	defer close(release)
 	e, q := newExchanger("127.0.0.1:1"), sampleQuery
-	q.Late = true
+	q.Late, q.Host, q.Path = true, "h.example", "/x"
 	if err := e.Accept(t.Context(), accepting, &q, testAcceptTimeout); err != nil {
 		t.Errorf("not accepted: %v", err)
 	}
@@ -193,3 +194,16 @@
 		t.Error("the executor didn't cancel the query")
 	}
 }
+
+// TestVersionsOnTheWire guards against an older build that runs a request by the name of its
+// route: it compares fingerprints only if its own configuration has a lower version than stated.
+func TestVersionsOnTheWire(t *testing.T) {
+	m := encodeQuery(&sampleQuery)
+	if m.ConfigVersion != math.MaxInt64 {
+		t.Errorf("an older build gets version %d", m.ConfigVersion)
+	}
+	m.SenderConfigVersion, m.ConfigVersion = 0, 7 // of an older build
+	if got := decodeQuery(m).ConfigVersion; got != 7 {
+		t.Errorf("the version of an older build is %d, want 7", got)
+	}
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -11,7 +11,6 @@
 	"ryecourse.example/ryecourse/internal/boottime"
 	"ryecourse.example/ryecourse/internal/core/executor"
 	"ryecourse.example/ryecourse/internal/core/reachability"
-	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
 // RejectedError is the error of another VM's request that this one has not run and never
@@ -37,8 +36,9 @@
 	// rejectedSuspect means that this VM may be isolated.
 	rejectedSuspect  = "suspect"
 	rejectedStopping = "stopping"
-	// rejectedOtherRoute means that this VM's version of the route is older.
-	rejectedOtherRoute = "other_version_of_route"
+	// rejectedOtherVersion means that this VM's configuration handles the request otherwise
+	// than the sender's.
+	rejectedOtherVersion = "other_version_of_route"
 )
 
 // isOverload reports whether the VM rejected the request because of load, so that it, or
@@ -49,7 +49,11 @@
 
 // isShort reports whether the VM may accept another request now or very soon.
 func (e *RejectedError) isShort() bool {
-	return e.isOverload() || e.Reason == rejectedOtherRoute || e.Reason == rejectedSuspect || e.Reason == string(ReasonQuarantined)
+	switch e.Reason {
+	case rejectedOtherVersion, rejectedSuspect, string(ReasonQuarantined), string(ReasonNoRoute): // the last one by older builds
+		return true
+	}
+	return e.isOverload()
 }
 
 // AcceptsQueries reports whether this VM runs requests of other VMs: it doesn't while it
@@ -68,8 +72,8 @@
 		return g.reject(r, rejectedBusy)
 	}
 	in := g.remoteIncoming(r)
-	if reason := g.checkRemote(in, r); reason != "" {
-		return g.reject(r, reason)
+	if err := g.checkRemote(in, r); err != nil {
+		return err
 	}
 	if !g.hasRoom(in) {
 		return g.reject(r, rejectedBusy)
@@ -85,9 +89,13 @@
 func (g *Gateway) RunQuery(ctx context.Context, r *executor.Request) (executor.Result, error) {
 	g.remoteQueries.Add(1)
 	defer g.remoteQueries.Add(-1)
+	var err error
+	if r.Host, r.Path, err = targetOf(r.Head); err != nil {
+		return executor.Result{}, g.reject(r, string(ReasonBadRequest))
+	}
 	in := g.remoteIncoming(r)
-	if reason := g.checkRemote(in, r); reason != "" {
-		return executor.Result{}, g.reject(r, reason)
+	if err := g.checkRemote(in, r); err != nil {
+		return executor.Result{}, err
 	}
 	q := g.newProxyRequest(in, r.Method, r.Head)
 	defer q.cleanup()
@@ -108,40 +116,30 @@
 		info:        RequestInfo{ID: r.ID, Timeout: r.Timeout, HasTimeout: true},
 		wasLate:     r.Late,
 		softTimeout: r.SoftTimeout, maxRuns: r.MaxRuns, wasHandedOver: r.HandedOver,
-		fingerprint: Fingerprint(r.Fingerprint),
+		fingerprint: Fingerprint(r.Fingerprint), keyDigest: r.KeyDigest,
 	}
 }
 
-// checkRemote sets the route and the customer of another VM's request, and returns why
-// it is rejected, or "". This VM must have the same version of the route or a newer
-// configuration, so that a caller that has seen the effect of a change isn't served
-// without it.
-func (g *Gateway) checkRemote(in *incoming, r *executor.Request) string {
+// checkRemote sets the route and the customer of another VM's request. It returns a
+// RejectedError if this VM doesn't run the request.
+func (g *Gateway) checkRemote(in *incoming, r *executor.Request) error {
 	switch {
 	case g.isDraining():
-		return rejectedStopping
+		return g.reject(r, rejectedStopping)
 	case in.view == nil || in.viewAge > g.policy.MaxKeyStaleness:
-		return string(ReasonStaleMetadata)
-	}
-	in.route = in.view.Table.RouteByName(r.Route)
-	if in.route == nil {
-		return string(ReasonNoRoute)
+		return g.reject(r, string(ReasonStaleMetadata))
 	}
-	if in.view.Table.Config.Version < r.ConfigVersion && in.route.Fingerprint() != r.RouteFingerprint {
-		return rejectedOtherRoute
+	if d := findRemoteRoute(in, r); d != "" {
+		return g.rejectVersion(in, r, d)
 	}
 	if _, quarantined := g.quarantine.Quarantined(boottime.Now(), r.Fingerprint); quarantined {
-		return string(ReasonQuarantined)
+		return g.reject(r, string(ReasonQuarantined))
 	}
-	if r.Customer != "" {
-		if in.customer = in.view.Table.CustomerByName(r.Customer); in.customer == nil {
-			in.customer = &routetable.Customer{Name: r.Customer}
-		}
-	}
-	return ""
+	return nil
 }
 
 func (g *Gateway) reject(r *executor.Request, reason string) error {
+	g.metrics.rejectedExecutions(reason).Inc()
 	g.log.Event("query_rejected").Str("request", r.ID).Str("route", r.Route).Str("reason", reason).Send()
 	return &RejectedError{Reason: reason}
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"ryecourse.example/ryecourse/internal/boottime"
@@ -19,7 +18,11 @@
 	viewAge  time.Duration
 	route    *routetable.Route
 	customer *routetable.Customer
-	services []string // by shard; nil until they are chosen
+	// host and path, without a query, select the route.
+	host, path string
+	// keyDigest is that of the customer's key; 0 without one.
+	keyDigest uint64
+	services  []string // by shard; nil until they are chosen
 	// waitedBefore is how long the caller has waited in earlier tries of this
 	// request.
 	waitedBefore time.Duration
@@ -110,7 +113,7 @@
 	if r.ContentLength == 0 || g.metadata.View() == in.view && g.metadata.Age() <= g.policy.MaxKeyStaleness {
 		return nil
 	}
-	in.customer = nil
+	in.customer, in.keyDigest = nil, 0
 	if refused := g.findRoute(in, r.Host, r.RequestURI); refused != nil {
 		return refused
 	}
@@ -123,8 +126,8 @@
 	if in.view == nil {
 		return &refusal{ReasonNoConfig, otherVMRetryAfter}
 	}
-	path, _, _ := strings.Cut(uri, "?")
-	in.route = in.view.Table.Route(host, path)
+	in.host, in.path = host, pathOf(uri)
+	in.route = in.view.Table.Route(in.host, in.path)
 	switch {
 	case in.route != nil:
 		return nil
@@ -174,5 +177,6 @@
 	if in.customer = in.view.Table.Customer(in.info.Key); in.customer == nil {
 		return &refusal{reason: ReasonUnknownKey}
 	}
+	in.keyDigest = routetable.KeyDigest(in.info.Key)
 	return nil
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -70,6 +70,12 @@
 	return m.set.GetOrCreateCounter(`ryecourse_gateway_invalid_responses_total{reason="` + reason + `"}`)
 }
 
+// rejectedExecutions returns the counter of other VMs' requests that this one has rejected for a
+// reason.
+func (m *Metrics) rejectedExecutions(reason string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`ryecourse_gateway_executions_rejected_total{reason="` + reason + `"}`)
+}
+
 // withdrawnAttempts returns the counter of withdrawn attempts for a reason.
 func (m *Metrics) withdrawnAttempts(w Withdrawal) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`ryecourse_gateway_attempts_withdrawn_total{reason="` + string(w) + `"}`)
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -200,9 +200,9 @@
 
 func (g *Gateway) executorRequest(in *incoming, method string, head []byte) *executor.Request {
 	return &executor.Request{
-		ID: in.info.ID, Route: in.route.Name, RouteFingerprint: in.route.Fingerprint(),
-		ConfigVersion: in.view.Table.Config.Version, Customer: in.customerName(), Late: in.canHardlyBeInTime(),
-		Method: method, Head: head, Body: in.body, Fingerprint: uint64(in.fingerprint), MaxRuns: in.route.Attempts,
+		ID: in.info.ID, Route: in.route.Name, RouteFingerprint: in.route.Fingerprint(), ExecutionFingerprint: in.route.ExecutionFingerprint(),
+		ConfigVersion: in.view.Table.Config.Version, Customer: in.customerName(), KeyDigest: in.keyDigest, Late: in.canHardlyBeInTime(),
+		Host: in.host, Path: in.path, Method: method, Head: head, Body: in.body, Fingerprint: uint64(in.fingerprint), MaxRuns: in.route.Attempts,
 	}
 }
 
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -77,7 +77,7 @@
 		"lost, then busy":           {[]error{lost, busy}, 2, true, busyRetryAfter, []string{"0"}},
 		"lost everywhere":           {[]error{lost, lost}, 2, false, 0, []string{"0", "1"}},
 		"stopping, then isolated":   {[]error{&RejectedError{Reason: rejectedStopping}, &RejectedError{Reason: rejectedIsolated}}, 2, false, 0, []string{"0", "1"}},
-		"another version of routes": {[]error{&RejectedError{Reason: rejectedOtherRoute}}, 1, false, 0, nil},
+		"another version of routes": {[]error{&RejectedError{Reason: rejectedOtherVersion}}, 1, false, 0, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h, e := &shedHeaders{}, &rejectingExecutors{errs: test.errs}
@@ -141,7 +141,7 @@
 	const rounds = 40
 	for range rounds {
 		for _, customer := range customers {
-			err := g.AcceptQuery(&executor.Request{ID: "id", Route: "r", Customer: customer})
+			err := g.AcceptQuery(&executor.Request{ID: "id", Route: "r", RouteFingerprint: route.Fingerprint(), Customer: customer})
 			var r *RejectedError
 			if !errors.As(err, &r) {
 				continue
--- /dev/null
+++ b/internal/gateway/versions.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"ryecourse.example/ryecourse/internal/core/executor"
+	"ryecourse.example/ryecourse/internal/core/routetable"
+)
+
+// difference is how this VM's configuration handles another VM's request otherwise than the
+// sender's; empty if it doesn't.
+type difference string
+
+const differsInRoute difference = "route"
+
+// findRemoteRoute sets the route and the customer of another VM's request by this VM's
+// configuration. Both VMs must handle the request alike, whichever configuration is newer: a
+// route of the same name may lead elsewhere, and what callers of the sender have seen of a newer
+// version they would lose again with the sender's next own response.
+func findRemoteRoute(in *incoming, r *executor.Request) difference {
+	table := in.view.Table
+	in.host, in.path = r.Host, r.Path
+	if r.Host == "" && r.Path == "" { // Accept of an older build
+		in.route = table.RouteByName(r.Route)
+	} else {
+		in.route = table.Route(r.Host, r.Path)
+	}
+	if in.route == nil || !runsAlike(in.route, r) {
+		return differsInRoute
+	}
+	if r.Customer != "" {
+		if in.customer = table.CustomerByName(r.Customer); in.customer == nil {
+			in.customer = &routetable.Customer{Name: r.Customer}
+		}
+	}
+	return ""
+}
+
+// runsAlike reports whether a route runs requests as the sender's version of its route does.
+func runsAlike(route *routetable.Route, r *executor.Request) bool {
+	if r.ExecutionFingerprint == 0 {
+		return route.Fingerprint() == r.RouteFingerprint
+	}
+	return route.ExecutionFingerprint() == r.ExecutionFingerprint
+}
+
+// rejectVersion rejects another VM's request that this VM would handle otherwise.
+func (g *Gateway) rejectVersion(in *incoming, r *executor.Request, d difference) error {
+	g.metrics.rejectedExecutions(rejectedOtherVersion).Inc()
+	e := g.log.Event("query_rejected").Str("request", r.ID).Str("route", r.Route).Str("reason", rejectedOtherVersion).
+		Str("differs_in", string(d)).Int64("config_version", in.view.Table.Config.Version).Int64("sender_config_version", r.ConfigVersion)
+	if in.route != nil {
+		e.Str("own_route", in.route.Name)
+	}
+	e.Send()
+	return &RejectedError{Reason: rejectedOtherVersion}
+}
+
+// targetOf returns the host and the path, without a query, of a request with the head.
+func targetOf(head []byte) (host, path string, err error) {
+	r, err := http.ReadRequest(bufio.NewReader(io.MultiReader(bytes.NewReader(head), strings.NewReader("\r\n"))))
+	if err != nil {
+		return "", "", err
+	}
+	return r.Host, pathOf(r.RequestURI), nil
+}
+
+// pathOf returns a request's URI without its query.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
