gateway: a VM with a newer configuration rejects another VM's request whose key it has withdrawn

A handed-over request carried the customer's name only: a VM whose newer configuration has withdrawn the key, or the customer, ran it, and served its own callers by that configuration at the same time.

A receiver with a newer configuration runs the request only if its customer still holds the key, or if none is needed; an older one does as before, as the key may be new. Older builds send no digest: their requests are checked by the customer's name.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -15,12 +15,16 @@
 // sender's; empty if it doesn't.
 type difference string
 
-const differsInRoute difference = "route"
+const (
+	differsInRoute difference = "route"
+	differsInKey   difference = "key"
+)
 
 // findRemoteRoute sets the route and the customer of another VM's request by this VM's
 // configuration. Both VMs must handle the request alike, whichever configuration is newer: a
 // route of the same name may lead elsewhere, and what callers of the sender have seen of a newer
-// version they would lose again with the sender's next own response.
+// version they would lose again with the sender's next own response. A key may be unknown here
+// only if this VM's configuration isn't the newer one.
 func findRemoteRoute(in *incoming, r *executor.Request) difference {
 	table := in.view.Table
 	in.host, in.path = r.Host, r.Path
@@ -32,14 +36,26 @@
 	if in.route == nil || !runsAlike(in.route, r) {
 		return differsInRoute
 	}
-	if r.Customer != "" {
-		if in.customer = table.CustomerByName(r.Customer); in.customer == nil {
-			in.customer = &routetable.Customer{Name: r.Customer}
-		}
+	if !findRemoteCustomer(in, r) && table.Config.Version > r.ConfigVersion {
+		return differsInKey
 	}
 	return ""
 }
 
+// findRemoteCustomer sets the customer of another VM's request and reports whether this VM's
+// configuration would admit it with the caller's key.
+func findRemoteCustomer(in *incoming, r *executor.Request) bool {
+	table := in.view.Table
+	if r.Customer == "" {
+		return in.route.Public || len(table.Config.Customers) == 0
+	}
+	if in.customer = table.CustomerByName(r.Customer); in.customer == nil {
+		in.customer = &routetable.Customer{Name: r.Customer}
+		return false
+	}
+	return r.KeyDigest == 0 || in.customer.HoldsKey(r.KeyDigest)
+}
+
 // runsAlike reports whether a route runs requests as the sender's version of its route does.
 func runsAlike(route *routetable.Route, r *executor.Request) bool {
 	if r.ExecutionFingerprint == 0 {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -193,3 +193,47 @@
 		t.Errorf("the error is %v, want a rejection", err)
 	}
 }
+
+// TestKeyOfAnotherVMsRequest guards against a request that a VM with a newer configuration runs
+// although that has withdrawn the caller's key, or now needs one.
+func TestKeyOfAnotherVMsRequest(t *testing.T) {
+	const key = "k1"
+	customers := func(keys ...string) []routetable.Customer {
+		return []routetable.Customer{{Name: "shop", Keys: keys}, {Name: "other", Keys: []string{"k9"}}}
+	}
+	none := []routetable.Customer{{Name: "other", Keys: []string{key}}}
+	for name, test := range map[string]struct {
+		customer  string
+		digest    uint64 // 0 from an older build
+		public    bool
+		customers []routetable.Customer
+		runs      bool // if this VM's configuration is newer; it always does if it is older
+	}{
+		"held":                    {"shop", routetable.KeyDigest(key), false, customers("k0", key), true},
+		"withdrawn":               {"shop", routetable.KeyDigest(key), false, customers("k0"), false},
+		"now of another customer": {"shop", routetable.KeyDigest(key), false, none, false},
+		"customer removed":        {"shop", 0, false, none, false},
+		"of an older build":       {"shop", 0, false, customers("k0"), true},
+		"needs a key by now":      {"", 0, false, customers(key), false},
+		"public":                  {"", 0, true, customers(key), true},
+		"no customers":            {"", 0, false, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			route := changedRoute(func(r *routetable.Route) { r.Public = test.public })
+			for version, want := range map[int64]bool{senderVersion - 1: true, senderVersion: true, senderVersion + 1: test.runs} {
+				g, _ := newVersionsGateway(version, []routetable.Route{route}, test.customers)
+				r := executor.Request{
+					ID: "id", Route: "o", RouteFingerprint: route.Fingerprint(), ExecutionFingerprint: route.ExecutionFingerprint(), ConfigVersion: senderVersion,
+					Host: testHost, Path: testPath, Customer: test.customer, KeyDigest: test.digest,
+				}
+				in := g.remoteIncoming(&r)
+				if err := g.checkRemote(in, &r); (err == nil) != want {
+					t.Errorf("version %d: the error is %v, want it to run %v", version, err, want)
+				}
+				if in.customerName() != test.customer {
+					t.Errorf("version %d: the customer is %q", version, in.customerName())
+				}
+			}
+		})
+	}
+}
