gateway: VMs with different configurations read the newest one when they reject a handed-over request

The sender finds route and customer again 120 ms later, if the request has the time, and asks once more. An isolated VM that is rejected again refuses the request with 503, as it can't be run.

Ruled out: running the request by the newer version.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -49,11 +49,13 @@
 
 // isShort reports whether the VM may accept another request now or very soon.
 func (e *RejectedError) isShort() bool {
-	switch e.Reason {
-	case rejectedOtherVersion, rejectedSuspect, string(ReasonQuarantined), string(ReasonNoRoute): // the last one by older builds
-		return true
-	}
-	return e.isOverload()
+	return e.isOverload() || e.isOtherVersion() || e.Reason == rejectedSuspect || e.Reason == string(ReasonQuarantined)
+}
+
+// isOtherVersion reports whether the VMs handle the request by different versions of the
+// configuration. A VM with an older build that has no route of the name says so.
+func (e *RejectedError) isOtherVersion() bool {
+	return e.Reason == rejectedOtherVersion || e.Reason == string(ReasonNoRoute)
 }
 
 // AcceptsQueries reports whether this VM runs requests of other VMs: it doesn't while it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	// Age is the time since the view was last confirmed to be current. It includes
 	// time in which the VM was suspended.
 	Age() time.Duration
+	// Refresh requests a read of the store soon, and doesn't wait for it.
+	Refresh()
 }
 
 // Policy holds the gateway's own time limits.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -113,11 +113,20 @@
 	if r.ContentLength == 0 || g.metadata.View() == in.view && g.metadata.Age() <= g.policy.MaxKeyStaleness {
 		return nil
 	}
-	in.customer, in.keyDigest = nil, 0
+	return g.readmit(in, r)
+}
+
+// readmit finds the route and the customer of a request by the present metadata.
+func (g *Gateway) readmit(in *incoming, r *http.Request) *refusal {
+	in.customer, in.keyDigest, in.services = nil, 0, nil
 	if refused := g.findRoute(in, r.Host, r.RequestURI); refused != nil {
 		return refused
 	}
-	return g.authenticate(in, g.isStale(in))
+	if refused := g.authenticate(in, g.isStale(in)); refused != nil {
+		return refused
+	}
+	in.fingerprint = fingerprintOf(r.Method, r.Host, r.RequestURI, in.customerName(), in.body)
+	return nil
 }
 
 // findRoute sets the metadata and the route of a request.
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -11,6 +11,7 @@
 
 	"ryecourse.example/ryecourse/internal/core/executor"
 	"ryecourse.example/ryecourse/internal/core/metadata"
+	"ryecourse.example/ryecourse/internal/core/reachability"
 	"ryecourse.example/ryecourse/internal/core/routetable"
 )
 
@@ -71,6 +72,13 @@
 	ctx, cancel := g.withDrain(r.Context())
 	defer cancel()
 	res := g.runElsewhere(ctx, others, g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
+	if res.notRun && res.otherVersion && g.awaitOtherVersion(ctx, in) {
+		if refused := g.readmit(in, r); refused != nil {
+			g.refuseAndRecord(in, w, *refused)
+			return true
+		}
+		res = g.runElsewhere(ctx, g.helpers(time.Now()), g.executorRequest(in, r.Method, g.requestHead(in, r)), in)
+	}
 	switch {
 	case r.Context().Err() != nil:
 		g.record(in, requestResult{callerDisconnected: true, executor: res.executor, err: res.err})
@@ -84,6 +92,8 @@
 		retryAfter := retryAfterOf(res.err)
 		g.refuse(w, ReasonOverloaded, retryAfter)
 		g.record(in, requestResult{reason: ReasonOverloaded, status: statusOf[ReasonOverloaded], executor: res.executor, err: res.err})
+	case res.notRun && res.otherVersion && g.reachable.State() == reachability.Isolated:
+		g.refuseAndRecord(in, w, refusal{ReasonNoUpstream, otherVMRetryAfter})
 	case res.notRun:
 		return false
 	default:
@@ -137,6 +147,8 @@
 	// or ever will.
 	err    error
 	notRun bool
+	// otherVersion is set if a helper rejected the request because of its configuration.
+	otherVersion bool
 }
 
 // runElsewhere asks VMs in order to run the request, until one may have run it.
@@ -168,6 +180,10 @@
 		if !errors.As(res.err, &rejected) || !rejected.isShort() {
 			g.executors.Avoid(time.Now(), addr)
 		}
+		if others.areHelpers && rejected != nil && rejected.isOtherVersion() {
+			res.otherVersion = true
+			g.metadata.Refresh()
+		}
 		g.logExecutorFailure(in, addr, res.err)
 		if !res.notRun || isQuarantined(res.err) || isOverloaded(res.err) {
 			return res
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -161,6 +161,7 @@
 
 func (m fixedMetadata) View() *metadata.View { return m.view }
 func (m fixedMetadata) Age() time.Duration   { return 0 }
+func (m fixedMetadata) Refresh()             {}
 
 type noQuarantine struct{ Quarantine }
 
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"ryecourse.example/ryecourse/internal/core/executor"
 	"ryecourse.example/ryecourse/internal/core/routetable"
@@ -73,9 +75,32 @@
 		e.Str("own_route", in.route.Name)
 	}
 	e.Send()
+	if in.view.Table.Config.Version < r.ConfigVersion {
+		g.metadata.Refresh()
+	}
 	return &RejectedError{Reason: rejectedOtherVersion}
 }
 
+// versionWait is the time in which VMs that have requested a read of the store have its newest
+// configuration.
+const versionWait = 120 * time.Millisecond
+
+// awaitOtherVersion waits until VMs whose configurations differ may have read the newest one. It
+// returns false if the request has no time for that, or has ended.
+func (g *Gateway) awaitOtherVersion(ctx context.Context, in *incoming) bool {
+	if g.timeout(in)-time.Since(in.started) < 2*versionWait {
+		return false
+	}
+	timer := time.NewTimer(versionWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // targetOf returns the host and the path, without a query, of a request with the head.
 func targetOf(head []byte) (host, path string, err error) {
 	r, err := http.ReadRequest(bufio.NewReader(io.MultiReader(bytes.NewReader(head), strings.NewReader("\r\n"))))
--- a/internal/metadatasync/follower.go
+++ b/internal/metadatasync/follower.go
@@ -106,6 +106,7 @@
 	// confirmed is set once another VM has confirmed the configuration with which this one
 	// starts, or none could.
 	confirmed atomic.Bool
+	refresh   chan struct{} // requests an early read
 }
 
 // NewFollower returns a follower. historyGone is the source's error for changes
@@ -113,7 +114,8 @@
 func NewFollower(s Source, peers Peers, p Policy, historyGone error, log *eventlog.Log, publish func(*metadata.View)) *Follower {
 	f := &Follower{
 		source: s, peers: peers, policy: p, log: log, errHistoryGone: historyGone, publish: publish, now: boottime.Now,
-		state: metadata.NewState(p.OutageThreshold, p.HoldPeriod),
+		state:   metadata.NewState(p.OutageThreshold, p.HoldPeriod),
+		refresh: make(chan struct{}, 1),
 	}
 	f.confirmed.Store(p.ConfirmTimeout == 0)
 	return f
@@ -151,8 +153,39 @@
 		began := time.Now()
 		err := f.read(ctx)
 		f.confirm(ctx)
-		sleep(ctx, f.pause(err)-time.Since(began))
+		next := began.Add(f.pause(err))
+		for f.awaitRefresh(ctx, began, next) {
+			began = time.Now()
+			_ = f.read(ctx) // it has logged its error; the regular read follows
+		}
+	}
+}
+
+// minReadInterval is the least time between the begins of two reads.
+const minReadInterval = 100 * time.Millisecond
+
+// Refresh requests a read before the next regular one. It doesn't wait for it, and may be called
+// concurrently.
+func (f *Follower) Refresh() {
+	select {
+	case f.refresh <- struct{}{}:
+	default: // one is requested already
+	}
+}
+
+// awaitRefresh waits until the next regular read is due. It returns true if a Refresh comes
+// first, at least minReadInterval after the last read began.
+func (f *Follower) awaitRefresh(ctx context.Context, began, next time.Time) bool {
+	sleep(ctx, min(time.Until(next), minReadInterval-time.Since(began)))
+	timer := time.NewTimer(time.Until(next))
+	defer timer.Stop()
+	select {
+	case <-f.refresh:
+		return ctx.Err() == nil
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // pause returns the time between the begin of a read, which ended with err, and the
--- a/internal/metadatasync/follower_test.go
+++ b/internal/metadatasync/follower_test.go
@@ -265,3 +265,35 @@
 		}
 	}
 }
+
+// signallingSource signals each of its reads.
+type signallingSource struct {
+	fakeSource
+	reads chan struct{}
+}
+
+func (s *signallingSource) Changes(context.Context, int64, time.Duration) (metadata.Batch, error) {
+	s.reads <- struct{}{}
+	return metadata.Batch{Revision: 10}, nil
+}
+
+// TestRefreshReadsAtOnce guards against a VM that learns of another version only with its next
+// regular read.
+func TestRefreshReadsAtOnce(t *testing.T) {
+	s := &signallingSource{reads: make(chan struct{})}
+	p := DefaultPolicy()
+	p.Interval = time.Hour
+	f := NewFollower(s, &fakePeers{}, p, errGone, eventlog.New(bytes.NewBuffer(nil), "vm"), func(*metadata.View) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	for range 3 {
+		f.Refresh()
+		<-s.reads
+	}
+	cancel()
+	<-ended
+}
